--- /dev/null
+++ b/internal/control/view.go
@@ -0,0 +1,72 @@
+// Package control runs the daemon's one control goroutine. It drives the pure
+// state machines of coord and publishes an immutable View that traffic
+// goroutines read.
+package control
+
+import (
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/internal/manifest"
+	"github.com/beryltrestle/beryltrestle/internal/platform"
+)
+
+// View is one immutable snapshot of the control state.
+type View struct {
+	// Generation is the manifest generation in force; 0 before the first one.
+	Generation uint64
+	Manifest   *manifest.Document
+	// Groups holds every pool of the manifest, by name.
+	Groups map[string]GroupView
+}
+
+// GroupView is the control state of one group.
+type GroupView struct {
+	Pool manifest.Pool
+	// Owned is true while this daemon holds the group's term and a majority has
+	// received the marker.
+	Owned bool
+	Term  uint64
+	// Primary is the address of the primary endpoint of Term.
+	Primary string
+	// Marker is the first log entry of Term.
+	Marker logpos.Position
+	// PromotionPoint is the end of the log that the primary of Term started from.
+	PromotionPoint logpos.Position
+	// ConfirmAfter is the time before which no write of this term is confirmed.
+	ConfirmAfter time.Time
+	// LeaseStart is the start of the latest poll that a majority answered with Term.
+	LeaseStart time.Time
+	// Changing is true while this daemon knows that the primary is being replaced.
+	Changing bool
+	// Endpoints holds the last status of each endpoint, by address.
+	Endpoints map[string]EndpointView
+	// OwnerAddress and OwnerIncarnation name the owner that this daemon knows,
+	// which may be itself; empty if none is known.
+	OwnerAddress     string
+	OwnerIncarnation uint64
+	// Candidates are the peer addresses of the group's candidates, best first.
+	Candidates []string
+}
+
+// EndpointView is the last known state of one endpoint.
+type EndpointView struct {
+	platform.EndpointStatus
+	// At is when the poll that returned this status started; zero if never.
+	At time.Time
+	// Reachable is false after a failed or timed-out poll.
+	Reachable bool
+}
+
+// ReadLease is the time D from the start of a majority poll during which an
+// owner may serve reads.
+const ReadLease = time.Second
+
+// DriftAllowance covers the difference between the clock rates of two hosts
+// over ReadLease.
+const DriftAllowance = 100 * time.Millisecond
+
+// LeaseValid reports whether reads may be served at now.
+func (g GroupView) LeaseValid(now time.Time) bool {
+	return g.Owned && now.Sub(g.LeaseStart) < ReadLease
+}
--- /dev/null
+++ b/internal/metrics/names.go
@@ -0,0 +1,63 @@
+package metrics
+
+// Name is the name of a counter or gauge. Every name that the daemon uses is
+// listed in this file; refusals and retries have one counter for each reason.
+type Name string
+
+// Refusals: the request was not run, or its outcome is unknown.
+const (
+	RefusedNotOwner         Name = "refused.not_owner"
+	RefusedWrongIncarnation Name = "refused.wrong_incarnation"
+	RefusedLeaseExpired     Name = "refused.lease_expired"
+	RefusedNoOwner          Name = "refused.no_owner"
+	RefusedDeadline         Name = "refused.deadline"
+	RefusedExpectedWait     Name = "refused.expected_wait"
+	RefusedDraining         Name = "refused.draining"
+	RefusedSessionState     Name = "refused.session_state"
+	RefusedProtocol         Name = "refused.protocol"
+	RefusedOversize         Name = "refused.oversize"
+	RefusedUnknownPool      Name = "refused.unknown_pool"
+	RefusedTransactionLost  Name = "refused.transaction_lost"
+	RefusedConnect          Name = "refused.connect"
+	RefusedNeverRun         Name = "refused.never_run"
+	UnknownOwnerLost        Name = "unknown.owner_lost"
+	UnknownTermChanged      Name = "unknown.term_changed"
+	UnknownEndpointLost     Name = "unknown.endpoint_lost"
+	UnknownConfirmTimeout   Name = "unknown.confirm_timeout"
+)
+
+// Retries, each of a request that was not run.
+const (
+	RetryNotOwner       Name = "retry.not_owner"
+	RetryOwnerLost      Name = "retry.owner_lost"
+	RetryLease          Name = "retry.lease"
+	RetryReplicaReject  Name = "retry.replica_reject"
+	RetryStaleConn      Name = "retry.stale_connection"
+	RetryBudgetSpent    Name = "retry.budget_spent"
+	RetryReadRepeated   Name = "retry.read_repeated"
+	RetryPrimaryChanged Name = "retry.primary_changed"
+)
+
+// Traffic.
+const (
+	ReadsReplica     Name = "reads.replica"
+	ReadsPrimary     Name = "reads.primary"
+	Writes           Name = "writes"
+	Transactions     Name = "transactions"
+	AnswersDiscarded Name = "answers.unknown_id"
+	CallersOpen      Name = "callers.open"
+	ConnsOpened      Name = "connections.opened"
+	ConnsClosed      Name = "connections.closed"
+)
+
+// Control.
+const (
+	ClaimsStarted   Name = "claims.started"
+	ClaimsWon       Name = "claims.won"
+	ClaimsLost      Name = "claims.lost"
+	StepDowns       Name = "claims.step_down"
+	Stalls          Name = "control.stalls"
+	ManifestApplied Name = "manifest.applied"
+	ManifestBehind  Name = "manifest.behind"
+	Generation      Name = "manifest.generation"
+)
--- /dev/null
+++ b/internal/metrics/registry.go
@@ -0,0 +1,47 @@
+// Package metrics holds the counters of a daemon and writes them as JSON and in
+// the Prometheus text format.
+package metrics
+
+import (
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// Registry holds the metrics of one daemon.
+type Registry struct {
+	reg gometrics.Registry
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{reg: gometrics.NewRegistry()}
+}
+
+// Inc adds 1 to the counter.
+func (r *Registry) Inc(name Name) { r.Add(name, 1) }
+
+// Add adds n to the counter.
+func (r *Registry) Add(name Name, n int64) {
+	gometrics.GetOrRegisterCounter(string(name), r.reg).Inc(n)
+}
+
+// Count returns the counter's value.
+func (r *Registry) Count(name Name) int64 {
+	return gometrics.GetOrRegisterCounter(string(name), r.reg).Count()
+}
+
+// Gauge sets the gauge.
+func (r *Registry) Gauge(name Name, v int64) {
+	gometrics.GetOrRegisterGauge(string(name), r.reg).Update(v)
+}
+
+// Each calls f for every counter and gauge, in no particular order.
+func (r *Registry) Each(f func(name string, value int64)) {
+	r.reg.Each(func(name string, m any) {
+		switch m := m.(type) {
+		case gometrics.Counter:
+			f(name, m.Count())
+		case gometrics.Gauge:
+			f(name, m.Value())
+		}
+	})
+}
--- /dev/null
+++ b/internal/platform/errors.go
@@ -0,0 +1,33 @@
+package platform
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// StaleTermError reports that an endpoint has seen a higher term, or the same
+// term for another holder.
+type StaleTermError struct {
+	Address string
+	// Asked is the term of the failed call.
+	Asked uint64
+	// Seen is the endpoint's term.
+	Seen uint64
+}
+
+// Error implements error.
+func (e *StaleTermError) Error() string {
+	return fmt.Sprintf("endpoint %s is at term %d, call was for term %d", e.Address, e.Seen, e.Asked)
+}
+
+// Errors of the table and the object store.
+var (
+	// ErrConflict reports that the condition of a conditional write did not hold;
+	// the write did not take effect.
+	ErrConflict = errors.New("conditional write conflicts with another write")
+	// ErrNotFound reports that the item or object does not exist.
+	ErrNotFound = errors.New("item not found")
+	// ErrUnknownOutcome reports that a write may or may not have taken effect.
+	ErrUnknownOutcome = errors.New("outcome of the write is not known")
+)
--- /dev/null
+++ b/internal/platform/group_control.go
@@ -0,0 +1,70 @@
+// Package platform defines the services that the operators' platform gives:
+// group control, transactional table, object store and host list. One
+// interface stands for each service, so that another platform needs one
+// adapter and no decision changes.
+package platform
+
+import (
+	"context"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+)
+
+// LogPositionQuery is the SQL query that returns, in one text column, the
+// position ("term/offset") that the answering endpoint has applied; on a
+// primary this is the end of its log. Sent on a connection after a commit it
+// is an upper bound of that commit's position.
+const LogPositionQuery = "SELECT platform_log_position()"
+
+// Role of an endpoint in its group.
+type Role string
+
+// Roles of an endpoint.
+const (
+	// RolePrimary accepts writes.
+	RolePrimary Role = "primary"
+	// RoleReplica follows a primary.
+	RoleReplica Role = "replica"
+	// RoleFenced was a primary of a term below the endpoint's current term; it accepts no writes.
+	RoleFenced Role = "fenced"
+)
+
+// EndpointStatus is what one endpoint reports of itself.
+type EndpointStatus struct {
+	Role Role
+	// Term is the highest term that the endpoint was advanced to. It never decreases.
+	Term uint64
+	// Holder is the claimant that advanced the endpoint to Term.
+	Holder string
+	// AppointedTerm is the term of the last Promote or Follow; 0 if none.
+	AppointedTerm uint64
+	// Primary is the address of the primary that a replica follows.
+	Primary string
+	// Received is the end of the endpoint's log.
+	Received logpos.Position
+	// Applied is the position that queries on this endpoint see.
+	Applied logpos.Position
+}
+
+// GroupControl controls the endpoints of database groups. Each call addresses
+// one endpoint by its address.
+//
+// Guarantees needed from the platform: terms survive restarts of the endpoint
+// and never decrease; AdvanceTerm, Promote and Follow are atomic on their
+// endpoint; a primary of a lower term commits nothing after AdvanceTerm
+// returned; a replica accepts no log of a term lower than its own.
+type GroupControl interface {
+	// Status returns the endpoint's state.
+	Status(ctx context.Context, address string) (EndpointStatus, error)
+	// AdvanceTerm raises the endpoint to the term for the holder. It fails with
+	// a *StaleTermError if the endpoint has seen a higher term, or the same term
+	// of another holder. Repeating a successful call succeeds.
+	AdvanceTerm(ctx context.Context, address string, term uint64, holder string) (EndpointStatus, error)
+	// Promote makes the endpoint the primary of the term and writes the marker,
+	// the first log entry of the term. It fails with a *StaleTermError if the
+	// endpoint is not at this term for this holder.
+	Promote(ctx context.Context, address string, term uint64, holder string) (EndpointStatus, error)
+	// Follow makes the endpoint a replica of the primary address at the term. It
+	// fails like Promote.
+	Follow(ctx context.Context, address string, term uint64, holder, primary string) (EndpointStatus, error)
+}
--- /dev/null
+++ b/internal/platform/host_list.go
@@ -0,0 +1,38 @@
+package platform
+
+import "context"
+
+// HostState is what the platform says of a host.
+type HostState string
+
+// States of a host.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
+
+// Host is one host that carries a daemon.
+type Host struct {
+	Name string `json:"name"`
+	// Address is the daemon's peer address, IP and port.
+	Address string `json:"address"`
+	// AvailabilityZone is the host's zone.
+	AvailabilityZone string `json:"availability_zone"`
+	// Capacity is the host's relative weight in placement, at least 1.
+	Capacity int       `json:"capacity"`
+	State    HostState `json:"state"`
+}
+
+// Hosts is one version of the host list.
+type Hosts struct {
+	Version uint64 `json:"version"`
+	Hosts   []Host `json:"hosts"`
+}
+
+// HostList lists live and leaving hosts. The list may lag without bound and is
+// used as a hint only.
+type HostList interface {
+	// Hosts returns the list if its version is above since, otherwise a list with
+	// the same version and no hosts.
+	Hosts(ctx context.Context, since uint64) (Hosts, error)
+}
