--- a/coord/floors/floors_test.go
+++ b/coord/floors/floors_test.go
@@ -4,10 +4,11 @@
 	"fmt"
 	"testing"
 
-	"github.com/beryltrestle/beryltrestle/coord/floors"
-	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/beryltrestle/beryltrestle/coord/floors"
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
 )
 
 // Guards against a floor that falls when a session's later read was served by
