--- /dev/null
+++ b/internal/settings/tls.go
@@ -0,0 +1,12 @@
+package settings
+
+// TLS names the certificate files. Without files, connections are not encrypted.
+type TLS struct {
+	// CallerCertFile and CallerKeyFile are presented to callers.
+	CallerCertFile string `json:"caller_cert_file"`
+	CallerKeyFile  string `json:"caller_key_file"`
+	// PeerCertFile, PeerKeyFile and PeerCAFile are used for mutual TLS between daemons.
+	PeerCertFile string `json:"peer_cert_file"`
+	PeerKeyFile  string `json:"peer_key_file"`
+	PeerCAFile   string `json:"peer_ca_file"`
+}
