Add manifest validation, diff, split into objects, schema and examples

Operators get all findings of a manifest at once, with pointer and remedy. A change of one pool writes three objects (pool, bucket, root), which a test checks on the cooperative's example. Joining verifies each hash and decodes only objects that changed.

--- /dev/null
+++ b/internal/manifest/manifest_test.go
@@ -0,0 +1,190 @@
+package manifest_test
+
+import (
+	"encoding/json"
+	"maps"
+	"os"
+	"reflect"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"github.com/beryltrestle/beryltrestle/internal/manifest"
+)
+
+var examples = []string{"../../examples/cooperative.json", "../../examples/lindqvist.json"}
+
+// load decodes an example, which must be valid.
+func load(tb testing.TB, path string) *manifest.Document {
+	tb.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	doc, list := manifest.Decode(data)
+	if len(list) > 0 {
+		tb.Fatal(list)
+	}
+	return doc
+}
+
+// Guards against a schema and examples that the code has left behind.
+func TestSchemaAcceptsExamplesAndRejectsFaults(t *testing.T) {
+	g := NewWithT(t)
+	schema, err := jsonschema.NewCompiler().Compile("../../docs/manifest.schema.json")
+	g.Expect(err).NotTo(HaveOccurred())
+	for i, path := range examples {
+		doc := load(t, path)
+		g.Expect(doc.Hosts).To(HaveLen(13 + i))
+		g.Expect(doc.Pools).To(HaveLen(3))
+		file, err := os.Open(path)
+		g.Expect(err).NotTo(HaveOccurred())
+		value, err := jsonschema.UnmarshalJSON(file)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(schema.Validate(value)).To(Succeed())
+		value.(map[string]any)["pools"].([]any)[0].(map[string]any)["reads"].([]any)[0].(map[string]any)["extra"] = 1
+		g.Expect(schema.Validate(value)).NotTo(Succeed())
+	}
+}
+
+// Guards against findings that appear only after earlier ones were corrected.
+func TestDecodeReportsAllFindingsInOnePass(t *testing.T) {
+	g := NewWithT(t)
+	_, list := manifest.Decode([]byte(`{"version": 2, "hosts": [
+		{"name": "h", "address": "host:1", "availability_zone": "a", "capacity": 0},
+		{"name": "h", "address": "10.0.0.1:1", "capacity": "big", "zone": "a"}],
+		"pools": [
+		{"name": "p", "database": "d", "user": "u", "endpoints": [
+			{"name": "e", "address": "10.0.0.2:1", "availability_zone": "a", "slots": 3, "connections": 4},
+			{"name": "e", "address": "10.0.0.2:1", "availability_zone": "a", "slots": 0, "connections": 9}],
+		 "classes": [{"name": "c", "match": {"pattern": "("}, "deadline_ms": 0, "priority": 10}],
+		 "reads": [{"name": "r", "max_staleness_ms": -1}, {"name": "s", "match": {"tag": "t"}}],
+		 "writes": [{"name": "w", "confirm": "maybe"}]},
+		{"name": "p", "endpoints": []}]}`))
+	pointers := make([]string, len(list))
+	for i, f := range list {
+		pointers[i] = f.Pointer
+	}
+	g.Expect(pointers).To(ConsistOf("/version", "/deployment", "/hosts/0/address", "/hosts/0/capacity",
+		"/hosts/1/name", "/hosts/1/availability_zone", "/hosts/1/capacity", "/hosts/1/zone",
+		"/pools/0/endpoints/0/connections", "/pools/0/endpoints/1/name", "/pools/0/endpoints/1/address",
+		"/pools/0/endpoints/1/slots", "/pools/0/classes/0/match/pattern", "/pools/0/classes/0/deadline_ms",
+		"/pools/0/classes/0/priority", "/pools/0/reads/0/max_staleness_ms", "/pools/0/reads/1/match",
+		"/pools/0/writes/0/confirm", "/pools/1/name", "/pools/1/database", "/pools/1/user", "/pools/1/endpoints"))
+}
+
+// Guards against a change of one pool that rewrites objects of other pools.
+func TestSplitChangesOnlyThreeObjectsForOnePool(t *testing.T) {
+	g := NewWithT(t)
+	doc := load(t, examples[0])
+	_, before := manifest.Split(doc)
+	doc.Pools[1].Endpoints[0].Leaving = true
+	root, after := manifest.Split(doc)
+	added := maps.Clone(after)
+	maps.DeleteFunc(added, func(h string, _ []byte) bool { return before[h] != nil })
+	g.Expect(added).To(HaveLen(3))
+	g.Expect(added).To(HaveKey(root))
+
+	joined, err := manifest.Join(root, getter(after))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(joined).To(Equal(doc))
+}
+
+// Guards against damaged or missing objects that are taken for a manifest, and
+// against a joiner that fetches again what it holds.
+func TestJoinVerifiesHashesAndFetchesOnlyChanges(t *testing.T) {
+	g := NewWithT(t)
+	doc := load(t, examples[1])
+	root, objects := manifest.Split(doc)
+	for _, h := range slices.Sorted(maps.Keys(objects)) {
+		bad := maps.Clone(objects)
+		bad[h] = append(slices.Clone(bad[h]), ' ')
+		_, err := manifest.Join(root, getter(bad))
+		var oe *manifest.ObjectError
+		g.Expect(err).To(BeAssignableToTypeOf(oe))
+		delete(bad, h)
+		_, err = manifest.Join(root, getter(bad))
+		g.Expect(err).To(BeAssignableToTypeOf(oe))
+	}
+
+	j := manifest.NewJoiner()
+	_, err := j.Join(root, getter(objects))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(j.References()).To(HaveLen(len(objects)))
+	doc.Pools[0].Database = "other"
+	root, objects = manifest.Split(doc)
+	fetched := 0
+	_, err = j.Join(root, func(h string) ([]byte, error) {
+		fetched++
+		return objects[h], nil
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(fetched).To(Equal(3))
+}
+
+func getter(objects map[string][]byte) manifest.Getter {
+	return func(h string) ([]byte, error) {
+		if b, ok := objects[h]; ok {
+			return b, nil
+		}
+		return nil, os.ErrNotExist
+	}
+}
+
+// Guards against changes that an operator is not shown before an apply.
+func TestDiffNamesHostsPoolsAndEndpoints(t *testing.T) {
+	g := NewWithT(t)
+	a, b := load(t, examples[0]), load(t, examples[0])
+	g.Expect(manifest.Diff(a, b)).To(BeEmpty())
+	b.Hosts = b.Hosts[1:]
+	b.Pools[0].Endpoints[1].Slots = 4
+	b.Pools[1].User = "u"
+	b.Pools[2].Name = "members-lake"
+	lines := make([]string, 0)
+	for _, c := range manifest.Diff(a, b) {
+		lines = append(lines, c.String())
+	}
+	g.Expect(lines).To(Equal([]string{
+		"removed host entry-01",
+		"changed endpoint members-hills/members-hills-2 slots: 3 -> 4",
+		"added pool members-lake",
+		`changed pool members-river user: "beryltrestle" -> "u"`,
+		"removed pool members-valley",
+	}))
+}
+
+// Guards against panics on hostile input, and against documents that change
+// when they are written and read again or split and joined.
+func FuzzDecode(f *testing.F) {
+	for _, path := range examples {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte(`{"version":1,"deployment":"d","hosts":[{"name":"h","address":"[::1]:1","availability_zone":"a","capacity":1}],
+		"pools":[{"name":"p","database":"d","user":"u","endpoints":[{"name":"e","address":"1.1.1.1:1",
+		"availability_zone":"a","slots":1,"connections":3}],"reads":null,"writes":[]}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		doc, list := manifest.Decode(data)
+		if len(list) > 0 {
+			return
+		}
+		encoded, err := json.Marshal(doc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, list := manifest.Decode(encoded)
+		if len(list) > 0 || !reflect.DeepEqual(doc, again) {
+			t.Fatalf("document changed: %v\n%+v\n%+v", list, doc, again)
+		}
+		root, objects := manifest.Split(doc)
+		joined, err := manifest.Join(root, getter(objects))
+		if err != nil || len(manifest.Diff(doc, joined)) > 0 {
+			t.Fatalf("split and join changed the document: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/manifest/unique.go
@@ -0,0 +1,26 @@
+package manifest
+
+import "github.com/beryltrestle/beryltrestle/internal/findings"
+
+// unique finds values that appear more than once.
+type unique struct {
+	list *findings.List
+	// first is the pointer of each value's first appearance.
+	first map[string]string
+}
+
+func newUnique(l *findings.List) unique {
+	return unique{list: l, first: make(map[string]string)}
+}
+
+// check adds a finding if the value was seen before. Empty values are ignored.
+func (u unique) check(pointer, v string) {
+	if v == "" {
+		return
+	}
+	if first, ok := u.first[v]; ok {
+		u.list.Add(pointer, "use each value once", "%q is already used at %s", v, first)
+		return
+	}
+	u.first[v] = pointer
+}
