Add platform adapters and the platform stand-in

The SDK's own retries turn a lost answer of a conditional write into a false conflict: with the default retryer the lost-answer test returned ErrConflict. Retries are off, only a refusal by the service or a failed dial counts as not written, and everything else is ErrUnknownOutcome. The stand-in has switches for outage, delay, lost answers and host list lag.

--- /dev/null
+++ b/internal/platform/dynamo/item.go
@@ -0,0 +1,78 @@
+package dynamo
+
+import (
+	"strconv"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/internal/platform"
+)
+
+// Attributes of an item.
+const (
+	attributeID         = "id"
+	attributeGeneration = "generation"
+	attributeApplyID    = "apply_id"
+	attributeRoot       = "root"
+	attributeOperator   = "operator"
+)
+
+// attributes is an item as the API has it.
+type attributes = map[string]types.AttributeValue
+
+func keyOf(key string) attributes { return attributes{attributeID: text(key)} }
+
+func text(s string) types.AttributeValue { return &types.AttributeValueMemberS{Value: s} }
+
+func number(n uint64) types.AttributeValue {
+	return &types.AttributeValueMemberN{Value: strconv.FormatUint(n, 10)}
+}
+
+func encodeItem(key string, item platform.Item) attributes {
+	return attributes{
+		attributeID:         text(key),
+		attributeGeneration: number(item.Generation),
+		attributeApplyID:    text(item.ApplyID),
+		attributeRoot:       text(item.Root),
+		attributeOperator:   text(item.Operator),
+	}
+}
+
+func decodeItem(a attributes) (platform.Item, error) {
+	n, ok := a[attributeGeneration].(*types.AttributeValueMemberN)
+	if !ok {
+		return platform.Item{}, errors.New("table item has no generation")
+	}
+	generation, err := strconv.ParseUint(n.Value, 10, 64)
+	if err != nil {
+		return platform.Item{}, errors.Wrap(err, "generation of table item")
+	}
+	return platform.Item{
+		Generation: generation,
+		ApplyID:    textOf(a[attributeApplyID]),
+		Root:       textOf(a[attributeRoot]),
+		Operator:   textOf(a[attributeOperator]),
+	}, nil
+}
+
+func textOf(v types.AttributeValue) string {
+	if s, ok := v.(*types.AttributeValueMemberS); ok {
+		return s.Value
+	}
+	return ""
+}
+
+// condition makes the write depend on the stored generation.
+func condition(input *dynamodb.PutItemInput, expected uint64) {
+	if expected == 0 {
+		input.ConditionExpression = aws.String("attribute_not_exists(#id)")
+		input.ExpressionAttributeNames = map[string]string{"#id": attributeID}
+		return
+	}
+	input.ConditionExpression = aws.String("#generation = :expected")
+	input.ExpressionAttributeNames = map[string]string{"#generation": attributeGeneration}
+	input.ExpressionAttributeValues = attributes{":expected": number(expected)}
+}
--- /dev/null
+++ b/internal/standin/platform/adapters_test.go
@@ -0,0 +1,127 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/internal/platform"
+	"github.com/beryltrestle/beryltrestle/internal/platform/dynamo"
+	"github.com/beryltrestle/beryltrestle/internal/platform/hostlist"
+	"github.com/beryltrestle/beryltrestle/internal/platform/s3"
+	standin "github.com/beryltrestle/beryltrestle/internal/standin/platform"
+)
+
+const timeout = 300 * time.Millisecond
+
+func start(t *testing.T) *standin.Server {
+	t.Helper()
+	s, err := standin.Start(standin.Config{Hosts: []platform.Host{{Name: "a"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func table(s *standin.Server) *dynamo.Table {
+	return dynamo.New(dynamo.Config{Endpoint: s.URL(), Region: "local", Table: "t",
+		AccessKeyID: "k", SecretAccessKey: "s", Timeout: timeout})
+}
+
+func objects(s *standin.Server) *s3.Store {
+	return s3.New(s3.Config{Endpoint: s.URL(), Region: "local", Bucket: "b",
+		AccessKeyID: "k", SecretAccessKey: "s", Timeout: timeout})
+}
+
+// Guards against conditional writes that are not conditional.
+func TestTableWritesOnlyIfGenerationIsExpected(t *testing.T) {
+	g := NewWithT(t)
+	tab := table(start(t))
+	ctx := context.Background()
+	_, err := tab.Get(ctx, "k")
+	g.Expect(err).To(MatchError(platform.ErrNotFound))
+	item := platform.Item{Generation: 1, ApplyID: "a", Root: "r", Operator: "o"}
+	g.Expect(tab.PutIf(ctx, "k", item, 1)).To(MatchError(platform.ErrConflict))
+	g.Expect(tab.PutIf(ctx, "k", item, 0)).To(Succeed())
+	g.Expect(tab.PutIf(ctx, "k", item, 0)).To(MatchError(platform.ErrConflict))
+	g.Expect(tab.Get(ctx, "k")).To(Equal(item))
+}
+
+// Guards against a lost answer that is reported as a conflict because the
+// request was sent again, and against a lost answer reported as "not written".
+func TestLostAnswerOfWriteIsUnknownAndSentOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t)
+	s.SetFaults(standin.Faults{LoseTableAnswers: 1})
+	err := table(s).PutIf(context.Background(), "k", platform.Item{Generation: 1}, 0)
+	g.Expect(err).To(MatchError(platform.ErrUnknownOutcome))
+	g.Expect(s.Counts()).To(Equal(standin.Counts{TableWrites: 1}))
+}
+
+// Guards against writes that ran out of time being reported as not written: the
+// service may still run them.
+func TestSlowWriteIsUnknownWithinTimeout(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t)
+	s.SetFaults(standin.Faults{DelayMs: 800})
+	began := time.Now()
+	err := table(s).PutIf(context.Background(), "k", platform.Item{Generation: 1}, 0)
+	g.Expect(err).To(MatchError(platform.ErrUnknownOutcome))
+	g.Expect(objects(s).Put(context.Background(), "o", nil)).NotTo(Succeed())
+	g.Expect(time.Since(began)).To(BeNumerically("<", 750*time.Millisecond))
+	g.Eventually(func() int { return s.Counts().TableWrites }, 5*time.Second).Should(Equal(1))
+}
+
+// Guards against a service that cannot be reached being reported as unknown,
+// which would make an operator look for a write that was never sent.
+func TestWriteWithoutConnectionIsNotUnknown(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t)
+	g.Expect(s.Close()).To(Succeed())
+	err := table(s).PutIf(context.Background(), "k", platform.Item{Generation: 1}, 0)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(err).NotTo(MatchError(platform.ErrUnknownOutcome))
+}
+
+// Guards against damaged objects and against outages that look like missing objects.
+func TestObjectsAreKept(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t)
+	o := objects(s)
+	ctx := context.Background()
+	_, err := o.Get(ctx, "k")
+	g.Expect(err).To(MatchError(platform.ErrNotFound))
+	body := bytes.Repeat([]byte{0, 1, '\n'}, 100_000)
+	g.Expect(o.Put(ctx, "k", body)).To(Succeed())
+	g.Expect(o.Get(ctx, "k")).To(Equal(body))
+	s.SetFaults(standin.Faults{Outage: true})
+	_, err = o.Get(ctx, "k")
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(err).NotTo(MatchError(platform.ErrNotFound))
+}
+
+// Guards against a list that is sent again without change, and against a lag
+// switch without effect.
+func TestHostListHasVersionsAndLag(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t)
+	c := hostlist.New(s.HostListURL(), timeout)
+	ctx := context.Background()
+	s.SetHosts([]platform.Host{{Name: "a"}, {Name: "b", State: platform.HostLeaving}})
+	list, err := c.Hosts(ctx, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list.Version).To(Equal(uint64(2)))
+	g.Expect(list.Hosts).To(HaveLen(2))
+	g.Expect(c.Hosts(ctx, 2)).To(Equal(platform.Hosts{Version: 2}))
+	s.SetFaults(standin.Faults{HostListLagMs: 3_600_000})
+	list, err = c.Hosts(ctx, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list.Hosts).To(Equal([]platform.Host{{Name: "a"}}))
+	s.SetFaults(standin.Faults{HostListOutage: true})
+	_, err = c.Hosts(ctx, 0)
+	g.Expect(err).To(HaveOccurred())
+}
--- /dev/null
+++ b/internal/standin/platform/condition.go
@@ -0,0 +1,31 @@
+package platform
+
+import (
+	"regexp"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The two forms of condition that the adapter uses.
+var (
+	notExistsForm = regexp.MustCompile(`^attribute_not_exists\((#\w+)\)$`)
+	equalsForm    = regexp.MustCompile(`^(#\w+) = (:\w+)$`)
+)
+
+// conditionHolds evaluates the request's condition against the stored item.
+func conditionHolds(req tableRequest, stored attributes) (bool, error) {
+	if req.ConditionExpression == "" {
+		return true, nil
+	}
+	if m := notExistsForm.FindStringSubmatch(req.ConditionExpression); m != nil {
+		_, exists := stored[req.ExpressionAttributeNames[m[1]]]
+		return !exists, nil
+	}
+	m := equalsForm.FindStringSubmatch(req.ConditionExpression)
+	if m == nil {
+		return false, errors.Newf("condition %q is not supported", req.ConditionExpression)
+	}
+	value := stored[req.ExpressionAttributeNames[m[1]]]
+	want := req.ExpressionAttributeValues[m[2]]
+	return len(value) > 0 && value["N"] == want["N"] && value["S"] == want["S"], nil
+}
