Add manifest store with conflict and lost-answer resolution

An apply whose answer was lost may take effect after the item was read back, and other applies may follow it. With read-back by ID removed, the lost-answer test got a ConflictError naming its own apply; without the history, an apply followed by two others was reported as a conflict; with an early 'not applied', the late-write test failed.

--- a/internal/manifest/joiner.go
+++ b/internal/manifest/joiner.go
@@ -10,12 +10,13 @@
 // errHash reports content that is not the one its hash names.
 var errHash = errors.New("content does not have this hash")
 
-// Getter returns the object of a hash.
+// Getter returns the object of a hash. It must be safe for concurrent use if the
+// Joiner is parallel.
 type Getter func(hash string) ([]byte, error)
 
 // Join assembles and checks the manifest of a root hash.
 func Join(root string, get Getter) (*Document, error) {
-	return NewJoiner().Join(root, get)
+	return NewJoiner(1).Join(root, get)
 }
 
 // Joiner assembles manifests and keeps the decoded objects of the last one, so
@@ -24,11 +25,16 @@
 type Joiner struct {
 	decoded map[string]any
 	next    map[string]any
-	get     Getter
+	// bodies holds objects that were fetched and not decoded yet.
+	bodies   map[string][]byte
+	get      Getter
+	parallel int
+	history  []Acceptance
 }
 
-// NewJoiner returns a joiner without decoded objects.
-func NewJoiner() *Joiner { return &Joiner{} }
+// NewJoiner returns a joiner without decoded objects, which fetches at most
+// parallel objects at once.
+func NewJoiner(parallel int) *Joiner { return &Joiner{parallel: parallel} }
 
 // Join assembles the manifest of a root hash. Pools are sorted by name. Content
 // that does not have its hash, is missing or is not valid gives an *ObjectError.
@@ -36,6 +42,7 @@
 // versions run side by side.
 func (j *Joiner) Join(root string, get Getter) (*Document, error) {
 	j.get = get
+	j.bodies = make(map[string][]byte)
 	j.next = make(map[string]any, len(j.decoded))
 	doc, err := j.document(root)
 	if err != nil {
@@ -45,6 +52,10 @@
 	return doc, nil
 }
 
+// History returns the manifests that were accepted before the last one joined,
+// newest first.
+func (j *Joiner) History() []Acceptance { return j.history }
+
 // References returns the hashes of all objects of the last manifest joined.
 func (j *Joiner) References() map[string]bool {
 	refs := make(map[string]bool, len(j.decoded))
@@ -54,40 +65,57 @@
 	return refs
 }
 
+// document assembles the manifest, and fetches the objects of each level
+// together.
 func (j *Joiner) document(root string) (*Document, error) {
+	if err := j.fetch([]string{root}); err != nil {
+		return nil, err
+	}
 	r, err := object(j, root, checkRoot)
 	if err != nil {
 		return nil, err
 	}
+	if err := j.fetch(append([]string{r.Shared}, r.Buckets...)); err != nil {
+		return nil, err
+	}
 	shared, err := object(j, r.Shared, checkShared)
 	if err != nil {
 		return nil, err
 	}
 	doc := &Document{Version: r.Version, Deployment: shared.Deployment, Hosts: shared.Hosts}
-	for _, h := range r.Buckets {
-		if h == "" {
-			continue
-		}
-		if doc.Pools, err = j.bucket(doc.Pools, h); err != nil {
+	pools, err := j.poolHashes(r.Buckets)
+	if err != nil {
+		return nil, err
+	}
+	if err := j.fetch(pools); err != nil {
+		return nil, err
+	}
+	for _, h := range pools {
+		p, err := object(j, h, checkPool)
+		if err != nil {
 			return nil, err
 		}
+		doc.Pools = append(doc.Pools, *p)
 	}
+	j.history = r.History
 	slices.SortFunc(doc.Pools, func(a, b Pool) int { return strings.Compare(a.Name, b.Name) })
 	return doc, nil
 }
 
-// bucket appends the pools of a bucket.
-func (j *Joiner) bucket(pools []Pool, hash string) ([]Pool, error) {
-	b, err := object[bucketObject](j, hash, nil)
-	if err != nil {
-		return nil, err
-	}
-	for _, h := range b.Pools {
-		p, err := object(j, h, checkPool)
+// poolHashes returns the hashes of the pools of all buckets.
+func (j *Joiner) poolHashes(buckets []string) ([]string, error) {
+	var pools []string
+	for _, h := range buckets {
+		if h == "" {
+			continue
+		}
+		b, err := object[bucketObject](j, h, nil)
 		if err != nil {
 			return nil, err
 		}
-		pools = append(pools, *p)
+		for _, p := range b.Pools {
+			pools = append(pools, p)
+		}
 	}
 	return pools, nil
 }
--- a/internal/manifest/joiner_object.go
+++ b/internal/manifest/joiner_object.go
@@ -2,25 +2,46 @@
 
 import (
 	"encoding/json"
+	"sync"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/beryltrestle/beryltrestle/internal/findings"
 )
 
+// fetch gets those of the objects that were not part of the last manifest.
+func (j *Joiner) fetch(hashes []string) error {
+	var group errgroup.Group
+	group.SetLimit(j.parallel)
+	var mu sync.Mutex
+	for _, h := range hashes {
+		if h == "" || j.decoded[h] != nil {
+			continue
+		}
+		group.Go(func() error {
+			body, err := j.get(h)
+			if err != nil {
+				return &ObjectError{Hash: h, Err: err}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			j.bodies[h] = body
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
 // object returns the decoded object of a hash. Only objects that were not part
-// of the last manifest are fetched, verified, decoded and checked.
+// of the last manifest are verified, decoded and checked.
 func object[T any](j *Joiner, hash string, check func(*T) error) (*T, error) {
 	if v, ok := j.decoded[hash].(*T); ok {
 		j.next[hash] = v
 		return v, nil
 	}
-	body, err := j.get(hash)
-	if err != nil {
-		return nil, &ObjectError{Hash: hash, Err: err}
-	}
 	v := new(T)
-	if err := decodeObject(hash, body, v, check); err != nil {
+	if err := decodeObject(hash, j.bodies[hash], v, check); err != nil {
 		return nil, &ObjectError{Hash: hash, Err: err}
 	}
 	j.next[hash] = v
--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -109,7 +109,7 @@
 		g.Expect(err).To(BeAssignableToTypeOf(oe))
 	}
 
-	j := manifest.NewJoiner()
+	j := manifest.NewJoiner(1)
 	_, err := j.Join(root, getter(objects))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(j.References()).To(HaveLen(len(objects)))
--- a/internal/manifest/objects.go
+++ b/internal/manifest/objects.go
@@ -19,6 +19,8 @@
 	Shared  string `json:"shared"`
 	// Buckets holds a hash for each bucket; "" for an empty one.
 	Buckets []string `json:"buckets"`
+	// History holds the manifests accepted before this one, newest first.
+	History []Acceptance `json:"history,omitempty"`
 }
 
 // sharedObject is the part of a manifest beside the pools.
--- /dev/null
+++ b/internal/manifeststore/store_test.go
@@ -0,0 +1,216 @@
+package manifeststore_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/internal/manifest"
+	"github.com/beryltrestle/beryltrestle/internal/manifeststore"
+	"github.com/beryltrestle/beryltrestle/internal/platform"
+	"github.com/beryltrestle/beryltrestle/internal/platform/dynamo"
+	"github.com/beryltrestle/beryltrestle/internal/platform/s3"
+	standin "github.com/beryltrestle/beryltrestle/internal/standin/platform"
+)
+
+const timeout = 500 * time.Millisecond
+
+// fixture is a stand-in and clients of it.
+type fixture struct {
+	*GomegaWithT
+	server  *standin.Server
+	table   platform.Table
+	objects platform.ObjectStore
+	ctx     context.Context
+}
+
+func newFixture(t *testing.T) *fixture {
+	s, err := standin.Start(standin.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	return &fixture{
+		GomegaWithT: NewWithT(t),
+		server:      s,
+		table:       dynamo.New(dynamo.Config{Endpoint: s.URL(), Region: "r", Table: "t", AccessKeyID: "k", SecretAccessKey: "s", Timeout: timeout}),
+		objects:     s3.New(s3.Config{Endpoint: s.URL(), Region: "r", Bucket: "b", AccessKeyID: "k", SecretAccessKey: "s", Timeout: timeout}),
+		ctx:         ctx,
+	}
+}
+
+func (f *fixture) store() *manifeststore.Store { return manifeststore.New(f.table, f.objects) }
+
+// document returns the cooperative's manifest with the user of its first pool
+// changed, so that documents differ.
+func (f *fixture) document(user string) *manifest.Document {
+	data, err := os.ReadFile("../../examples/cooperative.json")
+	f.Expect(err).NotTo(HaveOccurred())
+	doc, list := manifest.Decode(data)
+	f.Expect(list).To(BeEmpty())
+	doc.Pools[0].User = user
+	return doc
+}
+
+// apply applies a document, which must succeed.
+func (f *fixture) apply(user string, base uint64) {
+	_, err := f.store().Apply(f.ctx, f.document(user), base, user)
+	f.Expect(err).NotTo(HaveOccurred())
+}
+
+// hookTable calls a hook instead of the first conditional write.
+type hookTable struct {
+	platform.Table
+	once sync.Once
+	hook func(write func() error) error
+}
+
+func (h *hookTable) PutIf(ctx context.Context, key string, item platform.Item, expected uint64) error {
+	write := func() error { return h.Table.PutIf(ctx, key, item, expected) }
+	err := errors.New("not the first")
+	first := false
+	h.once.Do(func() { first, err = true, h.hook(write) })
+	if first {
+		return err
+	}
+	return write()
+}
+
+// Guards against two operators who both believe that their change was accepted.
+func TestExactlyOneOfTwoOperatorsWins(t *testing.T) {
+	f := newFixture(t)
+	f.apply("start", 0)
+	for base := uint64(1); base <= 10; base++ {
+		errs := make([]error, 2)
+		var wg sync.WaitGroup
+		for i := range errs {
+			doc := f.document(fmt.Sprintf("operator-%d-%d", i, base))
+			wg.Go(func() { _, errs[i] = f.store().Apply(f.ctx, doc, base, fmt.Sprint(i)) })
+		}
+		wg.Wait()
+		winner := 0
+		if errs[0] != nil {
+			winner = 1
+		}
+		f.Expect(errs[winner]).NotTo(HaveOccurred())
+		var conflict *manifeststore.ConflictError
+		f.Expect(errors.As(errs[1-winner], &conflict)).To(BeTrue(), "%v", errs[1-winner])
+		f.Expect(conflict.Theirs.Operator).To(Equal(fmt.Sprint(winner)))
+		f.Expect(conflict.BaseKnown).To(BeTrue())
+		f.Expect(conflict.TheirChanges).To(HaveLen(1))
+		f.Expect(conflict.OurChanges).To(HaveLen(1))
+	}
+	f.Expect(f.server.Counts().TableWrites).To(Equal(11))
+}
+
+// Guards against a lost answer that is reported as failed or as a conflict, or
+// that makes the manifest be applied twice.
+func TestLostAnswerIsResolvedAsDone(t *testing.T) {
+	f := newFixture(t)
+	f.server.SetFaults(standin.Faults{LoseTableAnswers: 1, LoseObjectAnswers: 2})
+	result, err := f.store().Apply(f.ctx, f.document("a"), 0, "o")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(result.Generation).To(Equal(uint64(1)))
+	f.Expect(f.server.Counts().TableWrites).To(Equal(1))
+	accepted, err := f.store().Load(f.ctx)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(accepted.Item.ApplyID).To(Equal(result.ApplyID))
+	f.Expect(accepted.Document).To(Equal(f.document("a")))
+}
+
+// Guards against an apply that reads the item back too early, reports "not
+// applied", and takes effect later. The late write arrives before the repeated
+// one in the first round and after it in the second.
+func TestWriteThatTakesEffectLateIsDoneOnce(t *testing.T) {
+	for _, delay := range []time.Duration{30 * time.Millisecond, 300 * time.Millisecond} {
+		f := newFixture(t)
+		late := make(chan error, 1)
+		f.table = &hookTable{Table: f.table, hook: func(write func() error) error {
+			time.AfterFunc(delay, func() { late <- write() })
+			return platform.ErrUnknownOutcome
+		}}
+		result, err := f.store().Apply(f.ctx, f.document("a"), 0, "o")
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Eventually(late, 5*time.Second).Should(Receive())
+		f.Expect(f.server.Counts().TableWrites).To(Equal(1))
+		f.Expect(f.store().Head(f.ctx)).To(HaveField("ApplyID", result.ApplyID))
+	}
+}
+
+// Guards against an apply that was accepted and then followed by another one
+// being reported as a conflict.
+func TestLostAnswerFollowedByAnotherApplyIsDone(t *testing.T) {
+	f := newFixture(t)
+	plain := f.table
+	f.table = &hookTable{Table: plain, hook: func(write func() error) error {
+		f.Expect(write()).To(Succeed())
+		f.table = plain
+		f.apply("b", 1)
+		f.apply("c", 2)
+		return platform.ErrUnknownOutcome
+	}}
+	result, err := f.store().Apply(f.ctx, f.document("a"), 0, "o")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(result.Generation).To(Equal(uint64(1)))
+}
+
+// Guards against an apply reported as done that another operator's write beat.
+func TestLostRequestBeatenByAnotherApplyIsConflict(t *testing.T) {
+	f := newFixture(t)
+	plain := f.table
+	f.table = &hookTable{Table: plain, hook: func(func() error) error {
+		f.table = plain
+		f.apply("b", 0)
+		f.apply("c", 1)
+		return platform.ErrUnknownOutcome
+	}}
+	_, err := f.store().Apply(f.ctx, f.document("a"), 0, "o")
+	var conflict *manifeststore.ConflictError
+	f.Expect(errors.As(err, &conflict)).To(BeTrue(), "%v", err)
+	f.Expect(conflict.Theirs.Generation).To(Equal(uint64(2)))
+}
+
+// Guards against an outage that is reported as a conflict, as done, or as
+// "not applied" after the write was sent.
+func TestOutageIsFailedBeforeTheWriteAndUnknownAfterIt(t *testing.T) {
+	f := newFixture(t)
+	f.server.SetFaults(standin.Faults{Outage: true})
+	_, err := f.store().Apply(f.ctx, f.document("a"), 0, "o")
+	f.Expect(err).To(HaveOccurred())
+	f.Expect(err).NotTo(MatchError(platform.ErrUnknownOutcome))
+
+	f.server.SetFaults(standin.Faults{})
+	f.table = &hookTable{Table: f.table, hook: func(write func() error) error {
+		_ = write()
+		f.server.SetFaults(standin.Faults{Outage: true})
+		return platform.ErrUnknownOutcome
+	}}
+	ctx, cancel := context.WithTimeout(f.ctx, time.Second)
+	defer cancel()
+	_, err = f.store().Apply(ctx, f.document("a"), 0, "o")
+	f.Expect(err).To(MatchError(platform.ErrUnknownOutcome))
+	var unknown *manifeststore.UnknownOutcomeError
+	f.Expect(errors.As(err, &unknown)).To(BeTrue())
+	f.Expect(unknown.Generation).To(Equal(uint64(1)))
+}
+
+// Guards against a repeated apply that is reported as a conflict with itself.
+func TestRepeatedApplyIsUnchanged(t *testing.T) {
+	f := newFixture(t)
+	f.apply("a", 0)
+	result, err := f.store().Apply(f.ctx, f.document("a"), 0, "o")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(result).To(Equal(manifeststore.Result{Generation: 1, Unchanged: true}))
+	_, err = f.store().Apply(f.ctx, f.document("b"), 7, "o")
+	var conflict *manifeststore.ConflictError
+	f.Expect(errors.As(err, &conflict)).To(BeTrue())
+	f.Expect(conflict.BaseKnown).To(BeFalse())
+}
