--- /dev/null
+++ b/internal/history/check_test.go
@@ -0,0 +1,59 @@
+package history_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/internal/history"
+)
+
+func at(ms int) time.Time { return time.UnixMilli(int64(1000 + ms)) }
+
+func rules(found []history.Violation) []history.Rule {
+	var out []history.Rule
+	for _, v := range found {
+		out = append(out, v.Rule)
+	}
+	return out
+}
+
+// Guards against a checker that accepts lost, doubled or wrongly refused bookings.
+func TestStoredBookings(t *testing.T) {
+	g := NewWithT(t)
+	ops := []history.Op{
+		{Kind: history.Book, ID: "lost", Result: history.OK},
+		{Kind: history.Book, ID: "twice", Result: history.OK},
+		{Kind: history.Book, ID: "ran", Result: history.NotRun},
+		{Kind: history.Book, ID: "maybe", Result: history.Unknown},
+		{Kind: history.Book, ID: "kept", Result: history.OK},
+	}
+	found := history.Check(ops, map[string]int{"twice": 2, "ran": 1, "kept": 1})
+	g.Expect(rules(found)).To(ConsistOf(history.RuleLost, history.RuleDuplicate, history.RuleNotRunRan))
+}
+
+// Guards against a checker that accepts reads below what the session has seen.
+func TestSessionGuarantees(t *testing.T) {
+	g := NewWithT(t)
+	ops := []history.Op{
+		{Kind: history.Book, Session: "a", ID: "a2", Seq: 2, Start: at(0), End: at(1)},
+		{Kind: history.Lookup, Session: "a", Seq: 1, Start: at(2), End: at(3)},
+		{Kind: history.Lookup, Session: "b", Seq: 5, Start: at(0), End: at(1)},
+		{Kind: history.Lookup, Session: "b", Seq: 4, Start: at(2), End: at(3)},
+		{Kind: history.Lookup, Session: "c", Seq: 0, Start: at(2), End: at(3)},
+	}
+	found := history.Check(ops, map[string]int{"a2": 1})
+	g.Expect(rules(found)).To(ConsistOf(history.RuleReadYourWrites, history.RuleMonotonicReads))
+}
+
+// Guards against a checker that accepts a frame read as free after it was booked.
+func TestFrameLinearizability(t *testing.T) {
+	g := NewWithT(t)
+	book := history.Op{Kind: history.Book, ID: "x", Frame: "f", Start: at(0), End: at(10)}
+	during := history.Op{Kind: history.Holder, Frame: "f", Start: at(5), End: at(6)}
+	after := history.Op{Kind: history.Holder, Frame: "f", Start: at(11), End: at(12)}
+	stored := map[string]int{"x": 1}
+	g.Expect(history.Check([]history.Op{book, during}, stored)).To(BeEmpty())
+	g.Expect(rules(history.Check([]history.Op{book, after}, stored))).To(ConsistOf(history.RuleLinearizable))
+}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -36,6 +36,7 @@
 	RetryBudgetSpent    Name = "retry.budget_spent"
 	RetryReadRepeated   Name = "retry.read_repeated"
 	RetryPrimaryChanged Name = "retry.primary_changed"
+	RetryKeyRace        Name = "retry.key_race"
 )
 
 // Traffic.
--- /dev/null
+++ b/internal/owner/floors.go
@@ -0,0 +1,65 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+)
+
+// prune drops the floors that every endpoint serving reads has passed.
+func (g *group) prune() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.view.Owned || g.view.Term != g.term {
+		return
+	}
+	lowest := g.primaryEnd
+	for _, ep := range g.view.Pool.Endpoints {
+		applied, ok := g.applied[ep.Address]
+		if !ok {
+			return
+		}
+		if applied.Less(lowest) {
+			lowest = applied
+		}
+	}
+	g.floors.Prune(lowest)
+}
+
+// mayRead reports whether the endpoint may serve a read of the session with
+// the given largest staleness. It is called with the lock held.
+func (g *group) mayRead(addr, session string, maxStaleness time.Duration) bool {
+	if addr == g.view.Primary {
+		return true
+	}
+	if g.cfg.PrimaryOnly || maxStaleness <= 0 || g.staleness == nil {
+		return false
+	}
+	applied, ok := g.applied[addr]
+	if !ok || applied.Less(g.floors.Floor(session)) {
+		return false
+	}
+	return g.staleness.Age(time.Now(), applied) <= maxStaleness
+}
+
+// sawPosition records what an answer told of the endpoint that gave it. An
+// endpoint that applied a position has received it, and so has the primary.
+func (g *group) sawPosition(term uint64, addr string, pos logpos.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if term != g.term || pos.Term != term {
+		return
+	}
+	g.applied[addr] = logpos.Max(g.applied[addr], pos)
+	g.primaryEnd = logpos.Max(g.primaryEnd, pos)
+	before := g.tracker.Received()
+	g.tracker.Observe(addr, term, pos, time.Time{})
+	if addr != g.view.Primary {
+		g.tracker.Observe(g.view.Primary, term, pos, time.Time{})
+	} else {
+		g.staleness.Sample(time.Now(), pos)
+	}
+	if before.Less(g.tracker.Received()) {
+		g.broadcast()
+	}
+}
--- /dev/null
+++ b/internal/owner/request.go
@@ -0,0 +1,306 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/admission"
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/coord/outcomes"
+	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
+	"github.com/beryltrestle/beryltrestle/internal/manifest"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/peer"
+	"github.com/beryltrestle/beryltrestle/internal/statement"
+)
+
+// request is one request from its arrival to its outcome.
+type request struct {
+	o       *Owner
+	req     *peerv1.Request
+	id      outcomes.ID
+	w       peer.AnswerWriter
+	arrived time.Time
+
+	g    *group
+	info statement.Info
+	// read and write are the kinds that apply; class bounds the wait.
+	read  manifest.ReadKind
+	write manifest.WriteKind
+	class manifest.Class
+	out   output
+	// primaryOnly is set after a replica refused a statement that writes.
+	primaryOnly bool
+}
+
+// attempt is the result of running a request once.
+type attempt struct {
+	// refusal is set if the batch was not answered.
+	refusal *refusal
+	// again is set if the batch did not run and may be repeated at once.
+	again  metrics.Name
+	status byte
+}
+
+func (r *request) run(ctx context.Context) *peerv1.Answer {
+	a := r.prepare()
+	if a == nil {
+		if len(r.req.GetTransactionId()) > 0 {
+			a = r.inTransaction(ctx)
+		} else {
+			a = r.repeat(ctx)
+		}
+	}
+	if a.refusal != nil {
+		r.o.cfg.Metrics.Inc(a.refusal.reason)
+		end := a.refusal.answer(r.o.location(r.req.GetPool()))
+		end.TransactionStatus = "I"
+		return end
+	}
+	r.out.flush()
+	return &peerv1.Answer{Outcome: peerv1.Outcome_OUTCOME_DONE, TransactionStatus: string(a.status)}
+}
+
+// prepare finds the group and the rules that apply.
+func (r *request) prepare() *attempt {
+	r.out.w = r.w
+	r.o.mu.Lock()
+	r.g = r.o.groups[r.req.GetPool()]
+	r.o.mu.Unlock()
+	if r.g == nil {
+		return refused(notRun(metrics.RefusedNotOwner, stateCannotConnect, "this host does not own the pool"))
+	}
+	info, err := statement.Classify(r.req.GetBatch())
+	if err != nil {
+		return refused(notRun(metrics.RefusedProtocol, "08P01", err.Error()))
+	}
+	if info.SessionState != "" {
+		msg := "session state cannot be kept through the proxy: " + info.SessionState
+		return refused(notRun(metrics.RefusedSessionState, stateFeatureUnsupported, msg))
+	}
+	r.info = info
+	r.g.mu.Lock()
+	rules := r.g.rules
+	r.g.mu.Unlock()
+	if rules == nil {
+		return refused(notRun(metrics.RefusedUnknownPool, "3D000", "the pool is not configured"))
+	}
+	r.read = rules.Read(info)
+	r.write = rules.Write(info)
+	r.class = rules.Class(info)
+	return nil
+}
+
+func refused(r *refusal) *attempt { return &attempt{refusal: r} }
+
+// repeat runs the request until it has an outcome. Only a request that did not
+// run is repeated.
+func (r *request) repeat(ctx context.Context) *attempt {
+	for n := 1; ; n++ {
+		a := r.attempt(ctx)
+		if a.again == "" || n == maxAttempts || r.out.streaming || ctx.Err() != nil {
+			return a
+		}
+		r.o.cfg.Metrics.Inc(a.again)
+		r.out.reset()
+	}
+}
+
+// attempt waits for a slot and runs the batch once.
+func (r *request) attempt(ctx context.Context) *attempt {
+	if r.info.Begins && r.o.drainPhase() != drainNone {
+		return refused(notRun(metrics.RefusedDraining, stateCannotConnect, "the host is leaving"))
+	}
+	grant, ref := r.g.admit(ctx, r.work(""))
+	if ref != nil {
+		return refused(ref)
+	}
+	defer r.g.end()
+	pool, term := r.g.poolOf(grant.Endpoint)
+	if pool == nil {
+		r.g.release(grant, 0, false)
+		return &attempt{refusal: notRun(metrics.RefusedConnect, stateCannotConnect, "the endpoint left the pool"), again: metrics.RetryPrimaryChanged}
+	}
+	c, err := r.connect(ctx, pool)
+	if err != nil {
+		r.g.release(grant, 0, true)
+		r.reportError(grant.Endpoint)
+		return &attempt{refusal: notRun(metrics.RefusedConnect, stateCannotConnect, err.Error()), again: metrics.RetryStaleConn}
+	}
+	if r.info.RequestKey != "" && !r.info.ReadOnly && !r.info.Begins {
+		return r.runKeyed(ctx, grant, pool, c, term)
+	}
+	return r.runOnce(ctx, grant, pool, c, term)
+}
+
+func (r *request) connect(ctx context.Context, pool *connPool) (*conn, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline())
+	defer cancel()
+	return pool.get(ctx)
+}
+
+// deadline is the time after which the request must not start.
+func (r *request) deadline() time.Time {
+	d := time.Duration(r.class.DeadlineMs) * time.Millisecond
+	if t := time.Duration(r.req.GetTimeoutMs()) * time.Millisecond; t > 0 && t < d {
+		d = t
+	}
+	return r.arrived.Add(d)
+}
+
+// work describes the request to admission; a non-empty pinned endpoint is the
+// only one that may run it.
+func (r *request) work(pinned string) admission.Work {
+	readOnly := r.info.ReadOnly && pinned == "" && !r.info.Begins
+	staleness := time.Duration(r.read.MaxStalenessMs) * time.Millisecond
+	return admission.Work{
+		Session:     r.req.GetSession(),
+		Fingerprint: r.info.Fingerprint,
+		Priority:    r.class.Priority,
+		Long:        r.class.Long,
+		ReadOnly:    readOnly,
+		Arrived:     r.arrived,
+		Deadline:    r.deadline(),
+		Eligible: func(addr string) bool {
+			if pinned != "" {
+				return addr == pinned
+			}
+			if !readOnly || r.primaryOnly {
+				return addr == r.g.view.Primary
+			}
+			return r.g.mayRead(addr, r.req.GetSession(), staleness)
+		},
+	}
+}
+
+// runOnce runs the batch on a connection and waits for its confirmation.
+func (r *request) runOnce(ctx context.Context, grant admission.Grant, pool *connPool, c *conn, term uint64) *attempt {
+	conf, ref := r.g.confirmationFor(r, term)
+	if ref != nil {
+		pool.put(c)
+		r.g.release(grant, 0, false)
+		return &attempt{refusal: ref, again: metrics.RetryLease}
+	}
+	onPrimary := r.g.isPrimary(c.address, term)
+	res, err := r.runBatch(ctx, grant, c, conf)
+	if err != nil {
+		pool.discard(c)
+		r.reportError(c.address)
+		return r.connectionLost(ctx, conf)
+	}
+	if !onPrimary && res.sqlstate == stateReadOnly {
+		pool.put(c)
+		r.primaryOnly = true
+		return &attempt{refusal: notRun(metrics.RetryReplicaReject, stateReadOnly, "the statement writes"), again: metrics.RetryReplicaReject}
+	}
+	r.afterRun(res, pool, c, term)
+	conf.write.Upper = res.position
+	conf.write.UpperKnown = !res.position.IsZero()
+	conf.done = time.Now()
+	return r.settle(ctx, conf, res, c.address, onPrimary)
+}
+
+// runBatch runs the batch and frees the slot.
+func (r *request) runBatch(ctx context.Context, grant admission.Grant, c *conn, conf confirmation) (batchResult, error) {
+	r.out.allow = func() bool { return conf.reads && r.mayStream(ctx, c, conf) }
+	stop := r.cancelWith(ctx, c)
+	started := time.Now()
+	res, err := c.run(r.req.GetBatch(), r.out.add)
+	stop()
+	r.g.release(grant, time.Since(started), err != nil)
+	if err == nil {
+		r.g.sawPosition(conf.term, c.address, res.position)
+	}
+	return res, err
+}
+
+// cancelWith cancels the batch on the endpoint if the caller goes away. A write
+// outside a transaction is left to end, since its outcome may be asked for.
+func (r *request) cancelWith(ctx context.Context, c *conn) func() {
+	if !r.info.ReadOnly && len(r.req.GetTransactionId()) == 0 {
+		return func() {}
+	}
+	stop := context.AfterFunc(ctx, func() { c.cancel(context.WithoutCancel(ctx)) })
+	return func() { stop() }
+}
+
+// mayStream confirms what the first part of a large answer has seen.
+func (r *request) mayStream(ctx context.Context, c *conn, conf confirmation) bool {
+	pollCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	st, err := r.o.cfg.Groups.Status(pollCtx, c.address)
+	if err != nil {
+		return false
+	}
+	conf.write.Upper = st.Applied
+	return r.g.await(ctx, conf) == nil
+}
+
+// afterRun returns the connection, or keeps it for the transaction that the
+// batch has begun.
+func (r *request) afterRun(res batchResult, pool *connPool, c *conn, term uint64) {
+	if res.status == 'I' {
+		pool.put(c)
+		return
+	}
+	r.o.keepTransaction(&transaction{
+		id:      r.id,
+		g:       r.g,
+		pool:    pool,
+		conn:    c,
+		term:    term,
+		session: r.req.GetSession(),
+	})
+}
+
+// settle waits for the confirmation, raises the session's floor and counts.
+func (r *request) settle(ctx context.Context, conf confirmation, res batchResult, addr string, onPrimary bool) *attempt {
+	if r.out.dropped {
+		return refused(notRun(metrics.RefusedLeaseExpired, stateCannotConnect, "the read lease expired while a large answer was read"))
+	}
+	if conf.reads && !onPrimary && !r.g.coversFloor(conf.term, r.req.GetSession(), res.position) {
+		return &attempt{refusal: notRun(metrics.RetryReadRepeated, stateSerialization, "the replica was behind the session"), again: metrics.RetryReadRepeated}
+	}
+	if conf.reads && r.read.AllowUnconfirmed {
+		conf.write.Upper = logpos.Position{}
+	}
+	if ref := r.g.await(ctx, conf); ref != nil {
+		if conf.reads && !r.out.streaming {
+			return &attempt{refusal: ref, again: metrics.RetryReadRepeated}
+		}
+		return refused(ref)
+	}
+	r.g.raiseFloor(conf.term, r.req.GetSession(), res.position)
+	r.count(conf, onPrimary)
+	return &attempt{status: res.status}
+}
+
+func (r *request) count(conf confirmation, onPrimary bool) {
+	name := metrics.Writes
+	if conf.reads {
+		name = metrics.ReadsReplica
+		if onPrimary {
+			name = metrics.ReadsPrimary
+		}
+	}
+	r.o.cfg.Metrics.Inc(name)
+}
+
+// connectionLost decides the outcome of a batch whose answer was cut off.
+func (r *request) connectionLost(ctx context.Context, conf confirmation) *attempt {
+	if conf.reads && !r.out.streaming {
+		return &attempt{
+			refusal: notRun(metrics.RefusedConnect, stateConnectionFailure, "the connection to the endpoint broke"),
+			again:   metrics.RetryReadRepeated,
+		}
+	}
+	if conf.reads {
+		return refused(unknown(metrics.UnknownEndpointLost, "the connection to the endpoint broke in the middle of the answer"))
+	}
+	conf.write.UpperKnown = false
+	return refused(r.g.awaitTerm(ctx, conf))
+}
+
+func (r *request) reportError(addr string) {
+	r.o.cfg.Controller.ReportEndpointError(r.req.GetPool(), addr)
+}
--- a/internal/platform/group_control.go
+++ b/internal/platform/group_control.go
@@ -51,8 +51,10 @@
 //
 // Guarantees needed from the platform: terms survive restarts of the endpoint
 // and never decrease; AdvanceTerm, Promote and Follow are atomic on their
-// endpoint; a primary of a lower term commits nothing after AdvanceTerm
-// returned; a replica accepts no log of a term lower than its own.
+// endpoint; AdvanceTerm ends every session that was opened at a lower term, so
+// that a statement that still waits in one can never run in a later term; a
+// primary of a lower term commits nothing after AdvanceTerm returned; a replica
+// accepts no log of a term lower than its own.
 type GroupControl interface {
 	// Status returns the endpoint's state.
 	Status(ctx context.Context, address string) (EndpointStatus, error)
