--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -24,6 +24,9 @@
 	UnknownTermChanged      Name = "unknown.term_changed"
 	UnknownEndpointLost     Name = "unknown.endpoint_lost"
 	UnknownConfirmTimeout   Name = "unknown.confirm_timeout"
+	UnknownCanceled         Name = "unknown.canceled"
+	RefusedTooManyCallers   Name = "refused.too_many_callers"
+	RefusedCanceled         Name = "refused.canceled"
 )
 
 // Retries, each of a request that was not run.
@@ -36,6 +39,8 @@
 	RetryBudgetSpent    Name = "retry.budget_spent"
 	RetryReadRepeated   Name = "retry.read_repeated"
 	RetryPrimaryChanged Name = "retry.primary_changed"
+	RetryNotSent        Name = "retry.not_sent"
+	RetryOther          Name = "retry.other"
 )
 
 // Traffic.
@@ -46,6 +51,10 @@
 	Transactions     Name = "transactions"
 	AnswersDiscarded Name = "answers.unknown_id"
 	CallersOpen      Name = "callers.open"
+	CallersMalformed Name = "callers.malformed"
+	CallersGone      Name = "callers.gone"
+	Requests         Name = "requests"
+	AnswersKept      Name = "answers.kept_delivered"
 	ConnsOpened      Name = "connections.opened"
 	ConnsClosed      Name = "connections.closed"
 )
--- /dev/null
+++ b/internal/peer/calls.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
+	"github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1/peerv1connect"
+)
+
+// Calls makes unary calls to other daemons. A call whose ctx has no deadline
+// ends after 1 s. Every error of a call says only that no answer arrived.
+type Calls struct {
+	cfg       Config
+	transport *http.Transport
+
+	mu      sync.Mutex
+	clients map[string]peerv1connect.PeerServiceClient
+}
+
+// NewCalls returns a client with connections of its own, so that bulk data of
+// the exchange streams does not delay control messages.
+func NewCalls(cfg Config) *Calls {
+	cfg = cfg.withDefaults()
+	return &Calls{
+		cfg:       cfg,
+		transport: newTransport(cfg),
+		clients:   make(map[string]peerv1connect.PeerServiceClient),
+	}
+}
+
+// Close closes the idle connections.
+func (c *Calls) Close() { c.transport.CloseIdleConnections() }
+
+// PreVote asks whether the peer still hears from the owner of a group.
+func (c *Calls) PreVote(ctx context.Context, address string, req *peerv1.PreVoteRequest) (*peerv1.PreVoteResponse, error) {
+	return unary(ctx, c, req, c.client(address).PreVote)
+}
+
+// Heartbeat sends this daemon's state to the peer.
+func (c *Calls) Heartbeat(ctx context.Context, address string, req *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
+	return unary(ctx, c, req, c.client(address).Heartbeat)
+}
+
+// Handover offers a group to the peer.
+func (c *Calls) Handover(ctx context.Context, address string, req *peerv1.HandoverRequest) (*peerv1.HandoverResponse, error) {
+	return unary(ctx, c, req, c.client(address).Handover)
+}
+
+// FetchManifest returns the changes of the manifest that the peer has.
+func (c *Calls) FetchManifest(ctx context.Context, address string, req *peerv1.FetchManifestRequest) (*peerv1.FetchManifestResponse, error) {
+	return unary(ctx, c, req, c.client(address).FetchManifest)
+}
+
+// QueryOutcome asks the owner that a request was addressed to.
+func (c *Calls) QueryOutcome(ctx context.Context, address string, req *peerv1.QueryOutcomeRequest) (*peerv1.QueryOutcomeResponse, error) {
+	return unary(ctx, c, req, c.client(address).QueryOutcome)
+}
+
+// Locate asks the peer who owns a pool; nil if the peer knows no owner.
+func (c *Calls) Locate(ctx context.Context, address, pool string) (*peerv1.Location, error) {
+	resp, err := unary(ctx, c, &peerv1.LocateRequest{Pool: pool}, c.client(address).Locate)
+	if err != nil {
+		return nil, err
+	}
+	return resp.GetOwner(), nil
+}
+
+// client returns the client of a peer.
+func (c *Calls) client(address string) peerv1connect.PeerServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.clients[address]
+	if !ok {
+		client = peerv1connect.NewPeerServiceClient(&http.Client{Transport: c.transport}, c.cfg.url(address), clientOptions()...)
+		c.clients[address] = client
+	}
+	return client
+}
+
+// unary makes one call and unwraps the response.
+func unary[Req, Resp any](
+	ctx context.Context,
+	c *Calls,
+	msg *Req,
+	call func(context.Context, *connect.Request[Req]) (*connect.Response[Resp], error),
+) (*Resp, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		limited, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
+		ctx = limited
+	}
+	req := connect.NewRequest(msg)
+	req.Header().Set(addressHeader, c.cfg.Address)
+	resp, err := call(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
--- /dev/null
+++ b/internal/peer/service.go
@@ -0,0 +1,146 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
+	"github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1/peerv1connect"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+// Limits of the server side.
+const (
+	readHeaderTimeout = 2 * time.Second
+	// maxConcurrentStreams per connection: one exchange stream and unary calls.
+	maxConcurrentStreams = 1000
+)
+
+// Service serves PeerService to other daemons.
+type Service struct {
+	cfg   ServiceConfig
+	load  *load
+	http  *http.Server
+	close context.CancelFunc
+}
+
+var _ peerv1connect.PeerServiceHandler = (*Service)(nil)
+
+// NewService returns a service that does not listen yet.
+func NewService(cfg ServiceConfig) *Service {
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	if cfg.Generation == nil {
+		cfg.Generation = func() uint64 { return 0 }
+	}
+	base, cancel := context.WithCancel(context.Background())
+	s := &Service{cfg: cfg, load: newLoad(), close: cancel}
+	h2 := http2Config()
+	h2.MaxConcurrentStreams = maxConcurrentStreams
+	s.http = &http.Server{
+		Handler:           s.Handler(),
+		TLSConfig:         cfg.TLS.Clone(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		Protocols:         protocols(),
+		HTTP2:             h2,
+		BaseContext:       func(net.Listener) context.Context { return base },
+	}
+	return s
+}
+
+// Handler returns the HTTP handler of PeerService.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerServiceHandler(s,
+		connect.WithCompression("gzip", nil, nil),
+		connect.WithReadMaxBytes(maxFrameBytes),
+	))
+	return mux
+}
+
+// Serve accepts connections until Drain or Close, after which it returns nil.
+func (s *Service) Serve(ln net.Listener) error {
+	var err error
+	if s.cfg.TLS != nil {
+		err = s.http.ServeTLS(ln, "", "")
+	} else {
+		err = s.http.Serve(ln)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Drain refuses new requests as not run, lets running requests and open
+// transactions finish, then ends all streams and stops listening. It returns an
+// error if ctx ends first; what still runs is then cut off.
+func (s *Service) Drain(ctx context.Context) error {
+	err := s.load.drain(ctx)
+	s.close()
+	if stop := s.http.Shutdown(ctx); stop != nil {
+		err = errors.CombineErrors(err, stop)
+	}
+	s.Close()
+	return err
+}
+
+// Close stops listening and cuts off everything that runs.
+func (s *Service) Close() {
+	s.close()
+	_ = s.http.Close()
+}
+
+// Exchange implements PeerServiceHandler.
+func (s *Service) Exchange(ctx context.Context, conn *connect.BidiStream[peerv1.ExchangeRequest, peerv1.ExchangeResponse]) error {
+	address := conn.RequestHeader().Get(addressHeader)
+	if address == "" {
+		address = conn.Peer().Addr
+	}
+	return newExchange(ctx, s.cfg, s.load, conn, address).run()
+}
+
+// PreVote implements PeerServiceHandler.
+func (s *Service) PreVote(ctx context.Context, req *connect.Request[peerv1.PreVoteRequest]) (*connect.Response[peerv1.PreVoteResponse], error) {
+	return respond(s.cfg.Control.PreVote(ctx, req.Msg))
+}
+
+// QueryOutcome implements PeerServiceHandler.
+func (s *Service) QueryOutcome(_ context.Context, req *connect.Request[peerv1.QueryOutcomeRequest]) (*connect.Response[peerv1.QueryOutcomeResponse], error) {
+	return respond(s.cfg.Server.QueryOutcome(req.Msg), nil)
+}
+
+// FetchManifest implements PeerServiceHandler.
+func (s *Service) FetchManifest(ctx context.Context, req *connect.Request[peerv1.FetchManifestRequest]) (*connect.Response[peerv1.FetchManifestResponse], error) {
+	return respond(s.cfg.Control.FetchManifest(ctx, req.Msg))
+}
+
+// Heartbeat implements PeerServiceHandler. The message names the generation, so
+// that Control observes it there.
+func (s *Service) Heartbeat(ctx context.Context, req *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error) {
+	return respond(s.cfg.Control.Heartbeat(ctx, req.Msg))
+}
+
+// Handover implements PeerServiceHandler.
+func (s *Service) Handover(ctx context.Context, req *connect.Request[peerv1.HandoverRequest]) (*connect.Response[peerv1.HandoverResponse], error) {
+	return respond(s.cfg.Control.Handover(ctx, req.Msg))
+}
+
+// Locate implements PeerServiceHandler.
+func (s *Service) Locate(ctx context.Context, req *connect.Request[peerv1.LocateRequest]) (*connect.Response[peerv1.LocateResponse], error) {
+	return respond(s.cfg.Control.Locate(ctx, req.Msg))
+}
+
+// respond wraps the result of a call.
+func respond[T any](msg *T, err error) (*connect.Response[T], error) {
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(msg), nil
+}
--- /dev/null
+++ b/internal/peer/service_config.go
@@ -0,0 +1,22 @@
+package peer
+
+import (
+	"crypto/tls"
+
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+// ServiceConfig configures the server side.
+type ServiceConfig struct {
+	// Server runs requests.
+	Server Server
+	// Control answers the control calls.
+	Control Control
+	// TLS enables mutual TLS; it must require and verify client certificates.
+	// Nil means HTTP/2 without TLS.
+	TLS *tls.Config
+	// Metrics receives the counters; nil means that they are dropped.
+	Metrics *metrics.Registry
+	// Generation returns the manifest generation that this daemon applies.
+	Generation func() uint64
+}
