--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -24,6 +24,9 @@
 	UnknownTermChanged      Name = "unknown.term_changed"
 	UnknownEndpointLost     Name = "unknown.endpoint_lost"
 	UnknownConfirmTimeout   Name = "unknown.confirm_timeout"
+	UnknownCanceled         Name = "unknown.canceled"
+	RefusedTooManyCallers   Name = "refused.too_many_callers"
+	RefusedCanceled         Name = "refused.canceled"
 )
 
 // Retries, each of a request that was not run.
@@ -37,6 +40,8 @@
 	RetryReadRepeated   Name = "retry.read_repeated"
 	RetryPrimaryChanged Name = "retry.primary_changed"
 	RetryKeyRace        Name = "retry.key_race"
+	RetryNotSent        Name = "retry.not_sent"
+	RetryOther          Name = "retry.other"
 )
 
 // Traffic.
@@ -47,6 +52,10 @@
 	Transactions     Name = "transactions"
 	AnswersDiscarded Name = "answers.unknown_id"
 	CallersOpen      Name = "callers.open"
+	CallersMalformed Name = "callers.malformed"
+	CallersGone      Name = "callers.gone"
+	Requests         Name = "requests"
+	AnswersKept      Name = "answers.kept_delivered"
 	ConnsOpened      Name = "connections.opened"
 	ConnsClosed      Name = "connections.closed"
 )
