--- a/internal/owner/drain.go
+++ b/internal/owner/drain.go
@@ -5,72 +5,54 @@
 	"time"
 )
 
-// drainPhase is the phase of a graceful stop.
-type drainPhase int
+// drainPoll is how often a drain looks whether the work has ended.
+const drainPoll = 2 * time.Millisecond
 
-const (
-	// drainNone serves everything.
-	drainNone drainPhase = iota
-	// drainLong refuses new transactions, and serves other requests, until the
-	// open transactions have ended. Short work is so not held up by long work.
-	drainLong
-	// drainAll starts nothing; requests wait in the queue for the next owner.
-	drainAll
-)
-
-// drainPoll is how often Drain looks whether the work has ended.
-const drainPoll = 5 * time.Millisecond
-
-// Drain ends every request in flight. It returns when none is left, or with
-// ctx's error. New requests then wait until the groups are handed over.
+// Drain refuses new transactions and returns when the open ones have ended, or
+// with ctx's error. Other requests are served meanwhile, so that one long
+// transaction does not hold them up before the groups are handed over.
 func (o *Owner) Drain(ctx context.Context) error {
-	o.setDrain(drainLong)
-	if err := waitUntil(ctx, func() bool { return o.openTransactions() == 0 }); err != nil {
-		return err
-	}
-	o.setDrain(drainAll)
-	return waitUntil(ctx, func() bool { return o.inFlight() == 0 })
-}
-
-func (o *Owner) setDrain(p drainPhase) {
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.drain = p
-	for _, g := range o.groups {
-		g.setDraining(p == drainAll)
-	}
+	o.draining = true
+	o.mu.Unlock()
+	return waitUntil(ctx, func() bool { return o.openTransactions("") == 0 })
 }
 
-func (o *Owner) drainPhase() drainPhase {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.drain
+// DrainPool returns when no request of the pool is in flight, or ctx ends. The
+// control view holds new requests back meanwhile.
+func (o *Owner) DrainPool(ctx context.Context, pool string) {
+	_ = waitUntil(ctx, func() bool { return o.openTransactions(pool) == 0 && o.inFlight(pool) == 0 })
 }
 
-func (o *Owner) openTransactions() int {
+func (o *Owner) isDraining() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.txs)
+	return o.draining
 }
 
-func (o *Owner) inFlight() int {
+// openTransactions counts the open transactions of a pool, of all if empty.
+func (o *Owner) openTransactions(pool string) int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	n := 0
-	for _, g := range o.groups {
-		g.mu.Lock()
-		n += g.inFlight
-		g.mu.Unlock()
+	for _, t := range o.txs {
+		if pool == "" || t.g.name == pool {
+			n++
+		}
 	}
 	return n
 }
 
-func (g *group) setDraining(on bool) {
+func (o *Owner) inFlight(pool string) int {
+	o.mu.Lock()
+	g := o.groups[pool]
+	o.mu.Unlock()
+	if g == nil {
+		return 0
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.draining = on
-	g.sched.SetEndpoints(time.Now(), g.schedEndpoints(g.view))
-	g.pumpLocked()
+	return g.inFlight
 }
 
 func waitUntil(ctx context.Context, cond func() bool) error {
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -36,7 +36,6 @@
 	confirming int
 	// inFlight counts requests that were admitted and have not ended.
 	inFlight int
-	draining bool
 
 	// The fields below belong to one term.
 	term      uint64
@@ -163,9 +162,9 @@
 	for _, ep := range v.Pool.Endpoints {
 		st := v.Endpoints[ep.Address]
 		primary := ep.Address == v.Primary
-		accepting := v.Owned && st.Reachable && st.AppointedTerm == v.Term
-		if primary {
-			accepting = v.Owned && !v.Changing
+		accepting := v.Owned && !v.Changing
+		if !primary {
+			accepting = accepting && st.Reachable && st.AppointedTerm == v.Term
 		}
 		var distance time.Duration
 		if ep.AvailabilityZone != g.cfg.AvailabilityZone {
@@ -175,7 +174,7 @@
 			Name:      ep.Address,
 			Slots:     ep.Slots,
 			Primary:   primary,
-			Accepting: accepting && !ep.Leaving && !g.draining,
+			Accepting: accepting && !ep.Leaving,
 			Distance:  distance,
 		})
 	}
@@ -232,10 +231,13 @@
 	return true
 }
 
-// release frees the slot of a grant.
+// release frees the slot of a grant, if it has one.
 func (g *group) release(gr admission.Grant, ran time.Duration, failed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if gr.Endpoint == "" {
+		return
+	}
 	g.sched.Release(time.Now(), gr, ran, failed)
 	g.pumpLocked()
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -21,8 +21,8 @@
 	mu     sync.Mutex
 	groups map[string]*group
 	txs    map[outcomes.ID]*transaction
-	// drain is the phase of a graceful stop.
-	drain drainPhase
+	// draining refuses new transactions.
+	draining bool
 
 	outMu    sync.Mutex
 	outcomes *outcomes.Table
--- a/internal/owner/request.go
+++ b/internal/owner/request.go
@@ -108,7 +108,7 @@
 
 // attempt waits for a slot and runs the batch once.
 func (r *request) attempt(ctx context.Context) *attempt {
-	if r.info.Begins && r.o.drainPhase() != drainNone {
+	if r.info.Begins && r.o.isDraining() {
 		return refused(notRun(metrics.RefusedDraining, stateCannotConnect, "the host is leaving"))
 	}
 	grant, ref := r.g.admit(ctx, r.work(""))
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -87,9 +87,7 @@
 		return refused(transactionLost())
 	}
 	t.timer.Reset(idleTransactionTimeout)
-	work := r.work(t.conn.address)
-	work.Priority = transactionPriority
-	grant, ref := r.g.admit(ctx, work)
+	grant, ref := r.admitInTransaction(ctx, t)
 	if ref != nil {
 		r.o.dropTransaction(t, false)
 		return refused(ref)
@@ -134,6 +132,29 @@
 	return a
 }
 
+// admitInTransaction waits for a slot. While the group is drained no slots are
+// given, but open transactions must be able to end.
+func (r *request) admitInTransaction(ctx context.Context, t *transaction) (grantOf, *refusal) {
+	if r.g.startDraining() {
+		return grantOf{}, nil
+	}
+	work := r.work(t.conn.address)
+	work.Priority = transactionPriority
+	return r.g.admit(ctx, work)
+}
+
+// startDraining counts a request as in flight without a slot if the group is
+// being drained, and reports whether it is.
+func (g *group) startDraining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.view.Owned || !g.view.Changing {
+		return false
+	}
+	g.inFlight++
+	return true
+}
+
 func transactionLost() *refusal {
 	return notRun(metrics.RefusedTransactionLost, stateSerialization, "the transaction was rolled back since its connection was lost")
 }
