--- /dev/null
+++ b/internal/daemon/hosts.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/internal/platform"
+)
+
+// hostPollInterval is how often the host list is asked for a newer version. The
+// list is only a hint for placement.
+const hostPollInterval = 2 * time.Second
+
+// watchHosts passes new versions of the platform's host list to the control
+// loop. While the list is not available the last version stays in use.
+func (d *Daemon) watchHosts(ctx context.Context) error {
+	if d.cfg.Hosts == nil {
+		<-ctx.Done()
+		return nil
+	}
+	tick := time.NewTicker(hostPollInterval)
+	defer tick.Stop()
+	var version uint64
+	for {
+		if hosts, ok := d.pollHosts(ctx, version); ok {
+			version = hosts.Version
+			d.loop.SetHosts(hosts)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+func (d *Daemon) pollHosts(ctx context.Context, since uint64) (platform.Hosts, bool) {
+	ctx, cancel := context.WithTimeout(ctx, hostPollInterval)
+	defer cancel()
+	hosts, err := d.cfg.Hosts.Hosts(ctx, since)
+	return hosts, err == nil && hosts.Version > since
+}
--- /dev/null
+++ b/internal/daemon/peer_control.go
@@ -0,0 +1,33 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/beryltrestle/beryltrestle/internal/control"
+	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
+)
+
+// peerControl answers the control calls of other daemons. It joins the control
+// loop and the manifest syncer to a peer.Control.
+type peerControl struct {
+	*control.Loop
+	manifests manifests
+}
+
+// manifests keeps this daemon's manifest up to date.
+type manifests interface {
+	Run(ctx context.Context) error
+	// Observe is told the generation that a peer applies.
+	Observe(address string, generation uint64)
+	FetchManifest(ctx context.Context, req *peerv1.FetchManifestRequest) (*peerv1.FetchManifestResponse, error)
+}
+
+// FetchManifest implements peer.Control.
+func (p peerControl) FetchManifest(ctx context.Context, req *peerv1.FetchManifestRequest) (*peerv1.FetchManifestResponse, error) {
+	return p.manifests.FetchManifest(ctx, req)
+}
+
+// ObserveGeneration implements peer.Control.
+func (p peerControl) ObserveGeneration(address string, generation uint64) {
+	p.manifests.Observe(address, generation)
+}
--- /dev/null
+++ b/internal/daemon/services.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/internal/platform/dynamo"
+	"github.com/beryltrestle/beryltrestle/internal/platform/groupctl"
+	"github.com/beryltrestle/beryltrestle/internal/platform/hostlist"
+	"github.com/beryltrestle/beryltrestle/internal/platform/s3"
+)
+
+// Connect fills in the adapters of the platform's services that the settings
+// name.
+func (c *Config) Connect() error {
+	p := c.Settings.Platform
+	id, err := p.AccessKeyID.Value()
+	if err != nil {
+		return err
+	}
+	secret, err := p.SecretAccessKey.Value()
+	if err != nil {
+		return err
+	}
+	timeout := time.Duration(p.RequestTimeout)
+	c.Table = dynamo.New(dynamo.Config{
+		Endpoint:        p.TableEndpoint,
+		Region:          p.Region,
+		Table:           p.TableName,
+		AccessKeyID:     id,
+		SecretAccessKey: secret,
+		Timeout:         timeout,
+	})
+	c.Objects = s3.New(s3.Config{
+		Endpoint:        p.ObjectEndpoint,
+		Region:          p.Region,
+		Bucket:          p.Bucket,
+		AccessKeyID:     id,
+		SecretAccessKey: secret,
+		Timeout:         timeout,
+	})
+	if p.HostListEndpoint != "" {
+		c.Hosts = hostlist.New(p.HostListEndpoint, timeout)
+	}
+	c.Groups = groupctl.New()
+	return nil
+}
--- /dev/null
+++ b/internal/localdeploy/config.go
@@ -0,0 +1,69 @@
+// Package localdeploy runs a whole deployment on loopback in one process:
+// stand-ins of the platform and of the database groups, and the daemons before
+// them. The demo, the measurements and the tests use it.
+package localdeploy
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/beryltrestle/beryltrestle/coord/admission"
+	"github.com/beryltrestle/beryltrestle/internal/manifest"
+	"github.com/beryltrestle/beryltrestle/internal/standin/database"
+)
+
+// Config describes a deployment.
+type Config struct {
+	// Hosts is the number of daemons.
+	Hosts int
+	// AvailabilityZones are given to hosts and endpoints in turn.
+	AvailabilityZones []string
+	// Pools are the names of the pools; each has its own group.
+	Pools []string
+	// Endpoints is the number of endpoints of a group.
+	Endpoints int
+	// Database configures each endpoint.
+	Database database.Config
+	// Rules are copied to each pool.
+	Rules Rules
+	// NewScheduler and PrimaryOnly choose the policy; nil is the current one.
+	NewScheduler func() admission.Scheduler
+	PrimaryOnly  bool
+	Log          zerolog.Logger
+}
+
+// Rules are the kinds and classes of a pool.
+type Rules struct {
+	Classes []manifest.Class
+	Reads   []manifest.ReadKind
+	Writes  []manifest.WriteKind
+}
+
+// startTimeout bounds the time until every pool has an owner.
+const startTimeout = 15 * time.Second
+
+func (c Config) withDefaults() Config {
+	if c.Hosts == 0 {
+		c.Hosts = 3
+	}
+	if len(c.AvailabilityZones) == 0 {
+		c.AvailabilityZones = []string{"az-1", "az-2", "az-3"}
+	}
+	if len(c.Pools) == 0 {
+		c.Pools = []string{"members"}
+	}
+	if c.Endpoints == 0 {
+		c.Endpoints = 3
+	}
+	if c.Database.Slots == 0 {
+		c.Database.Slots = 3
+	}
+	if c.Database.Connections == 0 {
+		c.Database.Connections = 50
+	}
+	if len(c.Rules.Reads) == 0 {
+		c.Rules.Reads = []manifest.ReadKind{{Name: "lookup", MaxStalenessMs: 3000, Match: manifest.Match{Tag: "lookup"}}}
+	}
+	return c
+}
