Add claim machine, membership and control loop

A group needs an owner that survives the death of hosts and primaries without a platform service in the path. Adds the claim of a group as a pure machine, the membership of hosts, and the control goroutine that drives both and publishes the View.

--- /dev/null
+++ b/coord/claim/owner.go
@@ -0,0 +1,8 @@
+package claim
+
+// Owner names the owner of a group in a term.
+type Owner struct {
+	Address     string
+	Incarnation uint64
+	Term        uint64
+}
--- /dev/null
+++ b/coord/membership/host.go
@@ -0,0 +1,24 @@
+package membership
+
+import "github.com/beryltrestle/beryltrestle/coord/placement"
+
+// Host is a configured host.
+type Host struct {
+	placement.Host
+	AvailabilityZone string
+}
+
+// Listed is a host of the platform's host list.
+type Listed struct {
+	Name    string
+	Leaving bool
+}
+
+// Heartbeat is what a host says of itself.
+type Heartbeat struct {
+	Name        string
+	Incarnation uint64
+	Leaving     bool
+	// ListVersion is the version of the host list that the host has.
+	ListVersion uint64
+}
--- /dev/null
+++ b/coord/membership/members_test.go
@@ -0,0 +1,62 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/coord/membership"
+	"github.com/beryltrestle/beryltrestle/coord/placement"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func members() *membership.Members {
+	m := membership.New()
+	m.Configure([]membership.Host{
+		{Host: placement.Host{Name: "a"}}, {Host: placement.Host{Name: "b"}},
+	})
+	return m
+}
+
+func names(m *membership.Members) []string {
+	var ns []string
+	for _, h := range m.Placeable() {
+		ns = append(ns, h.Name)
+	}
+	return ns
+}
+
+// Guards against a lagging copy of the list that revives a leaving host.
+func TestOlderListChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	m := members()
+	g.Expect(m.SetList(7, []membership.Listed{{Name: "a", Leaving: true}, {Name: "b"}})).To(BeTrue())
+	g.Expect(m.SetList(6, []membership.Listed{{Name: "a"}, {Name: "b"}})).To(BeFalse())
+	g.Expect(names(m)).To(Equal([]string{"b"}))
+}
+
+// Guards against groups placed on a daemon that has announced its leave, and
+// against a replaced host that stays out because its predecessor left.
+func TestLeaveCountsForOneIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	m := members()
+	g.Expect(m.Heard(t0, membership.Heartbeat{Name: "a", Incarnation: 1, Leaving: true})).To(BeTrue())
+	g.Expect(m.Heard(t0, membership.Heartbeat{Name: "a", Incarnation: 1})).To(BeFalse())
+	g.Expect(names(m)).To(Equal([]string{"b"}))
+	g.Expect(m.Heard(t0, membership.Heartbeat{Name: "a", Incarnation: 2})).To(BeTrue())
+	g.Expect(names(m)).To(Equal([]string{"a", "b"}))
+}
+
+// Guards against a silent host that drops out of placement on one daemon's
+// evidence alone.
+func TestSuspectedHostIsStillPlaced(t *testing.T) {
+	g := NewWithT(t)
+	m := members()
+	m.Heard(t0, membership.Heartbeat{Name: "a"})
+	later := t0.Add(membership.SuspectAfter)
+	g.Expect(m.State(later, "a")).To(Equal(membership.Suspected))
+	g.Expect(m.State(later, "b")).To(Equal(membership.Live))
+	g.Expect(names(m)).To(Equal([]string{"a", "b"}))
+}
--- /dev/null
+++ b/internal/control/group.go
@@ -0,0 +1,44 @@
+package control
+
+import (
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/claim"
+	"github.com/beryltrestle/beryltrestle/internal/manifest"
+)
+
+// group is the loop's state of one pool.
+type group struct {
+	pool       manifest.Pool
+	candidates []string
+	// machine is nil while this daemon has no part in the group.
+	machine *claim.Machine
+	// state is the machine's state in the last View.
+	state claim.State
+	// owner and heardAt are the last heartbeat, while there is no machine.
+	owner   claim.Owner
+	heardAt time.Time
+	// announced is the term of the last heartbeat as owner.
+	announced uint64
+}
+
+// view returns the group's part of a View.
+func (g *group) view() GroupView {
+	v := GroupView{
+		Pool:             g.pool,
+		Candidates:       g.candidates,
+		OwnerAddress:     g.owner.Address,
+		OwnerIncarnation: g.owner.Incarnation,
+		Term:             g.owner.Term,
+	}
+	if g.machine == nil {
+		return v
+	}
+	s := g.state
+	v.Owned, v.Term, v.Primary, v.Marker = s.Owned, s.Term, s.Primary, s.Marker
+	v.PromotionPoint, v.ConfirmAfter = s.PromotionPoint, s.ConfirmAfter
+	v.LeaseStart, v.Changing = s.LeaseStart, s.Changing
+	v.OwnerAddress, v.OwnerIncarnation = s.Owner.Address, s.Owner.Incarnation
+	v.Endpoints = endpointViews(s.Endpoints)
+	return v
+}
--- /dev/null
+++ b/internal/control/inputs.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/claim"
+	"github.com/beryltrestle/beryltrestle/coord/membership"
+	"github.com/beryltrestle/beryltrestle/coord/placement"
+	"github.com/beryltrestle/beryltrestle/internal/manifest"
+	"github.com/beryltrestle/beryltrestle/internal/platform"
+)
+
+// SetManifest puts a manifest into force. A generation that is not above the
+// one in force is ignored. The document must not change afterwards.
+func (l *Loop) SetManifest(generation uint64, doc *manifest.Document) {
+	l.post(context.Background(), func(now time.Time) { l.setManifest(now, generation, doc) })
+}
+
+// SetHosts takes a version of the platform's host list; older ones are ignored.
+func (l *Loop) SetHosts(hosts platform.Hosts) {
+	l.post(context.Background(), func(now time.Time) {
+		listed := make([]membership.Listed, len(hosts.Hosts))
+		for i, h := range hosts.Hosts {
+			listed[i] = membership.Listed{Name: h.Name, Leaving: h.State == platform.HostLeaving}
+		}
+		if l.members.SetList(hosts.Version, listed) {
+			l.place(now)
+		}
+	})
+}
+
+// ReportEndpointError implements Controller.
+func (l *Loop) ReportEndpointError(pool, address string) {
+	l.stepPool(context.Background(), pool, claim.TrafficError{Address: address})
+}
+
+// ReportTerm implements Controller.
+func (l *Loop) ReportTerm(pool string, term uint64) {
+	l.stepPool(context.Background(), pool, claim.TermSeen{Term: term})
+}
+
+func (l *Loop) setManifest(now time.Time, generation uint64, doc *manifest.Document) {
+	if generation <= l.generation {
+		return
+	}
+	l.generation, l.document = generation, doc
+	hosts := make([]membership.Host, len(doc.Hosts))
+	for i, h := range doc.Hosts {
+		hosts[i] = membership.Host{
+			Host:             placement.Host{Name: h.Name, Address: h.Address, Weight: h.Capacity},
+			AvailabilityZone: h.AvailabilityZone,
+		}
+	}
+	l.members.Configure(hosts)
+	l.setPools(doc.Pools)
+	l.place(now)
+}
+
+func (l *Loop) setPools(pools []manifest.Pool) {
+	known := make(map[string]bool, len(pools))
+	for _, p := range pools {
+		known[p.Name] = true
+		g := l.groups[p.Name]
+		if g == nil {
+			g = &group{}
+			l.groups[p.Name] = g
+		}
+		g.pool = p
+	}
+	for name := range l.groups {
+		if !known[name] {
+			delete(l.groups, name)
+			delete(l.active, name)
+		}
+	}
+	l.dirtyAll = true
+}
+
+// place ranks the hosts for every pool.
+func (l *Loop) place(now time.Time) {
+	hosts := l.members.Placeable()
+	for name, g := range l.groups {
+		ranked := placement.Rank(name, hosts, candidateCount)
+		g.candidates = make([]string, len(ranked))
+		for i, h := range ranked {
+			g.candidates[i] = h.Address
+		}
+		l.setGroup(now, name, g)
+	}
+	l.dirtyAll = true
+}
+
+// setGroup tells the machine of its endpoints and candidates, and creates or
+// drops the machine.
+func (l *Loop) setGroup(now time.Time, name string, g *group) {
+	if !l.isCandidate(g) && (g.machine == nil || g.machine.Idle()) {
+		l.drop(name, g)
+		return
+	}
+	if g.machine == nil {
+		g.machine = claim.New(claim.Config{
+			Group:       name,
+			Address:     l.cfg.Address,
+			Incarnation: l.cfg.Incarnation,
+			Holder:      l.holder,
+			Seed:        l.cfg.Seed,
+		})
+		l.active[name] = g
+	}
+	l.step(now, name, g, claim.SetGroup{Endpoints: claimEndpoints(g.pool), Candidates: g.candidates})
+	if l.leaving {
+		l.step(now, name, g, claim.Leave{})
+	}
+	if g.owner.Term > 0 {
+		l.step(now, name, g, claim.Heard{Owner: g.owner})
+		g.owner = claim.Owner{}
+	}
+}
+
+func (l *Loop) drop(name string, g *group) {
+	if g.machine == nil {
+		return
+	}
+	g.owner = g.state.Owner
+	g.machine, g.state = nil, claim.State{}
+	delete(l.active, name)
+	l.dirty[name] = true
+}
+
+func (l *Loop) isCandidate(g *group) bool {
+	for _, a := range g.candidates {
+		if a == l.cfg.Address {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/control/loop_test.go
@@ -0,0 +1,232 @@
+package control_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/internal/control"
+	"github.com/beryltrestle/beryltrestle/internal/manifest"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+// Guards against a new group that waits for an owner which never existed.
+func TestFirstStartNeedsNoWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 5, nil)
+		owner, took := c.waitOwner(nil, time.Second)
+		t.Logf("owned after %v", took)
+		g.Expect(took).To(BeNumerically("<", 300*time.Millisecond))
+		v := owner.View().Groups[pool]
+		g.Expect(v.Candidates[0]).To(Equal(owner.address))
+		g.Expect(v.ConfirmAfter.After(time.Now())).To(BeFalse())
+	})
+}
+
+// Guards against a group that stays without owner after its owner's death.
+func TestNextCandidateReplacesDeadOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 5, nil)
+		old, _ := c.waitOwner(nil, time.Second)
+		time.Sleep(2 * time.Second)
+		old.cancel()
+		c.setCut(old, true)
+		owner, took := c.waitOwner(old, 4*time.Second)
+		t.Logf("owned after %v", took)
+		v := owner.View().Groups[pool]
+		g.Expect(v.Candidates[1]).To(Equal(owner.address))
+		g.Expect(v.Term).To(BeEquivalentTo(2))
+		g.Expect(time.Until(v.ConfirmAfter)).To(BeNumerically(">", time.Second))
+		g.Expect(took + time.Until(v.ConfirmAfter)).To(BeNumerically("<", 4*time.Second))
+	})
+}
+
+// primaryOf waits until the owner's View names a primary other than the given
+// one, and returns it and the time that this took.
+func primaryOf(t *testing.T, d *daemon, other string, limit time.Duration) (string, time.Duration) {
+	t.Helper()
+	start := time.Now()
+	for time.Since(start) <= limit {
+		v := d.View().Groups[pool]
+		if v.LeaseValid(time.Now()) && v.Primary != other && !v.Changing {
+			return v.Primary, time.Since(start)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("no primary other than %q within %v", other, limit)
+	return "", 0
+}
+
+// Guards against a gap in service that grows when the owner is alive, and
+// against an owner that waits for its own former lease.
+func TestOwnerReplacesDeadPrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 4, nil)
+		owner, _ := c.waitOwner(nil, time.Second)
+		time.Sleep(2 * time.Second)
+		before := owner.View().Groups[pool]
+		last, _ := c.endpoints.write(before.Primary)
+		time.Sleep(300 * time.Millisecond)
+		c.endpoints.change(before.Primary, func(e *fakeEndpoint) { e.down = true })
+
+		primary, took := primaryOf(t, owner, before.Primary, 1500*time.Millisecond)
+		t.Logf("new primary after %v", took)
+		v := owner.View().Groups[pool]
+		g.Expect(v.Term).To(Equal(before.Term + 1))
+		g.Expect(v.ConfirmAfter.After(time.Now())).To(BeFalse())
+		g.Expect(v.PromotionPoint).To(Equal(last))
+		g.Expect(v.Marker.Term).To(Equal(v.Term))
+
+		// The former primary comes back and is told to follow.
+		c.endpoints.change(before.Primary, func(e *fakeEndpoint) { e.down = false })
+		time.Sleep(time.Second)
+		s := owner.View().Groups[pool].Endpoints[before.Primary]
+		g.Expect(s.Primary).To(Equal(primary))
+		g.Expect(owner.View().Groups[pool].Term).To(Equal(v.Term))
+	})
+}
+
+// Guards against a report of traffic that is not used, and against one that
+// replaces a primary which answers.
+func TestTrafficErrorSpeedsUpDetection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 4, nil)
+		owner, _ := c.waitOwner(nil, time.Second)
+		time.Sleep(2 * time.Second)
+		before := owner.View().Groups[pool]
+		owner.ReportEndpointError(pool, before.Primary)
+		time.Sleep(time.Second)
+		g.Expect(owner.View().Groups[pool].Term).To(Equal(before.Term))
+
+		c.endpoints.change(before.Primary, func(e *fakeEndpoint) { e.down = true })
+		owner.ReportEndpointError(pool, before.Primary)
+		_, took := primaryOf(t, owner, before.Primary, time.Second)
+		t.Logf("new primary after %v", took)
+		g.Expect(took).To(BeNumerically("<", 400*time.Millisecond))
+	})
+}
+
+// Guards against a paused owner that goes on serving after it was replaced, or
+// that claims on the heartbeats it missed while it was paused.
+func TestPausedOwnerStepsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 4, nil)
+		old, _ := c.waitOwner(nil, time.Second)
+		time.Sleep(2 * time.Second)
+		control.Pause(old.Loop, 5*time.Second)
+		owner, _ := c.waitOwner(old, 4*time.Second)
+		term := owner.View().Groups[pool].Term
+		time.Sleep(10 * time.Second)
+		v := old.View().Groups[pool]
+		g.Expect(v.Owned).To(BeFalse())
+		g.Expect(v.OwnerAddress).To(Equal(owner.address))
+		g.Expect(owner.View().Groups[pool].Term).To(Equal(term))
+		g.Expect(old.metrics.Count(metrics.StepDowns)).To(BeEquivalentTo(1))
+		g.Expect(old.metrics.Count(metrics.Stalls)).To(BeNumerically(">", 0))
+	})
+}
+
+// Guards against a candidate that replaces a living owner on the evidence of
+// its own pause.
+func TestPausedCandidateClaimsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 4, nil)
+		owner, _ := c.waitOwner(nil, time.Second)
+		for _, d := range c.daemons {
+			if d != owner {
+				control.Pause(d.Loop, 3*time.Second)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		g.Expect(c.owner()).To(Equal(owner))
+		g.Expect(owner.View().Groups[pool].Term).To(BeEquivalentTo(1))
+	})
+}
+
+// Guards against writes lost or failed because a leaving primary is replaced
+// before its requests have ended and its log was received.
+func TestLeavingPrimaryIsSwitchedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var c *cluster
+		var last logpos.Position
+		drain := func(context.Context, string) {
+			time.Sleep(300 * time.Millisecond)
+			last, _ = c.endpoints.write(c.owner().View().Groups[pool].Primary)
+		}
+		c = newCluster(t, 4, drain)
+		owner, _ := c.waitOwner(nil, time.Second)
+		time.Sleep(2 * time.Second)
+		before := owner.View().Groups[pool]
+
+		doc := c.document
+		doc.Pools = []manifest.Pool{{Name: pool}}
+		for _, e := range c.document.Pools[0].Endpoints {
+			e.Leaving = e.Address == before.Primary
+			doc.Pools[0].Endpoints = append(doc.Pools[0].Endpoints, e)
+		}
+		owner.SetManifest(2, &doc)
+		_, took := primaryOf(t, owner, before.Primary, 2*time.Second)
+		t.Logf("switched over after %v", took)
+		v := owner.View().Groups[pool]
+		g.Expect(v.Term).To(Equal(before.Term + 1))
+		g.Expect(v.PromotionPoint).To(Equal(last))
+		g.Expect(last.IsZero()).To(BeFalse())
+		g.Expect(v.ConfirmAfter.After(time.Now())).To(BeFalse())
+	})
+}
+
+// Guards against a leaving daemon that interrupts requests, or whose groups
+// wait for a lease that has ended.
+func TestLeaveHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		drained := false
+		c := newCluster(t, 4, func(context.Context, string) {
+			time.Sleep(500 * time.Millisecond)
+			drained = true
+		})
+		old, _ := c.waitOwner(nil, time.Second)
+		time.Sleep(2 * time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		g.Expect(old.Leave(ctx)).To(Succeed())
+		g.Expect(drained).To(BeTrue())
+		g.Expect(old.View().Groups[pool].Owned).To(BeFalse())
+
+		owner, took := c.waitOwner(old, time.Second)
+		t.Logf("owned by the successor %v after the handover", took)
+		g.Expect(took).To(BeNumerically("<", 200*time.Millisecond))
+		v := owner.View().Groups[pool]
+		g.Expect(v.ConfirmAfter.After(time.Now())).To(BeFalse())
+		g.Expect(v.Candidates).NotTo(ContainElement(old.address))
+	})
+}
+
+// Guards against an owner that is cut off from its peers and disturbs, or is
+// disturbed by, the candidates for longer than one claim.
+func TestOwnerCutOffFromPeersIsReplacedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 4, nil)
+		old, _ := c.waitOwner(nil, time.Second)
+		time.Sleep(2 * time.Second)
+		c.setCut(old, true)
+		time.Sleep(2 * time.Second)
+		owner := c.owner()
+		g.Expect(owner).NotTo(Equal(old))
+		c.setCut(old, false)
+		time.Sleep(10 * time.Second)
+		g.Expect(c.owner()).To(Equal(owner))
+	})
+}
--- /dev/null
+++ b/internal/control/workers.go
@@ -0,0 +1,133 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/coord/claim"
+	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/platform"
+)
+
+// pendingAction is an action that waits for the View of its step.
+type pendingAction struct {
+	pool   string
+	action claim.Action
+}
+
+// runPending starts the actions of the steps whose View has been published.
+func (l *Loop) runPending() {
+	for _, p := range l.pending {
+		l.run(p.pool, p.action)
+	}
+	l.pending = l.pending[:0]
+}
+
+func (l *Loop) run(pool string, a claim.Action) {
+	switch a := a.(type) {
+	case claim.Call:
+		l.work(func(ctx context.Context) { l.stepPool(ctx, pool, l.callEndpoint(ctx, a)) })
+	case claim.AskPreVote:
+		for _, p := range a.Peers {
+			l.work(func(ctx context.Context) { l.stepPool(ctx, pool, l.askPreVote(ctx, pool, a, p)) })
+		}
+	case claim.Drain:
+		l.work(func(ctx context.Context) { l.stepPool(ctx, pool, l.drain(ctx, pool, a)) })
+	case claim.OfferHandover:
+		l.work(func(ctx context.Context) { l.stepPool(ctx, pool, l.offerHandover(ctx, pool, a)) })
+	case claim.Note:
+		l.note(pool, a)
+	}
+}
+
+// work runs f on a goroutine of its own. Each call is bounded by its timeout,
+// and machines limit the calls of a kind to one for each endpoint.
+func (l *Loop) work(f func(ctx context.Context)) {
+	ctx := l.workerContext
+	l.workers.Go(func() { f(ctx) })
+}
+
+func (l *Loop) callEndpoint(ctx context.Context, c claim.Call) claim.Answer {
+	ctx, cancel := context.WithTimeout(ctx, claim.CallTimeout)
+	defer cancel()
+	answer := claim.Answer{Call: c, Started: time.Now()}
+	status, err := l.sendCall(ctx, c)
+	answer.Status = claimStatus(status)
+	var stale *platform.StaleTermError
+	switch {
+	case errors.As(err, &stale):
+		answer.Stale, answer.Seen = true, stale.Seen
+	case err != nil:
+		answer.Failed = true
+	}
+	return answer
+}
+
+func (l *Loop) sendCall(ctx context.Context, c claim.Call) (platform.EndpointStatus, error) {
+	gc := l.cfg.GroupControl
+	switch c.Kind {
+	case claim.CallAdvance:
+		return gc.AdvanceTerm(ctx, c.Address, c.Term, l.holder)
+	case claim.CallPromote:
+		return gc.Promote(ctx, c.Address, c.Term, l.holder)
+	case claim.CallFollow:
+		return gc.Follow(ctx, c.Address, c.Term, l.holder, c.Primary)
+	default:
+		return gc.Status(ctx, c.Address)
+	}
+}
+
+func (l *Loop) askPreVote(ctx context.Context, pool string, a claim.AskPreVote, p string) claim.PreVoted {
+	ctx, cancel := context.WithTimeout(ctx, claim.CallTimeout)
+	defer cancel()
+	res, err := l.cfg.Peers.PreVote(ctx, p, &peerv1.PreVoteRequest{Pool: pool, Term: a.Term, Candidate: l.cfg.Address})
+	return claim.PreVoted{
+		Round:       a.Round,
+		Peer:        p,
+		Failed:      err != nil,
+		OwnerAlive:  res.GetOwnerAlive(),
+		HighestTerm: res.GetHighestTerm(),
+	}
+}
+
+func (l *Loop) drain(ctx context.Context, pool string, a claim.Drain) claim.Drained {
+	if l.cfg.Drain != nil {
+		l.cfg.Drain(ctx, pool)
+	}
+	return claim.Drained(a)
+}
+
+func (l *Loop) offerHandover(ctx context.Context, pool string, a claim.OfferHandover) claim.HandoverAnswered {
+	ctx, cancel := context.WithTimeout(ctx, claim.CallTimeout)
+	defer cancel()
+	res, err := l.cfg.Peers.Handover(ctx, a.To, &peerv1.HandoverRequest{Pool: pool, Term: a.Term, From: l.cfg.Address})
+	return claim.HandoverAnswered{To: a.To, Accepted: err == nil && res.GetAccepted()}
+}
+
+// noteCounters are the counters of notes.
+var noteCounters = map[claim.NoteKind]metrics.Name{
+	claim.NoteClaimStarted: metrics.ClaimsStarted,
+	claim.NoteOwned:        metrics.ClaimsWon,
+	claim.NoteClaimLost:    metrics.ClaimsLost,
+	claim.NoteSteppedDown:  metrics.StepDowns,
+	claim.NoteStalled:      metrics.Stalls,
+	claim.NoteHandedOver:   metrics.HandoversAccepted,
+}
+
+// noteTexts are the log lines of notes.
+var noteTexts = map[claim.NoteKind]string{
+	claim.NoteClaimStarted: "claim started",
+	claim.NoteOwned:        "group owned",
+	claim.NoteClaimLost:    "claim lost",
+	claim.NoteSteppedDown:  "stepped down",
+	claim.NoteStalled:      "control loop was stalled",
+	claim.NoteHandedOver:   "group handed over",
+}
+
+func (l *Loop) note(pool string, n claim.Note) {
+	l.cfg.Metrics.Inc(noteCounters[n.Kind])
+	l.cfg.Log.Info().Str("pool", pool).Uint64("term", n.Term).Str("reason", n.Reason).Msg(noteTexts[n.Kind])
+}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -52,12 +52,13 @@
 
 // Control.
 const (
-	ClaimsStarted   Name = "claims.started"
-	ClaimsWon       Name = "claims.won"
-	ClaimsLost      Name = "claims.lost"
-	StepDowns       Name = "claims.step_down"
-	Stalls          Name = "control.stalls"
-	ManifestApplied Name = "manifest.applied"
-	ManifestBehind  Name = "manifest.behind"
-	Generation      Name = "manifest.generation"
+	ClaimsStarted     Name = "claims.started"
+	ClaimsWon         Name = "claims.won"
+	ClaimsLost        Name = "claims.lost"
+	StepDowns         Name = "claims.step_down"
+	Stalls            Name = "control.stalls"
+	HandoversAccepted Name = "handovers.accepted"
+	ManifestApplied   Name = "manifest.applied"
+	ManifestBehind    Name = "manifest.behind"
+	Generation        Name = "manifest.generation"
 )
