--- /dev/null
+++ b/internal/entry/gate.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+// maxStarting is the number of connections beyond the largest number of callers
+// that may be in their startup, so that they can be told why they are refused.
+const maxStarting = 1000
+
+// Gate accepts callers' connections and serves them.
+type Gate struct {
+	cfg     Config
+	locator *locator
+	budget  *retryBudget
+	keys    *keys
+	callers atomic.Int64
+	open    atomic.Int64
+
+	mu       sync.Mutex
+	listener net.Listener
+	drained  bool
+	// draining is closed when Drain begins.
+	draining chan struct{}
+	// ctx ends when the connections that are left are cut off.
+	ctx    context.Context
+	cancel context.CancelFunc
+	serve  sync.WaitGroup
+}
+
+// New returns a gate that does not listen yet.
+func New(cfg Config) *Gate {
+	cfg = cfg.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Gate{
+		cfg:      cfg,
+		locator:  newLocator(cfg),
+		budget:   newRetryBudget(),
+		keys:     newKeys(),
+		draining: make(chan struct{}),
+		ctx:      ctx,
+		cancel:   cancel,
+	}
+}
+
+// Serve accepts connections until Drain, after which it returns nil. When ctx
+// ends it cuts off all connections and returns ctx's error.
+func (g *Gate) Serve(ctx context.Context, ln net.Listener) error {
+	if !g.listen(ln) {
+		ln.Close()
+		return nil
+	}
+	stop := context.AfterFunc(ctx, func() {
+		g.cancel()
+		ln.Close()
+	})
+	defer stop()
+	for {
+		conn, err := ln.Accept()
+		if err == nil {
+			g.accept(conn)
+			continue
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if g.isDraining() {
+			return nil
+		}
+		if !isTemporary(err) {
+			return errors.Wrap(err, "accepting callers")
+		}
+		pause(ctx, acceptPause)
+	}
+}
+
+// listen records the listener; false if the gate is draining.
+func (g *Gate) listen(ln net.Listener) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listener = ln
+	return !g.drained
+}
+
+// isDraining reports whether Drain has begun.
+func (g *Gate) isDraining() bool {
+	select {
+	case <-g.draining:
+		return true
+	default:
+		return false
+	}
+}
+
+// accept serves one connection on a goroutine of its own.
+func (g *Gate) accept(conn net.Conn) {
+	if g.open.Add(1) > int64(g.cfg.MaxCallers+maxStarting) {
+		g.open.Add(-1)
+		g.cfg.Metrics.Inc(metrics.RefusedTooManyCallers)
+		conn.Close()
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.drained {
+		g.open.Add(-1)
+		conn.Close()
+		return
+	}
+	g.serve.Go(func() {
+		defer g.open.Add(-1)
+		newCaller(g, conn).run()
+	})
+}
+
+// Drain stops accepting. Connections that are idle outside a transaction are
+// closed; requests in flight and open transactions finish. When ctx ends first,
+// the rest is cut off and an error is returned.
+func (g *Gate) Drain(ctx context.Context) error {
+	g.mu.Lock()
+	if !g.drained {
+		g.drained = true
+		close(g.draining)
+	}
+	if g.listener != nil {
+		g.listener.Close()
+	}
+	g.mu.Unlock()
+	finished := make(chan struct{})
+	go func() {
+		g.serve.Wait()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
+	}
+	left := g.open.Load()
+	g.cancel()
+	<-finished
+	return errors.Wrapf(ctx.Err(), "%d callers' connections were cut off", left)
+}
+
+// countCallers adds to the number of callers past their startup.
+func (g *Gate) countCallers(n int64) int64 {
+	total := g.callers.Add(n)
+	g.cfg.Metrics.Gauge(metrics.CallersOpen, total)
+	return total
+}
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,140 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/internal/control"
+	"github.com/beryltrestle/beryltrestle/internal/entry"
+	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/peer"
+)
+
+const (
+	testPool        = "members"
+	testIncarnation = 7
+	testTerm        = 3
+	testTimeout     = 20 * time.Second
+)
+
+// fakeControl answers Locate; the other calls are not used by the entry.
+type fakeControl struct {
+	peer.Control
+	location *peerv1.Location
+}
+
+func (c *fakeControl) Locate(context.Context, *peerv1.LocateRequest) (*peerv1.LocateResponse, error) {
+	return &peerv1.LocateResponse{Owner: c.location}, nil
+}
+
+func (c *fakeControl) ObserveGeneration(string, uint64) {}
+
+// fakeViews publishes views of one group.
+type fakeViews struct {
+	mu      sync.Mutex
+	view    *control.View
+	changed chan struct{}
+}
+
+func (v *fakeViews) View() *control.View {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.view
+}
+
+func (v *fakeViews) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *fakeViews) publish(g control.GroupView) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.view = &control.View{Generation: 1, Groups: map[string]control.GroupView{testPool: g}}
+	if v.changed != nil {
+		close(v.changed)
+	}
+	v.changed = make(chan struct{})
+}
+
+// daemon is an owner behind real streams on loopback.
+type daemon struct {
+	owner   *fakeOwner
+	service *peer.Service
+	address string
+}
+
+func startOwner(t testing.TB) *daemon {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &daemon{owner: &fakeOwner{}, address: ln.Addr().String()}
+	d.service = peer.NewService(peer.ServiceConfig{Server: d.owner, Control: &fakeControl{}})
+	go func() { _ = d.service.Serve(ln) }()
+	t.Cleanup(d.service.Close)
+	return d
+}
+
+// harness is a gate in front of one owner.
+type harness struct {
+	*daemon
+	g       *WithT
+	gate    *entry.Gate
+	views   *fakeViews
+	metrics *metrics.Registry
+	listen  string
+}
+
+func newHarness(t testing.TB, change func(*entry.Config)) *harness {
+	t.Helper()
+	h := &harness{daemon: startOwner(t), g: NewWithT(t), views: &fakeViews{}, metrics: metrics.NewRegistry()}
+	h.views.publish(control.GroupView{OwnerAddress: h.address, OwnerIncarnation: testIncarnation, Term: testTerm, Candidates: []string{h.address}})
+	streams := peer.NewStreams(peer.Config{Metrics: h.metrics})
+	t.Cleanup(streams.Close)
+	cfg := entry.Config{Exchange: streams, Views: h.views, Metrics: h.metrics}
+	if change != nil {
+		change(&cfg)
+	}
+	h.gate = entry.New(cfg)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.listen = ln.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = h.gate.Serve(ctx, ln) }()
+	return h
+}
+
+// dsn returns the address of the gate with further options.
+func (h *harness) dsn(options string) string {
+	return fmt.Sprintf("postgres://anna@%s/%s?sslmode=disable%s", h.listen, testPool, options)
+}
+
+func (h *harness) connect(t testing.TB, options string) *pgx.Conn {
+	t.Helper()
+	conn, err := pgx.Connect(testContext(t), h.dsn(options))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func testContext(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
--- a/internal/peer/answer_writer.go
+++ b/internal/peer/answer_writer.go
@@ -19,6 +19,9 @@
 	chunk []byte
 	// truncated is true once a part of the answer could not be sent.
 	truncated bool
+	// abandoned is true once the entry closed the transaction while the request
+	// ran; guarded by the exchange's lock.
+	abandoned bool
 	once      sync.Once
 
 	mu     sync.Mutex
--- a/internal/peer/backoff.go
+++ b/internal/peer/backoff.go
@@ -28,4 +28,3 @@
 
 // waiting reports whether the next dial must wait.
 func (d *dialDelay) waiting(now time.Time) bool { return now.Before(d.until) }
-
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -222,11 +222,11 @@
 	} else {
 		delete(x.open, string(transactionID))
 	}
-	over := x.over
+	abandoned := x.over || w.abandoned
 	x.checkIdle()
 	x.mu.Unlock()
 	x.load.end(transactionID, end.GetTransactionStatus())
-	if open && over {
+	if open && abandoned {
 		x.closeTransaction(string(transactionID))
 	}
 }
@@ -247,10 +247,14 @@
 	}
 }
 
-// closeTransaction rolls back a transaction of this stream.
+// closeTransaction rolls back a transaction of this stream. A request that is
+// still running may leave it open, so it is closed again when that request ends.
 func (x *exchange) closeTransaction(id string) {
 	x.mu.Lock()
 	delete(x.open, id)
+	for _, w := range x.running {
+		w.abandoned = w.abandoned || string(w.transactionID()) == id
+	}
 	x.mu.Unlock()
 	x.cfg.Server.CloseTransaction([]byte(id))
 	x.load.closed(id)
