Add admin HTTP address

Operators and the load balancer need health, readiness, counters and the control state. The state is injected, so that this package needs no view type.

--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,118 @@
+// Package admin serves the daemon's admin address over HTTP: health, readiness,
+// counters and the control state.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+// Limits of admin connections, so that a slow reader holds no resources.
+const (
+	readTimeout  = 5 * time.Second
+	writeTimeout = 10 * time.Second
+)
+
+// Config configures a Server.
+type Config struct {
+	// Metrics are exported by /metrics and /metrics.json.
+	Metrics *metrics.Registry
+	// Ready returns nil if the daemon can serve callers, otherwise why not.
+	Ready func() error
+	// Status returns what /status shows as JSON, usually the control View.
+	Status func() any
+}
+
+// Server serves the admin address.
+type Server struct {
+	cfg  Config
+	http *http.Server
+}
+
+// New returns a server that does not listen yet.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg}
+	s.http = &http.Server{
+		Handler:      s.Handler(),
+		ReadTimeout:  readTimeout,
+		WriteTimeout: writeTimeout,
+	}
+	return s
+}
+
+// Serve accepts connections until Shutdown, after which it returns nil.
+func (s *Server) Serve(ln net.Listener) error {
+	err := s.http.Serve(ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown stops listening and lets running requests finish until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Handler returns the HTTP handler of all paths.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", s.health)
+	mux.HandleFunc("GET /ready", s.ready)
+	mux.HandleFunc("GET /metrics", s.prometheus)
+	mux.HandleFunc("GET /metrics.json", s.metricsJSON)
+	mux.HandleFunc("GET /status", s.status)
+	return mux
+}
+
+// health reports that the process answers.
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// ready reports whether the daemon can serve callers.
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if s.cfg.Ready != nil {
+		if err := s.cfg.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// prometheus writes the counters in the Prometheus text format.
+func (s *Server) prometheus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	_ = s.cfg.Metrics.WritePrometheus(w)
+}
+
+// metricsJSON writes the counters as one JSON object.
+func (s *Server) metricsJSON(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.cfg.Metrics.Values())
+}
+
+// status writes the control state as JSON.
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	if s.cfg.Status == nil {
+		http.Error(w, "no status is available", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, s.cfg.Status())
+}
+
+// writeJSON writes a value as indented JSON.
+func writeJSON(w http.ResponseWriter, v any) {
+	body, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(body, '\n'))
+}
