--- a/coord/admission/fifo.go
+++ b/coord/admission/fifo.go
@@ -34,8 +34,8 @@
 }
 
 // SetEndpoints implements Scheduler.
-func (o *ordered) SetEndpoints(_ time.Time, eps []Endpoint) {
-	o.slots.set(eps)
+func (o *ordered) SetEndpoints(now time.Time, eps []Endpoint) {
+	o.slots.set(now, eps)
 	for _, e := range o.slots.order {
 		e.limit = e.Slots
 	}
--- a/coord/admission/item.go
+++ b/coord/admission/item.go
@@ -1,19 +1,32 @@
 package admission
 
-import "time"
+import (
+	"container/list"
+	"time"
+)
 
-// item is waiting work with its places in the heaps.
+// item is waiting work with its places in the queues.
 type item struct {
 	work Work
 	// sequence numbers offers, so that equal items keep their order of arrival.
 	sequence uint64
-	// index holds the item's place in each heap, by slot; -1 if it is in none.
+	// index holds the item's place in each heap, by slot.
 	index [heapSlots]int
+	// waiting is false once the item was granted, refused or removed.
+	waiting bool
 
-	// long is true if the manifest or the learned run time says so.
-	long bool
-	// expected is the expected run time.
+	// class is the class by the manifest or by the learned run time.
+	class class
+	lane  lane
+	// expected is the expected run time, and bucket its order of magnitude
+	// together with the work of the same session that goes first.
 	expected time.Duration
+	bucket   int
+	// start is the virtual time at which the session's share reaches the item.
+	start time.Duration
+	level *level
+	// pinned is the place in the list of reads that wait for the primary, or nil.
+	pinned *list.Element
 }
 
 // expired reports whether the work must not start any more.
--- /dev/null
+++ b/coord/admission/machine_test.go
@@ -0,0 +1,229 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/beryltrestle/beryltrestle/coord/admission"
+)
+
+const (
+	waiting = iota
+	running
+	ended
+)
+
+// machine drives a scheduler with random events and checks what holds for every
+// policy.
+type machine struct {
+	s        admission.Scheduler
+	checks   policyChecks
+	now      time.Time
+	nextID   uint64
+	eps      map[string]admission.Endpoint
+	work     map[uint64]admission.Work
+	state    map[uint64]int
+	grants   []admission.Grant
+	released []admission.Grant
+	blocked  map[string]bool
+}
+
+// policyChecks are the rules that only some policies follow.
+type policyChecks struct {
+	longLimit bool
+}
+
+func newMachine(s admission.Scheduler, checks policyChecks) *machine {
+	return &machine{
+		s: s, checks: checks, now: at(0), eps: map[string]admission.Endpoint{},
+		work: map[uint64]admission.Work{}, state: map[uint64]int{}, blocked: map[string]bool{},
+	}
+}
+
+// Endpoints replaces the endpoints.
+func (m *machine) Endpoints(t *rapid.T) {
+	var eps []admission.Endpoint
+	primary := rapid.IntRange(0, 3).Draw(t, "primary")
+	for n := range rapid.IntRange(0, 3).Draw(t, "endpoints") {
+		eps = append(eps, admission.Endpoint{
+			Name:      fmt.Sprint("e", n),
+			Slots:     rapid.IntRange(0, 3).Draw(t, "slots"),
+			Primary:   n == primary,
+			Accepting: rapid.Bool().Draw(t, "accepting"),
+			Distance:  time.Duration(rapid.IntRange(0, 3).Draw(t, "distance")) * time.Millisecond,
+		})
+	}
+	m.eps = map[string]admission.Endpoint{}
+	for _, e := range eps {
+		m.eps[e.Name] = e
+	}
+	m.s.SetEndpoints(m.now, eps)
+}
+
+// Block changes which endpoints reads may use.
+func (m *machine) Block(t *rapid.T) {
+	name := fmt.Sprint("e", rapid.IntRange(0, 2).Draw(t, "endpoint"))
+	m.blocked[name] = rapid.Bool().Draw(t, "blocked")
+}
+
+// Offer offers new work.
+func (m *machine) Offer(t *rapid.T) {
+	m.nextID++
+	w := admission.Work{
+		ID:          m.nextID,
+		Session:     fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "session")),
+		Fingerprint: rapid.Uint64Range(0, 3).Draw(t, "fingerprint"),
+		Priority:    rapid.IntRange(0, 2).Draw(t, "priority"),
+		ReadOnly:    rapid.Bool().Draw(t, "read only"),
+		Long:        rapid.IntRange(0, 3).Draw(t, "long") == 0,
+		Arrived:     m.now,
+		Deadline:    m.now.Add(time.Duration(rapid.IntRange(-1, 3000).Draw(t, "deadline")) * time.Millisecond),
+		Eligible:    func(name string) bool { return !m.blocked[name] },
+	}
+	m.work[w.ID] = w
+	if r := m.s.Offer(m.now, w); r != nil {
+		m.state[w.ID] = ended
+	}
+}
+
+// Next takes grants and refusals.
+func (m *machine) Next(t *rapid.T) {
+	grants, refusals := m.s.Next(m.now)
+	for _, r := range refusals {
+		if m.state[r.Work.ID] != waiting || m.now.Before(r.Work.Deadline) {
+			t.Fatalf("work %d was refused in state %d, deadline %v", r.Work.ID, m.state[r.Work.ID], r.Work.Deadline)
+		}
+		m.state[r.Work.ID] = ended
+	}
+	for _, g := range grants {
+		m.grant(t, g)
+	}
+}
+
+func (m *machine) grant(t *rapid.T, g admission.Grant) {
+	e := m.eps[g.Endpoint]
+	held, long := 1, 0
+	for _, other := range m.grants {
+		if other.Endpoint != g.Endpoint {
+			continue
+		}
+		held++
+		if other.Work.Long {
+			long++
+		}
+	}
+	switch {
+	case m.state[g.Work.ID] != waiting:
+		t.Fatalf("work %d was granted in state %d", g.Work.ID, m.state[g.Work.ID])
+	case !m.now.Before(g.Work.Deadline):
+		t.Fatalf("work %d was started after its deadline", g.Work.ID)
+	case !e.Accepting || held > e.Slots:
+		t.Fatalf("%d of %d slots of %q are held, accepting %v", held, e.Slots, g.Endpoint, e.Accepting)
+	case m.blocked[g.Endpoint] || !g.Work.ReadOnly && !e.Primary:
+		t.Fatalf("work %d is not eligible on %q", g.Work.ID, g.Endpoint)
+	case m.checks.longLimit && g.Work.Long && e.Slots > 1 && long >= e.Slots-1:
+		t.Fatalf("long work holds all %d slots of %q", e.Slots, g.Endpoint)
+	}
+	m.state[g.Work.ID] = running
+	m.grants = append(m.grants, g)
+}
+
+// Release frees a slot.
+func (m *machine) Release(t *rapid.T) {
+	if len(m.grants) == 0 {
+		t.Skip("nothing runs")
+	}
+	n := rapid.IntRange(0, len(m.grants)-1).Draw(t, "grant")
+	g := m.grants[n]
+	m.grants = append(m.grants[:n], m.grants[n+1:]...)
+	m.released = append(m.released, g)
+	m.state[g.Work.ID] = ended
+	ran := time.Duration(rapid.IntRange(0, 200).Draw(t, "ran")) * time.Millisecond
+	m.s.Release(m.now, g, ran, rapid.Bool().Draw(t, "failed"))
+}
+
+// ReleaseAgain releases a slot a second time, which must have no effect.
+func (m *machine) ReleaseAgain(t *rapid.T) {
+	if len(m.released) == 0 {
+		t.Skip("nothing was released")
+	}
+	m.s.Release(m.now, rapid.SampledFrom(m.released).Draw(t, "grant"), time.Millisecond, false)
+}
+
+// Remove takes work out of the queue.
+func (m *machine) Remove(t *rapid.T) {
+	id := rapid.Uint64Range(0, m.nextID).Draw(t, "id")
+	s, known := m.state[id]
+	if _, offered := m.work[id]; offered && !known {
+		s, known = waiting, true
+	}
+	if removed := m.s.Remove(id); removed != (known && s == waiting) {
+		t.Fatalf("Remove(%d) is %v in state %d", id, removed, s)
+	} else if removed {
+		m.state[id] = ended
+	}
+}
+
+// Advance lets time pass.
+func (m *machine) Advance(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms")) * time.Millisecond)
+}
+
+// Check compares the queue's length and its wake time with the model.
+func (m *machine) Check(t *rapid.T) {
+	n := 0
+	var earliest time.Time
+	for id, w := range m.work {
+		if m.state[id] != waiting {
+			continue
+		}
+		n++
+		if earliest.IsZero() || w.Deadline.Before(earliest) {
+			earliest = w.Deadline
+		}
+	}
+	if m.s.Len() != n {
+		t.Fatalf("%d wait, want %d", m.s.Len(), n)
+	}
+	wake := m.s.Wake(m.now)
+	if wake.IsZero() != (n == 0) || wake.After(earliest) {
+		t.Fatalf("wake at %v with %d waiting, earliest deadline %v", wake, n, earliest)
+	}
+}
+
+func (m *machine) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"":         m.Check,
+		"advance":  m.Advance,
+		"again":    m.ReleaseAgain,
+		"block":    m.Block,
+		"endpoint": m.Endpoints,
+		"next":     m.Next,
+		"next 2":   m.Next,
+		"offer":    m.Offer,
+		"offer 2":  m.Offer,
+		"offer 3":  m.Offer,
+		"release":  m.Release,
+		"remove":   m.Remove,
+	}
+}
+
+// Guards against a slot that is granted twice or freed twice, work that starts
+// late, twice or where it must not, and long work that holds all slots.
+func TestSchedulerKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(admission.NewScheduler(admission.Config{}), policyChecks{longLimit: true})
+		t.Repeat(m.actions())
+	})
+}
+
+// Guards against the same faults in the baseline.
+func TestFIFOKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(admission.NewFIFO(admission.FIFOConfig{ReplicaReads: true}), policyChecks{})
+		t.Repeat(m.actions())
+	})
+}
--- a/coord/admission/slots.go
+++ b/coord/admission/slots.go
@@ -18,11 +18,11 @@
 
 // set replaces the endpoints. An endpoint that is no longer listed is kept, and
 // accepts nothing, while work runs on it, in case it is listed again.
-func (s *slots) set(eps []Endpoint) {
+func (s *slots) set(now time.Time, eps []Endpoint) {
 	listed := make(map[string]bool, len(eps))
 	for _, ep := range eps {
 		listed[ep.Name] = true
-		s.update(ep)
+		s.update(now, ep)
 	}
 	s.order = s.order[:0]
 	for name, e := range s.byName {
@@ -39,9 +39,9 @@
 }
 
 // update takes over what is known of one endpoint. An endpoint that accepts work
-// again starts with one slot and gains one with each run that succeeds, so that
-// the work that waited does not reach it all at once.
-func (s *slots) update(ep Endpoint) {
+// again starts with one slot and gains more with each run that succeeds and with
+// time, so that the work that waited does not reach it all at once.
+func (s *slots) update(now time.Time, ep Endpoint) {
 	e := s.byName[ep.Name]
 	if e == nil {
 		s.byName[ep.Name] = &endpoint{Endpoint: ep, running: make(map[uint64]*run), limit: ep.Slots}
@@ -49,7 +49,7 @@
 	}
 	switch {
 	case ep.Accepting && !e.Accepting:
-		e.limit = 1
+		e.limit, e.raised = 1, now
 	case e.limit >= e.Slots:
 		e.limit = ep.Slots
 	}
@@ -61,8 +61,8 @@
 	s.grants++
 	e.granted = s.grants
 	e.grants++
-	e.running[i.work.ID] = &run{work: i.work, started: now, expected: i.expected, long: i.long}
-	if i.long {
+	e.running[i.work.ID] = &run{work: i.work, started: now, expected: i.expected, class: i.class}
+	if i.class == long {
 		e.long++
 	}
 	return Grant{Work: i.work, Endpoint: e.Name}
@@ -80,8 +80,19 @@
 		return nil, nil
 	}
 	delete(e.running, g.Work.ID)
-	if r.long {
+	if r.class == long {
 		e.long--
 	}
 	return e, r
 }
+
+// accepting counts the endpoints of the role that accept work.
+func (s *slots) accepting(primary bool) int {
+	n := 0
+	for _, e := range s.order {
+		if e.Accepting && e.Primary == primary {
+			n++
+		}
+	}
+	return n
+}
