Add manifest generation tracker

Decides when to fetch, from whom, and which three hosts poll the store. The first manifest waits for the store or for everyone asked. With the check of the generation removed, the rapid test failed at its first run (generation 0 accepted after 0).

--- /dev/null
+++ b/coord/manifest/choose.go
@@ -0,0 +1,84 @@
+package manifest
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/placement"
+)
+
+// fetchStore adds a fetch from the store if this host polls it now.
+func (t *Tracker) fetchStore(now time.Time, fetches []Fetch) []Fetch {
+	if t.inFlight[Store] {
+		return fetches
+	}
+	if !t.Poller(now) && (t.Publishable(now) || !t.start.storeDue(now)) {
+		return fetches
+	}
+	t.inFlight[Store] = true
+	return append(fetches, Fetch{From: Store, Since: t.generation})
+}
+
+// Poller reports whether this host is one of the Pollers hosts that poll the
+// store in the epoch of now.
+func (t *Tracker) Poller(now time.Time) bool {
+	epoch := now.UnixNano() / int64(PollerEpoch)
+	for _, h := range placement.Rank("manifest-poller/"+strconv.FormatInt(epoch, 10), t.hosts, Pollers) {
+		if h.Name == t.self {
+			return true
+		}
+	}
+	return false
+}
+
+// randomPeers returns n peers that differ from tick to tick and from host to host.
+func (t *Tracker) randomPeers(n int) []placement.Host {
+	key := "manifest-peer/" + t.self + "/" + strconv.FormatUint(t.ticks, 10)
+	return placement.Rank(key, t.peers, n)
+}
+
+// fetchPeer adds a fetch from a peer unless one is in flight or the peer failed
+// a moment ago.
+func (t *Tracker) fetchPeer(now time.Time, address string, fetches []Fetch) []Fetch {
+	from := Source{Peer: address}
+	if address == "" || t.inFlight[from] || now.Before(t.avoid[address]) || t.peerFetches() >= maxFetches {
+		return fetches
+	}
+	t.inFlight[from] = true
+	return append(fetches, Fetch{From: from, Since: t.generation})
+}
+
+// peerFetches returns the number of fetches from peers in flight.
+func (t *Tracker) peerFetches() int {
+	n := len(t.inFlight)
+	if t.inFlight[Store] {
+		n--
+	}
+	return n
+}
+
+// catchUp fetches from the peer that is furthest ahead.
+func (t *Tracker) catchUp(now time.Time) []Fetch {
+	best, ahead := "", t.generation
+	for p, g := range t.seen {
+		blocked := t.inFlight[Source{Peer: p}] || now.Before(t.avoid[p])
+		if !blocked && (g > ahead || g == ahead && g > t.generation && p < best) {
+			best, ahead = p, g
+		}
+	}
+	return t.fetchPeer(now, best, nil)
+}
+
+// forget drops peers that are not ahead any more and times that have passed.
+func (t *Tracker) forget(now time.Time) {
+	for p, g := range t.seen {
+		if g <= t.generation {
+			delete(t.seen, p)
+		}
+	}
+	for p, until := range t.avoid {
+		if !now.Before(until) {
+			delete(t.avoid, p)
+		}
+	}
+}
--- /dev/null
+++ b/coord/manifest/tracker_test.go
@@ -0,0 +1,138 @@
+package manifest_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/beryltrestle/beryltrestle/coord/manifest"
+	"github.com/beryltrestle/beryltrestle/coord/placement"
+)
+
+// began is the start of virtual time.
+var began = time.Unix(1_000_000, 0)
+
+func hosts(n int) []placement.Host {
+	hs := make([]placement.Host, n)
+	for i := range hs {
+		hs[i] = placement.Host{Name: fmt.Sprintf("h%d", i), Address: fmt.Sprintf("a%d", i), Weight: 1}
+	}
+	return hs
+}
+
+func tracker(n int) *manifest.Tracker {
+	t := manifest.New("h0")
+	t.SetHosts(hosts(n))
+	return t
+}
+
+// Guards against a manifest that reverts when an answer is late, and against a
+// second fetch from a source that has not answered the first.
+func TestGenerationNeverDecreases(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr, now := tracker(8), began
+		var flying []manifest.Fetch
+		high := uint64(0)
+		start := func(fs []manifest.Fetch) {
+			for _, f := range fs {
+				for _, other := range flying {
+					if other.From == f.From {
+						t.Fatalf("second fetch from %v", f.From)
+					}
+				}
+				flying = append(flying, f)
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			g := rapid.Uint64Range(0, 9).Draw(t, "generation")
+			what := rapid.IntRange(0, 3).Draw(t, "what")
+			if what >= 2 && len(flying) > 0 {
+				i := rapid.IntRange(0, len(flying)-1).Draw(t, "answer")
+				f := flying[i]
+				flying = append(flying[:i], flying[i+1:]...)
+				if what == 3 {
+					start(tr.Failed(now, f.From))
+				} else if tr.Answered(now, f.From, g) != (g > high) {
+					t.Fatalf("generation %d after %d", g, high)
+				} else {
+					high = max(high, g)
+				}
+			} else if what == 0 {
+				start(tr.Tick(now))
+			} else {
+				start(tr.Observe(now, fmt.Sprintf("a%d", rapid.IntRange(1, 7).Draw(t, "peer")), g))
+			}
+			if tr.Generation() != high {
+				t.Fatalf("generation is %d, want %d", tr.Generation(), high)
+			}
+		}
+	})
+}
+
+// Guards against the first manifest being taken from one peer that is behind.
+func TestFirstManifestWaitsForOtherSources(t *testing.T) {
+	for name, test := range map[string]struct {
+		after func(tr *manifest.Tracker, fs []manifest.Fetch)
+		wait  time.Duration
+		want  bool
+	}{
+		"one peer":            {func(*manifest.Tracker, []manifest.Fetch) {}, manifest.StartTimeout - 1, false},
+		"one peer and a wait": {func(*manifest.Tracker, []manifest.Fetch) {}, manifest.StartTimeout, true},
+		"store":               {func(tr *manifest.Tracker, _ []manifest.Fetch) { tr.Answered(began, manifest.Store, 4) }, 0, true},
+		"store without one":   {func(tr *manifest.Tracker, _ []manifest.Fetch) { tr.Answered(began, manifest.Store, 0) }, 0, false},
+		"everyone": {func(tr *manifest.Tracker, fs []manifest.Fetch) {
+			for _, f := range fs {
+				tr.Failed(began, f.From)
+			}
+		}, 0, true},
+	} {
+		g := NewWithT(t)
+		tr := tracker(8)
+		fs := tr.Tick(began)
+		g.Expect(fs).To(HaveLen(4), "three peers and the store")
+		tr.Answered(began, fs[1].From, 3)
+		test.after(tr, fs)
+		g.Expect(tr.Publishable(began.Add(test.wait))).To(Equal(test.want), name)
+	}
+}
+
+// Guards against every daemon polling the store, and against pollers that stay
+// the same when they are down.
+func TestFewHostsPollAndTheyChange(t *testing.T) {
+	g := NewWithT(t)
+	polled := map[int]bool{}
+	for epoch := range 30 {
+		now := began.Add(time.Duration(epoch) * manifest.PollerEpoch)
+		pollers := 0
+		for i := range 14 {
+			tr := manifest.New(fmt.Sprintf("h%d", i))
+			tr.SetHosts(hosts(14))
+			if tr.Poller(now) {
+				pollers++
+				polled[i] = true
+			}
+		}
+		g.Expect(pollers).To(Equal(manifest.Pollers))
+	}
+	g.Expect(polled).To(HaveLen(14))
+}
+
+// Guards against a daemon that stays behind because the first peer it asks is down.
+func TestFailedFetchTriesAnotherPeer(t *testing.T) {
+	g := NewWithT(t)
+	tr := tracker(8)
+	first := tr.Observe(began, "a1", 5)
+	g.Expect(first).To(Equal([]manifest.Fetch{{From: manifest.Source{Peer: "a1"}}}))
+	g.Expect(tr.Observe(began, "a1", 5)).To(BeEmpty())
+	second := tr.Observe(began, "a2", 5)
+	g.Expect(second).To(HaveLen(1))
+	g.Expect(tr.Observe(began, "a3", 0)).To(BeEmpty())
+	g.Expect(tr.Failed(began, second[0].From)).To(BeEmpty())
+	g.Expect(tr.Observe(began, "a2", 5)).To(BeEmpty(), "a2 failed a moment ago")
+	later := began.Add(2 * time.Second)
+	g.Expect(tr.Observe(later, "a2", 5)).To(HaveLen(1))
+}
