--- a/internal/manifest/joiner.go
+++ b/internal/manifest/joiner.go
@@ -10,6 +10,9 @@
 // errHash reports content that is not the one its hash names.
 var errHash = errors.New("content does not have this hash")
 
+// errDecode reports content that this version cannot read.
+var errDecode = errors.New("content cannot be read")
+
 // Getter returns the object of a hash. It must be safe for concurrent use if the
 // Joiner is parallel.
 type Getter func(hash string) ([]byte, error)
--- a/internal/manifest/joiner_object.go
+++ b/internal/manifest/joiner_object.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"sync"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/beryltrestle/beryltrestle/internal/findings"
@@ -53,7 +53,7 @@
 		return errHash
 	}
 	if err := json.Unmarshal(body, v); err != nil {
-		return err
+		return fmt.Errorf("%w: %w", errDecode, err)
 	}
 	if check == nil {
 		return nil
@@ -64,7 +64,7 @@
 // checkRoot refuses formats that this version cannot read.
 func checkRoot(r *rootObject) error {
 	if r.Version != FormatVersion {
-		return errors.Newf("format version %d is not supported", r.Version)
+		return fmt.Errorf("%w: format version %d is not supported", errDecode, r.Version)
 	}
 	return nil
 }
--- a/internal/manifest/object_error.go
+++ b/internal/manifest/object_error.go
@@ -1,6 +1,12 @@
 package manifest
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/internal/findings"
+)
 
 // ObjectError reports an object that is missing, damaged or not valid.
 type ObjectError struct {
@@ -16,3 +22,10 @@
 
 // Unwrap returns the cause.
 func (e *ObjectError) Unwrap() error { return e.Err }
+
+// IsInvalid reports whether the error says that content is damaged or not
+// valid, as opposed to not available.
+func IsInvalid(err error) bool {
+	var list findings.List
+	return errors.Is(err, errHash) || errors.Is(err, errDecode) || errors.As(err, &list)
+}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -70,5 +70,11 @@
 	HandoversAccepted Name = "handovers.accepted"
 	ManifestApplied   Name = "manifest.applied"
 	ManifestBehind    Name = "manifest.behind"
-	Generation        Name = "manifest.generation"
+	// ManifestFetches counts newer manifests received from peers.
+	ManifestFetches     Name = "manifest.fetches"
+	ManifestFetchFailed Name = "manifest.fetch_failed"
+	ManifestStorePolls  Name = "manifest.store_polls"
+	// ManifestRejected counts fetched manifests that were damaged or not valid.
+	ManifestRejected Name = "manifest.rejected"
+	Generation       Name = "manifest.generation"
 )
