Tighten manifest syncer tests

Two tests did not fail when their rule was reverted: the restarted daemon heard from the newer peer first, and the bound on objects sent was too wide. A delta without an object has a test too.

--- a/internal/manifestsync/syncer_test.go
+++ b/internal/manifestsync/syncer_test.go
@@ -83,15 +83,20 @@
 	mu      sync.Mutex
 	syncers map[string]*manifestsync.Syncer
 	// damage changes answers.
-	damage func(*peerv1.FetchManifestResponse)
+	damage func(*peerv1.FetchManifestRequest, *peerv1.FetchManifestResponse)
 	sent   atomic.Int64
+	// slow is the address of a peer that answers late.
+	slow string
 }
 
 func (n *network) FetchManifest(ctx context.Context, address string, req *peerv1.FetchManifestRequest) (*peerv1.FetchManifestResponse, error) {
-	time.Sleep(time.Millisecond)
 	n.mu.Lock()
-	s := n.syncers[address]
+	s, slow := n.syncers[address], n.slow == address
 	n.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	if slow {
+		time.Sleep(time.Second)
+	}
 	if s == nil {
 		return nil, errDown
 	}
@@ -100,17 +105,23 @@
 	defer n.mu.Unlock()
 	n.sent.Add(int64(len(resp.GetObjects())))
 	if n.damage != nil {
-		n.damage(resp)
+		n.damage(req, resp)
 	}
 	return resp, err
 }
 
-func (n *network) setDamage(f func(*peerv1.FetchManifestResponse)) {
+func (n *network) setDamage(f func(*peerv1.FetchManifestRequest, *peerv1.FetchManifestResponse)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.damage = f
 }
 
+func (n *network) setSlow(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slow = address
+}
+
 // daemon is a syncer and what it published.
 type daemon struct {
 	*manifestsync.Syncer
@@ -146,7 +157,9 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	doc, list := manifest.Decode(data)
 	g.Expect(list).To(BeEmpty())
-	return &cluster{GomegaWithT: g, doc: doc, store: &store{}, network: &network{syncers: map[string]*manifestsync.Syncer{}}}
+	c := &cluster{GomegaWithT: g, doc: doc, store: &store{}, network: &network{syncers: map[string]*manifestsync.Syncer{}}}
+	t.Cleanup(c.stopAll)
+	return c
 }
 
 // change returns the manifest with one pool changed.
@@ -258,7 +271,6 @@
 				c.Expect(d.generations[i]).To(BeNumerically(">", d.generations[i-1]))
 			}
 		}
-		c.stopAll()
 	})
 }
 
@@ -280,9 +292,8 @@
 			c.store.accept(generation, c.change(fmt.Sprint("user-", generation)))
 			took := c.await(generation, bound)
 			t.Logf("in force after %s, %d objects sent", took, c.network.sent.Load())
-			c.Expect(c.network.sent.Load()).To(BeNumerically("<=", 3*3*len(c.daemons)))
+			c.Expect(c.network.sent.Load()).To(BeNumerically("<=", 2*3*len(c.daemons)))
 		}
-		c.stopAll()
 	})
 }
 
@@ -298,11 +309,11 @@
 		time.Sleep(10 * time.Millisecond)
 		c.daemons = append(c.daemons, c.launch(2, current))
 		time.Sleep(10 * time.Millisecond)
+		c.network.setSlow(c.doc.Hosts[2].Address)
 		restarted := c.launch(5, down)
 		c.daemons = append(c.daemons, restarted)
 		c.await(2, bound)
 		c.Expect(restarted.generations).To(Equal([]uint64{2}))
-		c.stopAll()
 	})
 }
 
@@ -312,12 +323,13 @@
 		c := newCluster(t)
 		c.store.accept(1, c.doc)
 		c.daemons = append(c.daemons, c.launch(0, c.store))
-		c.network.setDamage(func(resp *peerv1.FetchManifestResponse) {
+		c.network.setDamage(func(_ *peerv1.FetchManifestRequest, resp *peerv1.FetchManifestResponse) {
 			for h, body := range resp.Objects {
 				resp.Objects[h] = append([]byte(" "), body...)
 			}
 		})
 		d := c.launch(1, &store{down: true})
+		c.daemons = append(c.daemons, d)
 		time.Sleep(bound)
 		synctest.Wait()
 		c.Expect(d.last()).To(BeZero())
@@ -326,7 +338,23 @@
 		time.Sleep(bound)
 		synctest.Wait()
 		c.Expect(d.last()).To(Equal(uint64(1)))
-		d.stop()
-		c.stopAll()
+	})
+}
+
+// Guards against a daemon that stays behind because a delta lacks an object:
+// this happens if it took another generation while the delta was on its way.
+func TestIncompleteDeltaIsReplacedByWholeManifest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		c.store.accept(1, c.doc)
+		c.daemons = append(c.daemons, c.launch(0, c.store), c.launch(1, &store{down: true}))
+		c.await(1, bound)
+		c.network.setDamage(func(req *peerv1.FetchManifestRequest, resp *peerv1.FetchManifestResponse) {
+			if req.GetSinceGeneration() > 0 {
+				clear(resp.GetObjects())
+			}
+		})
+		c.store.accept(2, c.change("new"))
+		c.await(2, bound)
 	})
 }
