Leave out hosts that do not answer when choosing pollers

With 2 of 14 hosts alive, the store was polled only when one of them was drawn, and a manifest was still missing after 5 s. Peers whose fetch failed in the last 30 s do not count as pollers. Reverted, the new tracker test fails.

--- a/coord/manifest/choose.go
+++ b/coord/manifest/choose.go
@@ -1,6 +1,7 @@
 package manifest
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,10 +21,15 @@
 }
 
 // Poller reports whether this host is one of the Pollers hosts that poll the
-// store in the epoch of now.
+// store in the epoch of now. Peers that did not answer this host lately do not
+// count: if most hosts are down, those that are left poll more often.
 func (t *Tracker) Poller(now time.Time) bool {
 	epoch := now.UnixNano() / int64(PollerEpoch)
-	for _, h := range placement.Rank("manifest-poller/"+strconv.FormatInt(epoch, 10), t.hosts, Pollers) {
+	up := slices.DeleteFunc(slices.Clone(t.hosts), func(h placement.Host) bool {
+		_, down := t.failed[h.Address]
+		return down
+	})
+	for _, h := range placement.Rank("manifest-poller/"+strconv.FormatInt(epoch, 10), up, Pollers) {
 		if h.Name == t.self {
 			return true
 		}
@@ -41,13 +47,19 @@
 // a moment ago.
 func (t *Tracker) fetchPeer(now time.Time, address string, fetches []Fetch) []Fetch {
 	from := Source{Peer: address}
-	if address == "" || t.inFlight[from] || now.Before(t.avoid[address]) || t.peerFetches() >= maxFetches {
+	if address == "" || t.inFlight[from] || t.avoided(now, address) || t.peerFetches() >= maxFetches {
 		return fetches
 	}
 	t.inFlight[from] = true
 	return append(fetches, Fetch{From: from, Since: t.generation})
 }
 
+// avoided reports whether the peer failed a moment ago.
+func (t *Tracker) avoided(now time.Time, address string) bool {
+	at, failed := t.failed[address]
+	return failed && now.Sub(at) < avoidTime
+}
+
 // peerFetches returns the number of fetches from peers in flight.
 func (t *Tracker) peerFetches() int {
 	n := len(t.inFlight)
@@ -61,7 +73,7 @@
 func (t *Tracker) catchUp(now time.Time) []Fetch {
 	best, ahead := "", t.generation
 	for p, g := range t.seen {
-		blocked := t.inFlight[Source{Peer: p}] || now.Before(t.avoid[p])
+		blocked := t.inFlight[Source{Peer: p}] || t.avoided(now, p)
 		if !blocked && (g > ahead || g == ahead && g > t.generation && p < best) {
 			best, ahead = p, g
 		}
@@ -76,9 +88,9 @@
 			delete(t.seen, p)
 		}
 	}
-	for p, until := range t.avoid {
-		if !now.Before(until) {
-			delete(t.avoid, p)
+	for p, at := range t.failed {
+		if now.Sub(at) >= downTime {
+			delete(t.failed, p)
 		}
 	}
 }
--- a/coord/manifest/timing.go
+++ b/coord/manifest/timing.go
@@ -39,3 +39,6 @@
 
 // maxSeen bounds the peers that are remembered as being ahead.
 const maxSeen = 64
+
+// downTime is how long a peer whose fetch failed is not counted on as a poller.
+const downTime = 30 * time.Second
--- a/coord/manifest/tracker.go
+++ b/coord/manifest/tracker.go
@@ -23,8 +23,9 @@
 	ticks      uint64
 	// seen holds the generations of peers that were ahead when last heard of.
 	seen map[string]uint64
-	// avoid holds the time until which a peer is not asked.
-	avoid map[string]time.Time
+	// failed holds when the last fetch from a peer failed, until one succeeds or
+	// downTime has passed.
+	failed map[string]time.Time
 	// inFlight holds the fetches that were not answered yet.
 	inFlight map[Source]bool
 	start    start
@@ -35,7 +36,7 @@
 	return &Tracker{
 		self:     self,
 		seen:     make(map[string]uint64),
-		avoid:    make(map[string]time.Time),
+		failed:   make(map[string]time.Time),
 		inFlight: make(map[Source]bool),
 	}
 }
@@ -89,6 +90,7 @@
 	delete(t.inFlight, from)
 	t.start.answered(from, generation)
 	delete(t.seen, from.Peer)
+	delete(t.failed, from.Peer)
 	if generation <= t.generation {
 		return false
 	}
@@ -106,7 +108,7 @@
 		return nil
 	}
 	delete(t.seen, from.Peer)
-	t.avoid[from.Peer] = now.Add(avoidTime)
+	t.failed[from.Peer] = now
 	return t.catchUp(now)
 }
 
--- a/coord/manifest/tracker_test.go
+++ b/coord/manifest/tracker_test.go
@@ -136,3 +136,23 @@
 	later := began.Add(2 * time.Second)
 	g.Expect(tr.Observe(later, "a2", 5)).To(HaveLen(1))
 }
+
+// Guards against a store that nobody polls because most hosts are down.
+func TestHostsThatDoNotAnswerAreNotCountedAsPollers(t *testing.T) {
+	g := NewWithT(t)
+	tr := tracker(14)
+	for i := 3; i < 14; i++ {
+		tr.Failed(began, manifest.Source{Peer: fmt.Sprintf("a%d", i)})
+	}
+	for epoch := range 10 {
+		g.Expect(tr.Poller(began.Add(time.Duration(epoch) * manifest.PollerEpoch))).To(BeTrue())
+	}
+	tr.Tick(began.Add(time.Minute))
+	idle := 0
+	for epoch := range 10 {
+		if !tr.Poller(began.Add(time.Minute + time.Duration(epoch)*manifest.PollerEpoch)) {
+			idle++
+		}
+	}
+	g.Expect(idle).To(BeNumerically(">", 3))
+}
--- a/internal/manifestsync/syncer_test.go
+++ b/internal/manifestsync/syncer_test.go
@@ -349,6 +349,7 @@
 		c.store.accept(1, c.doc)
 		c.daemons = append(c.daemons, c.launch(0, c.store), c.launch(1, &store{down: true}))
 		c.await(1, bound)
+		time.Sleep(15 * time.Second) // Both learn that the other hosts are down.
 		c.network.setDamage(func(req *peerv1.FetchManifestRequest, resp *peerv1.FetchManifestResponse) {
 			if req.GetSinceGeneration() > 0 {
 				clear(resp.GetObjects())
