--- /dev/null
+++ b/internal/standin/database/apply.go
@@ -0,0 +1,126 @@
+package database
+
+import (
+	"context"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/internal/platform"
+)
+
+// runApply applies received entries after the apply lag, until ctx ends.
+func (ep *endpoint) runApply(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := ep.applyStep(ctx); err != nil {
+			_ = sleep(ctx, retryDelay)
+		}
+	}
+}
+
+func (ep *endpoint) applyStep(ctx context.Context) error {
+	if err := ep.waitChange(ctx, func() bool { return ep.received.Offset > ep.applied.Offset }); err != nil {
+		return err
+	}
+	if err := ep.faults.waitWhile(ctx, Faults.paused); err != nil {
+		return err
+	}
+	entries, err := readEntries(ctx, ep.store.readers, ep.position().Offset, applyChunk)
+	if err != nil || len(entries) == 0 {
+		return err
+	}
+	due := func(f Faults) time.Time { return entries[0].receivedAt.Add(f.ApplyLag) }
+	if err := ep.faults.sleepUntil(ctx, due); err != nil {
+		return err
+	}
+	return ep.applyDue(ctx, entries)
+}
+
+// applyDue applies those of the entries whose lag has passed.
+func (ep *endpoint) applyDue(ctx context.Context, entries []receivedEntry) error {
+	if err := ep.writeLock.Acquire(ctx, 1); err != nil {
+		return err
+	}
+	defer ep.writeLock.Release(1)
+	if role := ep.status().Role; role != platform.RoleReplica {
+		return nil
+	}
+	f, _ := ep.faults.get()
+	due := 0
+	for due < len(entries) && time.Since(entries[due].receivedAt) >= f.ApplyLag {
+		due++
+	}
+	return ep.applyEntries(entries[:due])
+}
+
+// applyEntries applies entries that follow the applied position; writeLock must
+// be held. Entries that a cut-back has removed meanwhile are left out.
+func (ep *endpoint) applyEntries(entries []receivedEntry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	if ok, err := ep.stillNext(entries); err != nil || !ok {
+		return err
+	}
+	tx, err := ep.store.begin()
+	if err != nil {
+		return err
+	}
+	last := entries[len(entries)-1].Position()
+	for _, e := range entries {
+		if err := applyEntry(tx, e.Entry); err != nil {
+			_ = tx.Rollback()
+			return err
+		}
+	}
+	if err := setApplied(tx, last); err != nil {
+		_ = tx.Rollback()
+		return err
+	}
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	if err := tx.Commit(); err != nil {
+		return err
+	}
+	if changesSchema(entries) {
+		ep.catalog.clear()
+	}
+	ep.logGrew(ep.received, last)
+	return nil
+}
+
+func changesSchema(entries []receivedEntry) bool {
+	for _, e := range entries {
+		for _, st := range e.Statements {
+			if isDDL(st.SQL) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (ep *endpoint) stillNext(entries []receivedEntry) (bool, error) {
+	received, applied := ep.positions()
+	first, last := entries[0], entries[len(entries)-1]
+	if first.Offset != applied.Offset+1 || last.Offset > received.Offset {
+		return false, nil
+	}
+	term, err := termAt(ep.store.writer, last.Offset)
+	return term == last.Term, err
+}
+
+// waitChange waits until ready, which is evaluated under mu.
+func (ep *endpoint) waitChange(ctx context.Context, ready func() bool) error {
+	for {
+		ep.mu.RLock()
+		ok, grown := ready(), ep.grown
+		ep.mu.RUnlock()
+		if ok {
+			return nil
+		}
+		select {
+		case <-grown:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/database/execute.go
@@ -0,0 +1,209 @@
+package database
+
+import (
+	"context"
+	"database/sql"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// flushRows is the number of rows that are collected before they are sent.
+const flushRows = 256
+
+// result is the answer of one statement.
+type result struct {
+	columns []column
+	rows    [][]any
+	tag     string
+}
+
+// runStatement executes one statement in the session's transaction.
+func (c *session) runStatement(ctx context.Context, p *parsedStatement, d description, args []any) (result, error) {
+	ending := p.command == commandCommit || p.command == commandRollback
+	if c.tx.failed && !ending {
+		return result{}, newError(stateFailedTransaction, messageFailedTransaction)
+	}
+	if err := c.srv.faults.waitWhile(ctx, Faults.paused); err != nil {
+		return result{}, err
+	}
+	switch p.command {
+	case commandBegin:
+		c.beginTx()
+		c.tx.block = true
+		return result{tag: "BEGIN"}, nil
+	case commandCommit:
+		return c.endBlock(true)
+	case commandRollback:
+		return c.endBlock(false)
+	case commandSession:
+		return result{tag: p.sessionTag()}, nil
+	case commandShow:
+		return c.show(p), nil
+	case commandUnsupported:
+		return result{}, newError(stateNotSupported, "savepoints are not supported")
+	case commandFunction:
+		return c.callFunction(ctx, p, args)
+	}
+	c.beginTx()
+	if p.now {
+		args = append(args[:len(args):len(args)], time.Now().UTC().Format(timeLayout))
+	}
+	if p.command == commandRead {
+		return c.runRead(ctx, p, d, args)
+	}
+	return c.runWrite(ctx, p, d, args)
+}
+
+// endBlock handles COMMIT and ROLLBACK; COMMIT of a failed transaction rolls back.
+func (c *session) endBlock(commit bool) (result, error) {
+	if !commit || c.tx.failed {
+		c.rollback()
+		return result{tag: "ROLLBACK"}, nil
+	}
+	return result{tag: "COMMIT"}, c.commit()
+}
+
+func (p *parsedStatement) sessionTag() string {
+	if p.verb == "DISCARD" || p.verb == "DEALLOCATE" {
+		return p.verb + " ALL"
+	}
+	return p.verb
+}
+
+func (c *session) runRead(ctx context.Context, p *parsedStatement, d description, args []any) (result, error) {
+	f, _ := c.srv.faults.get()
+	res := result{columns: d.columns}
+	err := c.ep.serve(ctx, f.ServiceTime, func() error {
+		return c.reading(func(q querier) error {
+			var err error
+			res.rows, err = fetch(ctx, q, p.sql, args)
+			return err
+		})
+	})
+	res.tag = p.tag(int64(len(res.rows)))
+	return res, err
+}
+
+// reading runs work on the session's own changes if it has some.
+func (c *session) reading(work func(q querier) error) error {
+	if c.tx.write != nil {
+		return c.tx.write.run(work)
+	}
+	return work(c.ep.store.readers)
+}
+
+// runWrite occupies a slot for the service time before it waits for the write
+// lock, so that a transaction that holds the lock always gets a slot.
+func (c *session) runWrite(ctx context.Context, p *parsedStatement, d description, args []any) (result, error) {
+	if err := c.ep.checkWritable(c.tx.term); err != nil {
+		return result{}, err
+	}
+	f, _ := c.srv.faults.get()
+	if err := c.ep.serve(ctx, f.ServiceTime, func() error { return nil }); err != nil {
+		return result{}, err
+	}
+	w, err := c.writing(ctx)
+	if err != nil {
+		return result{}, err
+	}
+	res := result{columns: d.columns}
+	err = w.run(func(q querier) error {
+		n, err := runIn(ctx, q, p, args, &res)
+		if err == nil && p.command == commandWrite {
+			w.record(Statement{SQL: p.sql, Values: encodeValues(args)}, p.ddl)
+		}
+		res.tag = p.tag(n)
+		return err
+	})
+	return res, err
+}
+
+func runIn(ctx context.Context, q querier, p *parsedStatement, args []any, res *result) (int64, error) {
+	if len(res.columns) > 0 {
+		var err error
+		res.rows, err = fetch(ctx, q, p.sql, args)
+		return int64(len(res.rows)), err
+	}
+	r, err := q.ExecContext(ctx, p.sql, args...)
+	if err != nil {
+		return 0, err
+	}
+	return r.RowsAffected()
+}
+
+func fetch(ctx context.Context, q querier, text string, args []any) ([][]any, error) {
+	rows, err := q.QueryContext(ctx, text, args...)
+	if err != nil {
+		return nil, err
+	}
+	defer rows.Close()
+	names, err := rows.Columns()
+	if err != nil {
+		return nil, err
+	}
+	return scanRows(rows, len(names))
+}
+
+func scanRows(rows *sql.Rows, n int) ([][]any, error) {
+	var out [][]any
+	for rows.Next() {
+		row := make([]any, n)
+		targets := make([]any, n)
+		for i := range row {
+			targets[i] = &row[i]
+		}
+		if err := rows.Scan(targets...); err != nil {
+			return nil, err
+		}
+		out = append(out, row)
+	}
+	return out, rows.Err()
+}
+
+// sendRows sends rows in the formats of the columns.
+func (c *session) sendRows(columns []column, rows [][]any, formats []int16) error {
+	for i, row := range rows {
+		values := make([][]byte, len(row))
+		for j, v := range row {
+			var err error
+			if values[j], err = encodeColumn(c.types, columns[j].oid, formatOf(formats, j), v); err != nil {
+				return err
+			}
+		}
+		c.backend.Send(&pgproto3.DataRow{Values: values})
+		if i%flushRows == flushRows-1 {
+			if err := c.flush(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func formatOf(formats []int16, i int) int16 {
+	switch len(formats) {
+	case 0:
+		return 0
+	case 1:
+		return formats[0]
+	}
+	if i < len(formats) {
+		return formats[i]
+	}
+	return 0
+}
+
+func rowDescription(columns []column, formats []int16) *pgproto3.RowDescription {
+	d := &pgproto3.RowDescription{}
+	for i, col := range columns {
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{
+			Name:         []byte(col.name),
+			DataTypeOID:  col.oid,
+			DataTypeSize: -1,
+			TypeModifier: -1,
+			Format:       formatOf(formats, i),
+		})
+	}
+	return d
+}
--- /dev/null
+++ b/internal/standin/database/faults_test.go
@@ -0,0 +1,86 @@
+package database_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/internal/platform"
+	"github.com/beryltrestle/beryltrestle/internal/standin/database"
+)
+
+func postFaults(t *testing.T, server *database.Server, body string) int {
+	t.Helper()
+	resp, err := http.Post("http://"+server.AdminAddress()+"/faults", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against a cut that answers, and against a hung endpoint that blocks
+// group control beyond its deadline.
+func TestCutEndpointDoesNotAnswer(t *testing.T) {
+	g := NewWithT(t)
+	group := startGroup(t, 1, database.Config{AdminListen: "127.0.0.1:0"})
+	address := group.Servers[0].Address()
+	c := control(t)
+	_, err := c.Status(context.Background(), address)
+	g.Expect(err).NotTo(HaveOccurred())
+
+	g.Expect(postFaults(t, group.Servers[0], `{"cut": true}`)).To(Equal(http.StatusOK))
+	const deadline = 150 * time.Millisecond
+	for range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), deadline)
+		started := time.Now()
+		_, err = c.Status(ctx, address)
+		cancel()
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(time.Since(started)).To(BeNumerically("<", 10*deadline))
+	}
+	g.Expect(postFaults(t, group.Servers[0], `{"cut": false}`)).To(Equal(http.StatusOK))
+	g.Expect(c.Status(context.Background(), address)).To(HaveField("Role", platform.RolePrimary))
+	g.Expect(postFaults(t, group.Servers[0], `{"cutt": true}`)).To(Equal(http.StatusBadRequest))
+}
+
+// Guards against a control call that fails because clients hold all connections
+// or all slots.
+func TestControlWorksAtTheLimits(t *testing.T) {
+	g := NewWithT(t)
+	group := startGroup(t, 1, database.Config{Connections: 1, Slots: 1})
+	address := group.Servers[0].Address()
+	conn := connect(t, address)
+	go func() { _, _ = queryOne[int64](conn, "SELECT platform_work(3000)") }()
+	_, err := pgx.Connect(context.Background(), "postgres://app@"+address+"/club?sslmode=disable")
+	g.Expect(state(err)).To(Equal("53300"))
+
+	started := time.Now()
+	g.Expect(control(t).AdvanceTerm(context.Background(), address, 2, "x")).To(HaveField("Term", uint64(2)))
+	g.Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
+}
+
+// Guards against a commit that a paused endpoint makes after its term advanced.
+func TestPausedCommitIsFenced(t *testing.T) {
+	g := NewWithT(t)
+	group := startGroup(t, 1, database.Config{})
+	server := group.Servers[0]
+	conn := connect(t, server.Address())
+	exec(t, conn, "CREATE TABLE slots (id INT PRIMARY KEY)")
+	exec(t, conn, "BEGIN")
+	exec(t, conn, "INSERT INTO slots VALUES (1)")
+	server.SetFaults(func(f *database.Faults) { f.CutClients = true })
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "COMMIT")
+		done <- err
+	}()
+	g.Consistently(done, 100*time.Millisecond).ShouldNot(Receive())
+	server.SetFaults(func(f *database.Faults) { f.CutClients = false })
+	g.Eventually(done, pollTimeout).Should(Receive(BeNil()))
+}
--- /dev/null
+++ b/internal/standin/database/session.go
@@ -0,0 +1,272 @@
+package database
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+)
+
+// Users whose connections do not count against the limit of client connections.
+const (
+	// ControlUser is the user of group control.
+	ControlUser = "platform_control"
+	// ReplicationUser is the user of replicas.
+	ReplicationUser = "platform_replication"
+)
+
+// errEnd ends a session without a message.
+var errEnd = errors.New("session ends")
+
+// session serves one connection.
+type session struct {
+	srv     *Server
+	ep      *endpoint
+	conn    net.Conn
+	backend *pgproto3.Backend
+	types   *pgtype.Map
+	user    string
+	pid     uint32
+	secret  []byte
+
+	tx         transaction
+	statements map[string]*prepared
+	portals    map[string]*portal
+	// skipping discards messages after an error until Sync.
+	skipping bool
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+}
+
+func newSession(srv *Server, conn net.Conn) *session {
+	return &session{
+		srv:        srv,
+		ep:         srv.ep,
+		conn:       conn,
+		backend:    pgproto3.NewBackend(conn, conn),
+		types:      pgtype.NewMap(),
+		statements: map[string]*prepared{},
+		portals:    map[string]*portal{},
+	}
+}
+
+func (c *session) run() {
+	defer c.conn.Close()
+	stop := context.AfterFunc(c.srv.ctx, func() { _ = c.conn.SetReadDeadline(pastDeadline) })
+	defer stop()
+	err := c.start()
+	if err == nil {
+		defer c.srv.unregister(c)
+		defer c.rollback()
+		err = c.loop()
+	}
+	c.farewell(err)
+}
+
+// farewell tells the client why its connection ends, if there is a reason.
+func (c *session) farewell(err error) {
+	if c.srv.ctx.Err() != nil {
+		if c.srv.killed() {
+			return
+		}
+		err = newFatal(stateAdminShutdown, "terminating connection due to administrator command")
+	}
+	var fatal *sqlError
+	if errors.As(err, &fatal) {
+		c.backend.Send(fatal.response())
+		_ = c.flush()
+	}
+}
+
+func (s *Server) killed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.abrupt
+}
+
+func (c *session) reserved() bool { return c.user == ControlUser || c.user == ReplicationUser }
+
+func (c *session) blocked(f Faults) bool {
+	if c.user == ReplicationUser {
+		return f.replicationBlocked()
+	}
+	return f.clientsBlocked()
+}
+
+// start answers the startup message.
+func (c *session) start() error {
+	msg, err := c.startup()
+	if err != nil {
+		return err
+	}
+	if err := c.srv.faults.waitWhile(c.srv.ctx, c.blocked); err != nil {
+		return err
+	}
+	c.user = msg.Parameters["user"]
+	if err := sleep(c.srv.ctx, c.srv.cfg.ConnectDelay); err != nil {
+		return err
+	}
+	c.secret = make([]byte, 4)
+	_, _ = rand.Read(c.secret)
+	if err := c.srv.register(c); err != nil {
+		return err
+	}
+	c.greet()
+	if err := c.flush(); err != nil {
+		c.srv.unregister(c)
+		return err
+	}
+	return nil
+}
+
+func (c *session) startup() (*pgproto3.StartupMessage, error) {
+	for {
+		msg, err := c.backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, err
+		}
+		switch msg := msg.(type) {
+		case *pgproto3.StartupMessage:
+			return msg, nil
+		case *pgproto3.CancelRequest:
+			c.srv.cancelStatement(msg.ProcessID, string(msg.SecretKey))
+			return nil, errEnd
+		default:
+			if _, err := c.conn.Write([]byte{'N'}); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+func (c *session) greet() {
+	c.backend.Send(&pgproto3.AuthenticationOk{})
+	for _, p := range [][2]string{
+		{"server_version", serverVersion},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"},
+		{"TimeZone", "UTC"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+	} {
+		c.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
+	c.ready()
+}
+
+const serverVersion = "16.0"
+
+func (c *session) ready() { c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: c.tx.status()}) }
+
+func (c *session) flush() error {
+	if err := c.srv.faults.waitWhile(c.srv.ctx, c.blocked); err != nil {
+		return err
+	}
+	return c.backend.Flush()
+}
+
+func (c *session) loop() error {
+	for {
+		msg, err := c.receive()
+		if err != nil {
+			return err
+		}
+		if err := c.handle(msg); err != nil {
+			return err
+		}
+	}
+}
+
+// receive reads a message, and rolls back a transaction that stays idle. A
+// message that arrives during a cut does not count as arrived.
+func (c *session) receive() (pgproto3.FrontendMessage, error) {
+	idle := c.srv.cfg.IdleInTransaction
+	ctx := c.srv.ctx
+	if c.tx.block {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, idle)
+		defer cancel()
+		_ = c.conn.SetReadDeadline(time.Now().Add(idle))
+		defer c.clearDeadline()
+	}
+	msg, err := c.backend.Receive()
+	if err == nil {
+		err = c.srv.faults.waitWhile(ctx, c.blocked)
+	}
+	var netErr net.Error
+	timedOut := errors.As(err, &netErr) && netErr.Timeout() || errors.Is(err, context.DeadlineExceeded)
+	if timedOut && c.tx.block && c.srv.ctx.Err() == nil {
+		c.rollback()
+		return nil, newFatal(stateIdleInTransaction, "terminating connection due to idle-in-transaction timeout")
+	}
+	return msg, err
+}
+
+func (c *session) clearDeadline() {
+	_ = c.conn.SetReadDeadline(time.Time{})
+	if c.srv.ctx.Err() != nil {
+		_ = c.conn.SetReadDeadline(pastDeadline)
+	}
+}
+
+func (c *session) handle(msg pgproto3.FrontendMessage) error {
+	switch msg := msg.(type) {
+	case *pgproto3.Terminate:
+		return errEnd
+	case *pgproto3.Query:
+		return c.simpleQuery(msg.String)
+	case *pgproto3.Sync:
+		return c.sync()
+	case *pgproto3.Flush:
+		return c.flush()
+	}
+	if c.skipping {
+		return nil
+	}
+	if err := c.extended(msg); err != nil {
+		if c.srv.ctx.Err() != nil {
+			return err
+		}
+		c.fail(err)
+		c.skipping = true
+	}
+	return nil
+}
+
+// fail sends the error and marks the transaction as failed.
+func (c *session) fail(err error) {
+	c.backend.Send(asSQLError(err).response())
+	c.tx.fail()
+}
+
+// statementContext is cancelled by a cancel request and by the server's end.
+func (c *session) statementContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(c.srv.ctx)
+	c.mu.Lock()
+	c.cancel = cancel
+	c.mu.Unlock()
+	return ctx, cancel
+}
+
+func (c *session) cancelStatement() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancel != nil {
+		c.cancel()
+	}
+}
+
+// interrupt wakes the session when the server ends.
+func (c *session) interrupt(abrupt bool) {
+	if abrupt {
+		_ = c.conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/database/transaction.go
@@ -0,0 +1,76 @@
+package database
+
+import "context"
+
+// transaction is the transaction state of a session. A transaction without a
+// block ends at the end of the query or at Sync.
+type transaction struct {
+	// open is true from the first statement.
+	open bool
+	// block is true between BEGIN and COMMIT or ROLLBACK.
+	block  bool
+	failed bool
+	// term is the endpoint's appointed term when the transaction began.
+	term  uint64
+	write *writeTx
+}
+
+func (t *transaction) status() byte {
+	switch {
+	case t.block && t.failed:
+		return 'E'
+	case t.block:
+		return 'T'
+	}
+	return 'I'
+}
+
+// fail rolls back the writes; a block stays open until its end.
+func (t *transaction) fail() {
+	t.failed = true
+	if t.write != nil {
+		t.write.rollback()
+		t.write = nil
+	}
+}
+
+func (c *session) beginTx() {
+	if c.tx.open {
+		return
+	}
+	state, _ := c.ep.followed()
+	c.tx.open = true
+	c.tx.term = state.AppointedTerm
+}
+
+// writing returns the write transaction, and opens it if needed.
+func (c *session) writing(ctx context.Context) (*writeTx, error) {
+	if c.tx.write != nil {
+		return c.tx.write, nil
+	}
+	w, err := c.ep.beginWrite(ctx, c.tx.term)
+	c.tx.write = w
+	return w, err
+}
+
+// commit ends the transaction. Nothing is committed if it returns an error.
+func (c *session) commit() error {
+	w := c.tx.write
+	failed := c.tx.failed
+	c.tx = transaction{}
+	clear(c.portals)
+	if w == nil || failed {
+		return nil
+	}
+	if err := c.srv.faults.waitWhile(c.srv.ctx, Faults.paused); err != nil {
+		w.rollback()
+		return err
+	}
+	return w.commit()
+}
+
+func (c *session) rollback() {
+	c.tx.fail()
+	c.tx = transaction{}
+	clear(c.portals)
+}
