--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -39,6 +39,7 @@
 	RetryBudgetSpent    Name = "retry.budget_spent"
 	RetryReadRepeated   Name = "retry.read_repeated"
 	RetryPrimaryChanged Name = "retry.primary_changed"
+	RetryKeyRace        Name = "retry.key_race"
 	RetryNotSent        Name = "retry.not_sent"
 	RetryOther          Name = "retry.other"
 )
@@ -61,12 +62,13 @@
 
 // Control.
 const (
-	ClaimsStarted   Name = "claims.started"
-	ClaimsWon       Name = "claims.won"
-	ClaimsLost      Name = "claims.lost"
-	StepDowns       Name = "claims.step_down"
-	Stalls          Name = "control.stalls"
-	ManifestApplied Name = "manifest.applied"
-	ManifestBehind  Name = "manifest.behind"
-	Generation      Name = "manifest.generation"
+	ClaimsStarted     Name = "claims.started"
+	ClaimsWon         Name = "claims.won"
+	ClaimsLost        Name = "claims.lost"
+	StepDowns         Name = "claims.step_down"
+	Stalls            Name = "control.stalls"
+	HandoversAccepted Name = "handovers.accepted"
+	ManifestApplied   Name = "manifest.applied"
+	ManifestBehind    Name = "manifest.behind"
+	Generation        Name = "manifest.generation"
 )
