Reject writes of sessions opened at a lower term

Cause: a statement that waited for a slot on an endpoint could run after the same endpoint was appointed again, although its owner had already reported it as not run. A test that expected an old session to write after the change of term now expects the rejection, and that a new session writes.

--- a/internal/owner/request.go
+++ b/internal/owner/request.go
@@ -188,10 +188,8 @@
 		r.reportError(c.address)
 		return r.connectionLost(ctx, conf)
 	}
-	if !onPrimary && res.sqlstate == stateReadOnly {
-		pool.put(c)
-		r.primaryOnly = true
-		return &attempt{refusal: notRun(metrics.RetryReplicaReject, stateReadOnly, "the statement writes"), again: metrics.RetryReplicaReject}
+	if res.sqlstate == stateReadOnly && res.status == 'I' && !r.info.Begins && !r.info.Ends {
+		return r.writeRejected(pool, c, onPrimary)
 	}
 	r.afterRun(res, pool, c, term)
 	conf.write.Upper = res.position
@@ -200,6 +198,20 @@
 	return r.settle(ctx, conf, res, c.address, onPrimary)
 }
 
+// writeRejected repeats a batch that an endpoint rejected since it accepts no
+// writes: a replica, or a primary whose term was advanced meanwhile. The batch
+// is one implicit transaction, so nothing of it took effect.
+func (r *request) writeRejected(pool *connPool, c *conn, onPrimary bool) *attempt {
+	if !onPrimary {
+		pool.put(c)
+		r.primaryOnly = true
+		return &attempt{refusal: notRun(metrics.RetryReplicaReject, stateReadOnly, "the statement writes"), again: metrics.RetryReplicaReject}
+	}
+	pool.discard(c)
+	r.reportError(c.address)
+	return &attempt{refusal: notRun(metrics.RetryPrimaryChanged, stateReadOnly, "the endpoint accepts no writes"), again: metrics.RetryPrimaryChanged}
+}
+
 // runBatch runs the batch and frees the slot.
 func (r *request) runBatch(ctx context.Context, grant admission.Grant, c *conn, conf confirmation) (batchResult, error) {
 	r.out.allow = func() bool { return conf.reads && r.mayStream(ctx, c, conf) }
--- a/internal/standin/database/failover_test.go
+++ b/internal/standin/database/failover_test.go
@@ -141,7 +141,11 @@
 			_, err = idle.Exec(ctx, "INSERT INTO slots VALUES (2)")
 			g.Expect(state(err)).To(Equal("25006"))
 			g.Expect(queryOne[int64](writer, "SELECT count(*) FROM slots")).To(Equal(int64(0)))
+			// A session of an earlier term never writes again, also not in a new
+			// transaction; only new sessions do.
 			_, err = writer.Exec(ctx, "INSERT INTO slots VALUES (3)")
+			g.Expect(state(err)).To(Equal("25006"))
+			_, err = connect(t, address).Exec(ctx, "INSERT INTO slots VALUES (3)")
 			if reappoint {
 				g.Expect(err).NotTo(HaveOccurred())
 				g.Expect(group.Servers[0].Status().Applied).To(Equal(logpos.Position{Term: 2, Offset: 4}))
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -33,6 +33,10 @@
 	user    string
 	pid     uint32
 	secret  []byte
+	// term is the endpoint's appointed term when the session was opened. The
+	// session writes in no other term, so that a statement that waits in it while
+	// the term changes never runs.
+	term uint64
 
 	tx         transaction
 	statements map[string]*prepared
@@ -117,6 +121,8 @@
 	if err := c.srv.register(c); err != nil {
 		return err
 	}
+	state, _ := c.ep.followed()
+	c.term = state.AppointedTerm
 	c.greet()
 	if err := c.flush(); err != nil {
 		c.srv.unregister(c)
--- a/internal/standin/database/transaction.go
+++ b/internal/standin/database/transaction.go
@@ -10,7 +10,7 @@
 	// block is true between BEGIN and COMMIT or ROLLBACK.
 	block  bool
 	failed bool
-	// term is the endpoint's appointed term when the transaction began.
+	// term is the endpoint's appointed term when the session was opened.
 	term  uint64
 	write *writeTx
 }
@@ -38,9 +38,8 @@
 	if c.tx.open {
 		return
 	}
-	state, _ := c.ep.followed()
 	c.tx.open = true
-	c.tx.term = state.AppointedTerm
+	c.tx.term = c.term
 }
 
 // writing returns the write transaction, and opens it if needed.
