--- /dev/null
+++ b/internal/measure/table.go
@@ -0,0 +1,62 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+)
+
+// WriteTable writes the report for people.
+func (r Report) WriteTable(out io.Writer) error {
+	fmt.Fprintf(out, "%s, %s, policy %s, seed %d, offered work %s\n\n", r.Scenario, r.Deployment, r.Policy, r.Seed, r.Offered)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "phase\twork\toffered/s\tgoodput/s\tof capacity\tp50 ms\tp99 ms\tp99.9 ms\t")
+	for _, p := range r.Phases {
+		writeWork(w, p.Name, "short", p.Short, "")
+		writeWork(w, "", "bookings", p.Bookings, fmt.Sprintf("%.0f%%", 100*p.GoodputOfCapacity))
+		if p.Long != nil {
+			writeWork(w, "", "long", *p.Long, "")
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	r.writeFigures(out)
+	return nil
+}
+
+func writeWork(w io.Writer, phase, name string, k Work, share string) {
+	fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%s\t%.1f\t%.1f\t%.1f\t\n",
+		phase, name, k.OfferedPerSecond, k.Goodput, share, k.P50Ms, k.P99Ms, k.P999Ms)
+}
+
+func (r Report) writeFigures(out io.Writer) {
+	fmt.Fprintln(out)
+	for _, p := range r.Phases {
+		writeCounts(out, p.Name+" refused", p.Refusals)
+		writeCounts(out, p.Name+" unknown", p.Unknowns)
+	}
+	writeCounts(out, "retries", r.Retries)
+	writeFigure(out, "replica share of reads", r.ReplicaShare, "")
+	writeFigure(out, "replica share of eligible lookups", r.EligibleReplicaShare, "")
+	writeFigure(out, "longest gap between bookings", r.GapMs, " ms")
+	writeFigure(out, "longest gap between lookups", r.LookupGapMs, " ms")
+	writeFigure(out, "short p99 beside long work / alone", r.BlockingRatio, "")
+	c := r.Check
+	fmt.Fprintf(out, "check: %d confirmed, %d lost, %d doubled, %d ran although refused, %d unknown, %d stale lookups\n",
+		c.Confirmed, c.Lost, c.Doubled, c.RanAlthoughRefused, c.Unknown, c.StaleLookups)
+}
+
+func writeCounts(out io.Writer, title string, counts map[string]int64) {
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(out, "%s: %s %d\n", title, name, counts[name])
+	}
+}
+
+func writeFigure(out io.Writer, title string, v *float64, unit string) {
+	if v != nil {
+		fmt.Fprintf(out, "%s: %.3f%s\n", title, *v, unit)
+	}
+}
