Abort a replica's pull when it follows another primary

Cause: in the stand-in a replica's request to a cut-off primary held it for up to 2 s after Follow, so that no majority received the marker.

--- a/internal/proof/run_test.go
+++ b/internal/proof/run_test.go
@@ -48,6 +48,8 @@
 	done sync.WaitGroup
 }
 
+func init() { zerolog.TimeFieldFormat = time.RFC3339Nano }
+
 func newRun(t *testing.T, cfg localdeploy.Config) *run {
 	t.Helper()
 	seed := uint64(1)
@@ -55,7 +57,7 @@
 		seed, _ = strconv.ParseUint(s, 10, 64)
 	}
 	t.Logf("seed %d (set %s to repeat another)", seed, seedVar)
-	cfg.Log = zerolog.New(zerolog.TestWriter{T: t, Frame: 6}).Level(zerolog.InfoLevel).With().Timestamp().Logger()
+	cfg.Log = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, TimeFormat: "15:04:05.000", NoColor: true}).Level(zerolog.InfoLevel).With().Timestamp().Logger()
 	if os.Getenv("BERYLTRESTLE_LOG") == "" {
 		cfg.Log = zerolog.Nop()
 	}
@@ -174,11 +176,14 @@
 	r.g.Expect(err).NotTo(HaveOccurred())
 	ops := r.rec.Ops()
 	counts := make(map[history.Result]int)
+	reasons := make(map[string]int)
 	for _, op := range ops {
 		counts[op.Result]++
+		reasons[op.Reason]++
 	}
-	r.t.Logf("%d operations: %d ok, %d taken, %d not run, %d unknown", len(ops),
-		counts[history.OK], counts[history.Taken], counts[history.NotRun], counts[history.Unknown])
+	delete(reasons, "")
+	r.t.Logf("%d operations: %d ok, %d taken, %d not run, %d unknown; reasons %v", len(ops),
+		counts[history.OK], counts[history.Taken], counts[history.NotRun], counts[history.Unknown], reasons)
 	r.g.Expect(history.Check(ops, stored)).To(BeEmpty())
 	r.g.Expect(counts[history.OK]).To(BeNumerically(">", 100))
 }
--- a/internal/standin/database/replicate.go
+++ b/internal/standin/database/replicate.go
@@ -59,6 +59,7 @@
 	pullCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	state, end := p.ep.followed()
+	go p.cancelOnFollow(pullCtx, cancel, state.Primary)
 	if err := p.connect(pullCtx, state.Primary); err != nil {
 		return err
 	}
@@ -69,6 +70,15 @@
 	return p.ep.receive(ctx, page, end, state.Primary)
 }
 
+// cancelOnFollow ends a request to a primary that is no longer followed. A
+// primary that is cut off would otherwise hold the replica until pullTimeout.
+func (p *puller) cancelOnFollow(ctx context.Context, cancel context.CancelFunc, primary string) {
+	changed := func() bool { return p.ep.state.Primary != primary }
+	if p.ep.waitChange(ctx, changed) == nil {
+		cancel()
+	}
+}
+
 func (ep *endpoint) followed() (controlState, logpos.Position) {
 	ep.mu.RLock()
 	defer ep.mu.RUnlock()
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -113,6 +113,7 @@
 	err = f(ctx, conn, &op)
 	op.End = time.Now()
 	op.Result = ResultOf(err)
+	op.Reason = ReasonOf(err)
 	if conn.IsClosed() {
 		delete(s.conns, entry)
 	}
