Add operators' command line

manifest check, diff, apply and show, status and the two stand-ins, with tables or JSON and exit codes 0 to 4.

--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,63 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/internal/manifeststore"
+	"github.com/beryltrestle/beryltrestle/internal/platform"
+)
+
+// applyCommand puts a manifest file into force.
+type applyCommand struct {
+	manifestFile
+	platformFlags
+	Base     *uint64       `help:"Generation that the file was made from; 0 if none was accepted yet. Without it, the file replaces whatever is in force when the command starts." placeholder:"N"`
+	Timeout  time.Duration `help:"Time limit, the resolution of lost answers included." default:"20s"`
+	Operator string        `help:"Name shown to other operators." default:"unknown" env:"BERYLTRESTLE_OPERATOR,USER"`
+}
+
+// Run applies the file.
+func (c *applyCommand) Run(e *environment) error {
+	doc, err := c.load(e)
+	if err != nil {
+		return err
+	}
+	store := c.store()
+	base, err := c.base(e, store)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, c.Timeout)
+	defer cancel()
+	result, err := store.Apply(ctx, doc, base, c.Operator)
+	if err != nil {
+		return err
+	}
+	return e.out.result(result, func(w io.Writer) { printResult(w, result) })
+}
+
+// base returns the generation to apply over.
+func (c *applyCommand) base(e *environment, store *manifeststore.Store) (uint64, error) {
+	if c.Base != nil {
+		return *c.Base, nil
+	}
+	item, err := store.Head(e.ctx)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	return item.Generation, err
+}
+
+func printResult(w io.Writer, r manifeststore.Result) {
+	if r.Unchanged {
+		fmt.Fprintf(w, "generation %d already is this manifest, nothing was written\n", r.Generation)
+		return
+	}
+	fmt.Fprintf(w, "accepted as generation %d (apply %s):\n", r.Generation, r.ApplyID)
+	printChanges(w, r.Changes)
+}
--- /dev/null
+++ b/internal/cli/commands.go
@@ -0,0 +1,24 @@
+package cli
+
+// commands is the command line.
+type commands struct {
+	Output string `help:"Form of the result: ${enum}." enum:"table,json" default:"table" short:"o"`
+
+	Manifest manifestCommands `cmd:"" help:"Check, compare, apply and show manifests."`
+	Status   statusCommand    `cmd:"" help:"Show the state of a daemon."`
+	Standin  standinCommands  `cmd:"" help:"Run stand-ins for tests and demonstrations."`
+}
+
+// manifestCommands are the commands on manifests.
+type manifestCommands struct {
+	Check checkCommand `cmd:"" help:"Check a manifest file and report all findings."`
+	Diff  diffCommand  `cmd:"" help:"Show what an apply of the file would change."`
+	Apply applyCommand `cmd:"" help:"Put a manifest file into force."`
+	Show  showCommand  `cmd:"" help:"Show the manifest in force."`
+}
+
+// standinCommands are the stand-ins.
+type standinCommands struct {
+	Platform standinPlatformCommand `cmd:"" help:"Run a stand-in of the platform's table, object store and host list."`
+	Database standinDatabaseCommand `cmd:"" help:"Run a stand-in of one database server."`
+}
--- /dev/null
+++ b/internal/cli/diff.go
@@ -0,0 +1,45 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/internal/manifest"
+	"github.com/beryltrestle/beryltrestle/internal/manifeststore"
+	"github.com/beryltrestle/beryltrestle/internal/platform"
+)
+
+// diffCommand compares a file with the manifest in force.
+type diffCommand struct {
+	manifestFile
+	platformFlags
+}
+
+// difference is the result of a comparison.
+type difference struct {
+	// Generation is the one that the file was compared with; 0 if none is in force.
+	Generation uint64            `json:"generation"`
+	Changes    []manifest.Change `json:"changes"`
+}
+
+// Run compares.
+func (c *diffCommand) Run(e *environment) error {
+	doc, err := c.load(e)
+	if err != nil {
+		return err
+	}
+	accepted, err := c.store().Load(e.ctx)
+	if errors.Is(err, platform.ErrNotFound) {
+		accepted, err = &manifeststore.Accepted{}, nil
+	}
+	if err != nil {
+		return err
+	}
+	d := difference{Generation: accepted.Item.Generation, Changes: manifest.Diff(accepted.Document, doc)}
+	return e.out.result(d, func(w io.Writer) {
+		fmt.Fprintf(w, "compared with generation %d:\n", d.Generation)
+		printChanges(w, d.Changes)
+	})
+}
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -13,6 +13,8 @@
 	// LoseTableAnswers is the number of table writes to come that take effect but
 	// whose connection is closed without an answer.
 	LoseTableAnswers int `json:"lose_table_answers"`
+	// OutageAfterLoss starts an outage when a table answer is lost.
+	OutageAfterLoss bool `json:"outage_after_loss"`
 	// LoseObjectAnswers is the same for object writes.
 	LoseObjectAnswers int `json:"lose_object_answers"`
 	// HostListLagMs is the age of the host list that is served, in milliseconds.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -70,6 +70,9 @@
 // HostListURL returns the endpoint of the host list.
 func (s *Server) HostListURL() string { return s.URL() + hostsPath }
 
+// FaultsURL returns where the switches are read (GET) and replaced (PUT).
+func (s *Server) FaultsURL() string { return s.URL() + faultsPath }
+
 // Close stops the server and breaks all connections.
 func (s *Server) Close() error { return s.http.Close() }
 
@@ -104,6 +107,7 @@
 	lost := *counter > 0
 	if lost {
 		*counter--
+		s.faults.Outage = s.faults.Outage || s.faults.OutageAfterLoss
 	}
 	s.mu.Unlock()
 	if lost {
