Take the manifest from the platform and from peers

The daemons no longer get a fixed manifest: localdeploy applies one through the platform's stand-in and each daemon loads it before it serves.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -8,7 +8,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/beryltrestle/beryltrestle/coord/admission"
-	"github.com/beryltrestle/beryltrestle/internal/manifest"
 	"github.com/beryltrestle/beryltrestle/internal/platform"
 	"github.com/beryltrestle/beryltrestle/internal/settings"
 )
@@ -27,8 +26,6 @@
 	PrimaryOnly bool
 	// Seed determines the daemon's random choices; 0 draws one.
 	Seed uint64
-	// Manifest is put into force at the start.
-	Manifest *manifest.Document
 	// Listeners replace the listen addresses of the settings, for tests.
 	Listeners *Listeners
 }
--- a/internal/daemon/manifests.go
+++ b/internal/daemon/manifests.go
@@ -4,27 +4,32 @@
 	"context"
 
 	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
-	"github.com/beryltrestle/beryltrestle/internal/manifest"
+	"github.com/beryltrestle/beryltrestle/internal/manifeststore"
+	"github.com/beryltrestle/beryltrestle/internal/manifestsync"
+	"github.com/beryltrestle/beryltrestle/internal/platform"
 )
 
-// staticManifests puts one fixed manifest into force.
-type staticManifests struct {
-	doc     *manifest.Document
-	publish func(generation uint64, doc *manifest.Document)
-}
-
-func (s staticManifests) Run(ctx context.Context) error {
-	s.publish(1, s.doc)
-	<-ctx.Done()
-	return nil
-}
-
-func (s staticManifests) Observe(string, uint64) {}
-
-func (s staticManifests) FetchManifest(context.Context, *peerv1.FetchManifestRequest) (*peerv1.FetchManifestResponse, error) {
-	return &peerv1.FetchManifestResponse{}, nil
+// manifests keeps this daemon's manifest up to date; see manifestsync.Syncer.
+type manifests interface {
+	Run(ctx context.Context) error
+	// Observe is told the generation that a peer applies.
+	Observe(address string, generation uint64)
+	// SetHosts is told each new version of the platform's host list.
+	SetHosts(hosts platform.Hosts)
+	FetchManifest(ctx context.Context, req *peerv1.FetchManifestRequest) (*peerv1.FetchManifestResponse, error)
 }
 
 func (d *Daemon) newManifests() manifests {
-	return staticManifests{doc: d.cfg.Manifest, publish: d.loop.SetManifest}
+	s := d.cfg.Settings
+	return manifestsync.New(manifestsync.Config{
+		Name:      s.Name,
+		Address:   s.PeerAddress,
+		Store:     manifeststore.New(d.cfg.Table, d.cfg.Objects),
+		Peers:     d.calls,
+		HostList:  d.cfg.Hosts,
+		Bootstrap: s.Peers,
+		Publish:   d.loop.SetManifest,
+		Metrics:   d.metrics,
+		Log:       d.cfg.Log,
+	})
 }
--- a/internal/daemon/peer_control.go
+++ b/internal/daemon/peer_control.go
@@ -14,14 +14,6 @@
 	manifests manifests
 }
 
-// manifests keeps this daemon's manifest up to date.
-type manifests interface {
-	Run(ctx context.Context) error
-	// Observe is told the generation that a peer applies.
-	Observe(address string, generation uint64)
-	FetchManifest(ctx context.Context, req *peerv1.FetchManifestRequest) (*peerv1.FetchManifestResponse, error)
-}
-
 // FetchManifest implements peer.Control.
 func (p peerControl) FetchManifest(ctx context.Context, req *peerv1.FetchManifestRequest) (*peerv1.FetchManifestResponse, error) {
 	return p.manifests.FetchManifest(ctx, req)
--- a/internal/localdeploy/deployment.go
+++ b/internal/localdeploy/deployment.go
@@ -9,7 +9,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/beryltrestle/beryltrestle/internal/control"
+	"github.com/beryltrestle/beryltrestle/internal/daemon"
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
+	"github.com/beryltrestle/beryltrestle/internal/manifeststore"
 	"github.com/beryltrestle/beryltrestle/internal/platform"
 	"github.com/beryltrestle/beryltrestle/internal/standin/database"
 	standin "github.com/beryltrestle/beryltrestle/internal/standin/platform"
@@ -61,6 +63,9 @@
 	}
 	d.Manifest = d.document()
 	d.Platform.SetHosts(d.hostList())
+	if _, err := d.Store().Apply(ctx, d.Manifest, 0, "localdeploy"); err != nil {
+		return err
+	}
 	for _, h := range d.Hosts {
 		if err := h.Start(); err != nil {
 			return err
@@ -80,6 +85,15 @@
 	return nil
 }
 
+// Store returns a manifest store over the stand-in of the platform.
+func (d *Deployment) Store() *manifeststore.Store {
+	cfg := daemon.Config{Settings: d.Hosts[0].settings}
+	if err := cfg.Connect(); err != nil {
+		panic(err) // the key file was written by start
+	}
+	return manifeststore.New(cfg.Table, cfg.Objects)
+}
+
 // WaitOwner waits until a running host owns the pool.
 func (d *Deployment) WaitOwner(ctx context.Context, pool string) error {
 	for d.Owner(pool) == nil {
--- a/internal/localdeploy/host.go
+++ b/internal/localdeploy/host.go
@@ -57,7 +57,6 @@
 		NewScheduler: h.d.cfg.NewScheduler,
 		PrimaryOnly:  h.d.cfg.PrimaryOnly,
 		Listeners:    h.listeners,
-		Manifest:     h.d.Manifest,
 	}
 	h.listeners = nil
 	if err := cfg.Connect(); err != nil {
--- a/internal/proof/failover_test.go
+++ b/internal/proof/failover_test.go
@@ -21,7 +21,7 @@
 		cut := time.Now()
 		old.SetFaults(func(f *database.Faults) { f.Cut = true })
 		t.Logf("cut at %s", cut.Format("15:04:05.000"))
-	t.Logf("confirmed again %s after the cut", r.confirmedAfter(cut))
+		t.Logf("confirmed again %s after the cut", r.confirmedAfter(cut))
 		time.Sleep(500 * time.Millisecond)
 		t.Logf("gap %s", r.gap(cut))
 		old.SetFaults(func(f *database.Faults) { f.Cut = false })
