--- /dev/null
+++ b/internal/history/summary.go
@@ -0,0 +1,55 @@
+package history
+
+import "time"
+
+// Summary counts the results of a history.
+type Summary struct {
+	OK, Taken, NotRun, Unknown int
+	// Confirmed counts the confirmed bookings.
+	Confirmed int
+	// Reasons counts the refusals by counter name.
+	Reasons map[string]int
+}
+
+// Summarize counts the results of ops.
+func Summarize(ops []Op) Summary {
+	s := Summary{Reasons: make(map[string]int)}
+	for _, op := range ops {
+		switch op.Result {
+		case OK:
+			s.OK++
+		case Taken:
+			s.Taken++
+		case NotRun:
+			s.NotRun++
+		case Unknown:
+			s.Unknown++
+		}
+		if op.Kind == Book && op.Result == OK {
+			s.Confirmed++
+		}
+		if op.Reason != "" {
+			s.Reasons[op.Reason]++
+		}
+	}
+	return s
+}
+
+// Gap returns the longest time without a confirmed booking that ended after
+// from. Operations must be in the order of their end.
+func Gap(ops []Op, from time.Time) time.Duration {
+	var last time.Time
+	var longest time.Duration
+	for _, op := range ops {
+		if op.Kind != Book || op.Result != OK {
+			continue
+		}
+		if op.End.After(from) && !last.IsZero() {
+			longest = max(longest, op.End.Sub(last))
+		}
+		if op.End.After(last) {
+			last = op.End
+		}
+	}
+	return longest
+}
--- a/internal/localdeploy/deployment.go
+++ b/internal/localdeploy/deployment.go
@@ -12,6 +12,7 @@
 	"github.com/beryltrestle/beryltrestle/internal/daemon"
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
 	"github.com/beryltrestle/beryltrestle/internal/manifeststore"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
 	"github.com/beryltrestle/beryltrestle/internal/platform"
 	"github.com/beryltrestle/beryltrestle/internal/standin/database"
 	standin "github.com/beryltrestle/beryltrestle/internal/standin/platform"
@@ -224,3 +225,38 @@
 	}
 	return out
 }
+
+// CallerAddresses returns the callers' addresses of the running hosts.
+func (d *Deployment) CallerAddresses() []string {
+	var out []string
+	for _, h := range d.Hosts {
+		if h.Running() {
+			out = append(out, h.CallerAddress())
+		}
+	}
+	return out
+}
+
+// InForce reports whether every running host applies at least the generation.
+func (d *Deployment) InForce(generation uint64) bool {
+	for _, h := range d.Hosts {
+		if !h.Running() {
+			continue
+		}
+		if v := h.Daemon().View(); v == nil || v.Generation < generation {
+			return false
+		}
+	}
+	return true
+}
+
+// Count returns the sum of a counter over the running hosts.
+func (d *Deployment) Count(name metrics.Name) int64 {
+	var n int64
+	for _, h := range d.Hosts {
+		if h.Running() {
+			n += h.Daemon().Metrics().Count(name)
+		}
+	}
+	return n
+}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -46,18 +46,21 @@
 
 // Traffic.
 const (
-	ReadsReplica     Name = "reads.replica"
-	ReadsPrimary     Name = "reads.primary"
-	Writes           Name = "writes"
-	Transactions     Name = "transactions"
-	AnswersDiscarded Name = "answers.unknown_id"
-	CallersOpen      Name = "callers.open"
-	CallersMalformed Name = "callers.malformed"
-	CallersGone      Name = "callers.gone"
-	Requests         Name = "requests"
-	AnswersKept      Name = "answers.kept_delivered"
-	ConnsOpened      Name = "connections.opened"
-	ConnsClosed      Name = "connections.closed"
+	ReadsReplica Name = "reads.replica"
+	ReadsPrimary Name = "reads.primary"
+	// ReadsPrimaryEligible counts the part of ReadsPrimary that a replica might
+	// have served.
+	ReadsPrimaryEligible Name = "reads.primary_eligible"
+	Writes               Name = "writes"
+	Transactions         Name = "transactions"
+	AnswersDiscarded     Name = "answers.unknown_id"
+	CallersOpen          Name = "callers.open"
+	CallersMalformed     Name = "callers.malformed"
+	CallersGone          Name = "callers.gone"
+	Requests             Name = "requests"
+	AnswersKept          Name = "answers.kept_delivered"
+	ConnsOpened          Name = "connections.opened"
+	ConnsClosed          Name = "connections.closed"
 )
 
 // Control.
--- a/internal/owner/request.go
+++ b/internal/owner/request.go
@@ -293,6 +293,9 @@
 		name = metrics.ReadsReplica
 		if onPrimary {
 			name = metrics.ReadsPrimary
+			if r.read.MaxStalenessMs > 0 && len(r.req.GetTransactionId()) == 0 {
+				r.o.cfg.Metrics.Inc(metrics.ReadsPrimaryEligible)
+			}
 		}
 	}
 	r.o.cfg.Metrics.Inc(name)
--- a/internal/proof/failover_test.go
+++ b/internal/proof/failover_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/beryltrestle/beryltrestle/internal/history"
 	"github.com/beryltrestle/beryltrestle/internal/localdeploy"
 	"github.com/beryltrestle/beryltrestle/internal/standin/database"
 )
@@ -14,7 +15,7 @@
 // the owner and from its replicas while it still believes that it leads.
 func TestPrimaryCutOffTwice(t *testing.T) {
 	r := newRun(t, localdeploy.Config{Hosts: 3})
-	r.startSessions(sessions, false)
+	r.startSessions(false)
 	time.Sleep(500 * time.Millisecond)
 	for range 2 {
 		old := r.d.Primary(pool)
@@ -23,7 +24,7 @@
 		t.Logf("cut at %s", cut.Format("15:04:05.000"))
 		t.Logf("confirmed again %s after the cut", r.confirmedAfter(cut))
 		time.Sleep(500 * time.Millisecond)
-		t.Logf("gap %s", r.gap(cut))
+		t.Logf("gap %s", history.Gap(r.rec.Ops(), cut))
 		old.SetFaults(func(f *database.Faults) { f.Cut = false })
 		time.Sleep(time.Second)
 	}
@@ -34,7 +35,7 @@
 // that read stale data at the new owner, when the owner dies.
 func TestOwnerKilledTwice(t *testing.T) {
 	r := newRun(t, localdeploy.Config{Hosts: 4})
-	r.startSessions(sessions, false)
+	r.startSessions(false)
 	time.Sleep(500 * time.Millisecond)
 	for range 2 {
 		owner := r.d.Owner(pool)
@@ -42,7 +43,7 @@
 		owner.Kill()
 		t.Logf("confirmed again %s after the kill", r.confirmedAfter(killed))
 		time.Sleep(500 * time.Millisecond)
-		t.Logf("gap %s", r.gap(killed))
+		t.Logf("gap %s", history.Gap(r.rec.Ops(), killed))
 		r.g.Expect(owner.Start()).To(Succeed())
 		time.Sleep(time.Second)
 	}
@@ -53,7 +54,7 @@
 // primary die together.
 func TestOwnerAndPrimaryDieTogether(t *testing.T) {
 	r := newRun(t, localdeploy.Config{Hosts: 4})
-	r.startSessions(sessions, false)
+	r.startSessions(false)
 	time.Sleep(500 * time.Millisecond)
 	primary := r.d.Primary(pool)
 	owner := r.d.Owner(pool)
@@ -62,7 +63,7 @@
 	owner.Kill()
 	t.Logf("confirmed again %s after the kill", r.confirmedAfter(killed))
 	time.Sleep(500 * time.Millisecond)
-	t.Logf("gap %s", r.gap(killed))
+	t.Logf("gap %s", history.Gap(r.rec.Ops(), killed))
 	primary.SetFaults(func(f *database.Faults) { f.Cut = false })
 	time.Sleep(time.Second)
 	r.check()
--- a/internal/proof/run_test.go
+++ b/internal/proof/run_test.go
@@ -5,11 +5,8 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
 	"os"
 	"strconv"
-	"sync"
 	"testing"
 	"time"
 
@@ -42,10 +39,8 @@
 	g    *WithT
 	d    *localdeploy.Deployment
 	rec  *history.Recorder
-	rand *rand.Rand
-
-	stop context.CancelFunc
-	done sync.WaitGroup
+	seed uint64
+	load *workload.Load
 }
 
 func init() { zerolog.TimeFieldFormat = time.RFC3339Nano }
@@ -61,7 +56,7 @@
 	if os.Getenv("BERYLTRESTLE_LOG") == "" {
 		cfg.Log = zerolog.Nop()
 	}
-	r := &run{t: t, g: NewWithT(t), rec: &history.Recorder{}, rand: rand.New(rand.NewPCG(seed, 0))}
+	r := &run{t: t, g: NewWithT(t), rec: &history.Recorder{}, seed: seed}
 	d, err := localdeploy.Start(context.Background(), cfg)
 	r.g.Expect(err).NotTo(HaveOccurred())
 	r.d = d
@@ -81,54 +76,25 @@
 	r.g.Expect(err).NotTo(HaveOccurred())
 }
 
-func (r *run) entries() []string {
-	var out []string
-	for _, h := range r.d.Hosts {
-		if h.Running() {
-			out = append(out, h.CallerAddress())
-		}
-	}
-	return out
-}
-
-// startSessions starts concurrent sessions until stopSessions.
-func (r *run) startSessions(n int, keyed bool) {
-	ctx, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
-	for i := range n {
-		s := &workload.Session{
-			Name:     fmt.Sprintf("s%02d", i),
-			Pool:     pool,
-			Entries:  r.entries(),
-			Recorder: r.rec,
-			Keyed:    keyed,
-		}
-		random := rand.New(rand.NewPCG(r.rand.Uint64(), uint64(i)))
-		r.done.Go(func() { r.runSession(ctx, s, random) })
-	}
-}
-
-func (r *run) runSession(ctx context.Context, s *workload.Session, random *rand.Rand) {
-	defer s.Close()
-	for ctx.Err() == nil {
-		switch random.IntN(6) {
-		case 0:
-			s.Book(context.Background(), fmt.Sprintf("frame-%d", random.IntN(frames)))
-		case 1, 2:
-			s.Book(context.Background(), "")
-		case 3:
-			s.Holder(context.Background(), fmt.Sprintf("frame-%d", random.IntN(frames)))
-		default:
-			s.Lookup(context.Background())
-		}
-		time.Sleep(time.Duration(random.IntN(4)) * time.Millisecond)
+func (r *run) entries() []string { return r.d.CallerAddresses() }
+
+// startSessions starts concurrent sessions that use every running entry, until
+// stopSessions.
+func (r *run) startSessions(keyed bool) {
+	r.load = &workload.Load{
+		Sessions: sessions,
+		Frames:   frames,
+		Pause:    4 * time.Millisecond,
+		Pool:     pool,
+		Entries:  r.entries(),
+		Recorder: r.rec,
+		Keyed:    keyed,
+		Seed:     r.seed,
 	}
+	r.load.Start()
 }
 
-func (r *run) stopSessions() {
-	r.stop()
-	r.done.Wait()
-}
+func (r *run) stopSessions() { r.load.Stop() }
 
 // confirmedAfter waits until a booking that started after the given time is
 // confirmed, and fails the test after the recovery bound.
@@ -147,25 +113,6 @@
 	return 0
 }
 
-// gap returns the longest time between two confirmed bookings that overlaps
-// the time after the fault.
-func (r *run) gap(from time.Time) time.Duration {
-	var last time.Time
-	var longest time.Duration
-	for _, op := range r.rec.Ops() {
-		if op.Kind != history.Book || op.Result != history.OK {
-			continue
-		}
-		if op.End.After(from) && !last.IsZero() {
-			longest = max(longest, op.End.Sub(last))
-		}
-		if op.End.After(last) {
-			last = op.End
-		}
-	}
-	return longest
-}
-
 // check stops the sessions and verifies the whole history.
 func (r *run) check() {
 	r.t.Helper()
@@ -175,15 +122,8 @@
 	stored, err := workload.Stored(ctx, r.entries()[0], pool)
 	r.g.Expect(err).NotTo(HaveOccurred())
 	ops := r.rec.Ops()
-	counts := make(map[history.Result]int)
-	reasons := make(map[string]int)
-	for _, op := range ops {
-		counts[op.Result]++
-		reasons[op.Reason]++
-	}
-	delete(reasons, "")
-	r.t.Logf("%d operations: %d ok, %d taken, %d not run, %d unknown; reasons %v", len(ops),
-		counts[history.OK], counts[history.Taken], counts[history.NotRun], counts[history.Unknown], reasons)
+	sum := history.Summarize(ops)
+	r.t.Logf("%d operations: %+v", len(ops), sum)
 	r.g.Expect(history.Check(ops, stored)).To(BeEmpty())
-	r.g.Expect(counts[history.OK]).To(BeNumerically(">", 100))
+	r.g.Expect(sum.OK).To(BeNumerically(">", 100))
 }
