Let an apply replace lost objects, and check generations against the history

A missing or damaged object of the accepted manifest blocked every later apply and was shown as 'no manifest was accepted yet'. An apply now writes all objects again, and the two cases have different errors. A manifest whose history says that it is of another generation is refused: with the check removed, daemons published generation 11 instead of 1 and would have ignored the ones between.

--- a/internal/cli/diff.go
+++ b/internal/cli/diff.go
@@ -8,7 +8,6 @@
 
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
 	"github.com/beryltrestle/beryltrestle/internal/manifeststore"
-	"github.com/beryltrestle/beryltrestle/internal/platform"
 )
 
 // diffCommand compares a file with the manifest in force.
@@ -31,7 +30,7 @@
 		return err
 	}
 	accepted, err := c.store().Load(e.ctx)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, manifeststore.ErrNoManifest) {
 		accepted, err = &manifeststore.Accepted{}, nil
 	}
 	if err != nil {
--- a/internal/cli/show.go
+++ b/internal/cli/show.go
@@ -5,11 +5,8 @@
 	"io"
 	"strconv"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
 	"github.com/beryltrestle/beryltrestle/internal/manifeststore"
-	"github.com/beryltrestle/beryltrestle/internal/platform"
 )
 
 // showCommand shows the manifest in force.
@@ -31,9 +28,6 @@
 // Run shows the manifest.
 func (c *showCommand) Run(e *environment) error {
 	accepted, err := c.store().Load(e.ctx)
-	if errors.Is(err, platform.ErrNotFound) {
-		return errors.New("no manifest was accepted yet")
-	}
 	if err != nil {
 		return err
 	}
--- a/internal/manifest/joiner.go
+++ b/internal/manifest/joiner.go
@@ -33,6 +33,7 @@
 	bodies   map[string][]byte
 	get      Getter
 	parallel int
+	root     string
 	history  []Acceptance
 }
 
@@ -60,6 +61,16 @@
 // newest first.
 func (j *Joiner) History() []Acceptance { return j.history }
 
+// CheckGeneration returns an *ObjectError if the history of the last manifest
+// joined says that it cannot be of this generation.
+func (j *Joiner) CheckGeneration(generation uint64) error {
+	if len(j.history) == 0 || j.history[0].Generation+1 == generation {
+		return nil
+	}
+	err := fmt.Errorf("%w: it follows generation %d, so that it is not generation %d", errDecode, j.history[0].Generation, generation)
+	return &ObjectError{Hash: j.root, Err: err}
+}
+
 // References returns the hashes of all objects of the last manifest joined.
 func (j *Joiner) References() map[string]bool {
 	refs := make(map[string]bool, len(j.decoded))
@@ -94,6 +105,7 @@
 	if doc.Pools, err = j.pools(refs); err != nil {
 		return nil, err
 	}
+	j.root = root
 	j.history = r.History
 	return doc, nil
 }
--- a/internal/manifest/object_error.go
+++ b/internal/manifest/object_error.go
@@ -29,3 +29,6 @@
 	var list findings.List
 	return errors.Is(err, errHash) || errors.Is(err, errDecode) || errors.As(err, &list)
 }
+
+// IsDamaged reports whether the error says that content does not have its hash.
+func IsDamaged(err error) bool { return errors.Is(err, errHash) }
--- a/internal/manifeststore/errors.go
+++ b/internal/manifeststore/errors.go
@@ -7,6 +7,10 @@
 	"github.com/beryltrestle/beryltrestle/internal/platform"
 )
 
+// ErrNoManifest reports that no manifest was accepted yet. It is also
+// platform.ErrNotFound.
+var ErrNoManifest = fmt.Errorf("no manifest was accepted yet: %w", platform.ErrNotFound)
+
 // ConflictError reports that the accepted manifest is not the one that the
 // apply was based on. The apply did not and will not take effect.
 type ConflictError struct {
--- a/internal/manifeststore/resolve.go
+++ b/internal/manifeststore/resolve.go
@@ -69,7 +69,7 @@
 
 // baseDocument returns the manifest that the apply was based on.
 func (a *apply) baseDocument(ctx context.Context, theirs *Accepted) (*manifest.Document, bool) {
-	if a.base.Item.Generation == a.expected {
+	if a.base.Item.Generation == a.expected && a.base.Document != nil {
 		return a.base.Document, true
 	}
 	if a.expected == 0 {
--- a/internal/manifeststore/store.go
+++ b/internal/manifeststore/store.go
@@ -55,10 +55,14 @@
 	return body, err
 }
 
-// Load returns the accepted manifest, or platform.ErrNotFound if none was
-// accepted yet. Content is verified by its hash.
+// Load returns the accepted manifest, or ErrNoManifest. Content is verified by
+// its hash. A missing object gives a *manifest.ObjectError that is also
+// platform.ErrNotFound.
 func (s *Store) Load(ctx context.Context) (*Accepted, error) {
 	item, err := s.Head(ctx)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, ErrNoManifest
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -76,16 +80,20 @@
 }
 
 // current returns the accepted manifest, or one of generation 0 if there is none.
+// If an object of it is missing or damaged, the item is returned without the
+// document, so that an apply can write the objects again. An object that this
+// version cannot read is an error: a newer version may have written it.
 func (s *Store) current(ctx context.Context) (*Accepted, error) {
-	accepted, err := s.Load(ctx)
-	if errors.Is(err, platform.ErrNotFound) && !isObjectError(err) {
-		return &Accepted{Document: &manifest.Document{}}, nil
+	item, err := s.Head(ctx)
+	if errors.Is(err, platform.ErrNotFound) {
+		return &Accepted{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	accepted, err := s.load(ctx, item)
+	if errors.Is(err, platform.ErrNotFound) || manifest.IsDamaged(err) {
+		return &Accepted{Item: item}, nil
 	}
 	return accepted, err
 }
-
-// isObjectError reports whether the error is about an object, not the item.
-func isObjectError(err error) bool {
-	var oe *manifest.ObjectError
-	return errors.As(err, &oe)
-}
--- a/internal/manifeststore/store_test.go
+++ b/internal/manifeststore/store_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -223,3 +224,46 @@
 	f.Expect(errors.As(err, &conflict)).To(BeTrue())
 	f.Expect(conflict.BaseKnown).To(BeFalse())
 }
+
+// lossyObjects has lost one object until it is written again.
+type lossyObjects struct {
+	platform.ObjectStore
+	lost atomic.Value
+}
+
+func (l *lossyObjects) Get(ctx context.Context, key string) ([]byte, error) {
+	if key == l.lost.Load() {
+		return nil, platform.ErrNotFound
+	}
+	return l.ObjectStore.Get(ctx, key)
+}
+
+func (l *lossyObjects) Put(ctx context.Context, key string, body []byte) error {
+	l.lost.CompareAndSwap(key, "")
+	return l.ObjectStore.Put(ctx, key, body)
+}
+
+// Guards against a lost object that blocks every later apply.
+func TestApplyReplacesLostObjects(t *testing.T) {
+	f := newFixture(t)
+	f.apply("a", 0)
+	root, objects := manifest.Split(f.document("a"))
+	for hash := range objects {
+		head, err := f.store().Head(f.ctx)
+		f.Expect(err).NotTo(HaveOccurred())
+		if hash == root {
+			hash = head.Root // The accepted root has a history.
+		}
+		lossy := &lossyObjects{ObjectStore: f.objects}
+		lossy.lost.Store(hash)
+		store := manifeststore.New(f.table, lossy)
+		_, err = store.Load(f.ctx)
+		f.Expect(err).To(MatchError(platform.ErrNotFound))
+		_, err = store.Apply(f.ctx, f.document("b"+hash), head.Generation, "o")
+		f.Expect(err).NotTo(HaveOccurred())
+		accepted, err := store.Load(f.ctx)
+		f.Expect(err).NotTo(HaveOccurred(), "object %s", hash)
+		f.Expect(accepted.Document.Pools[0].User).To(Equal("b" + hash))
+		f.apply("a", head.Generation+1)
+	}
+}
--- a/internal/manifestsync/assembler.go
+++ b/internal/manifestsync/assembler.go
@@ -27,6 +27,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := a.joiner.CheckGeneration(generation); err != nil {
+		return nil, err
+	}
 	h := &held{generation: generation, root: root, doc: doc, objects: make(map[string][]byte)}
 	for hash := range a.joiner.References() {
 		body, ok := seen.got[hash]
--- a/internal/manifestsync/hosts.go
+++ b/internal/manifestsync/hosts.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/placement"
 )
 
+// hostListTimeout bounds one request for the host list. The first one delays the
+// start of a daemon.
+const hostListTimeout = 500 * time.Millisecond
+
 // findHosts reads the host list, for peers to start from.
 func (s *Syncer) findHosts(ctx context.Context) {
 	if s.cfg.HostList == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, hostListTimeout)
 	defer cancel()
 	if list, err := s.cfg.HostList.Hosts(ctx, 0); err == nil {
 		s.listed.CompareAndSwap(nil, &list) // SetHosts may have given a newer one.
--- a/internal/manifestsync/syncer_test.go
+++ b/internal/manifestsync/syncer_test.go
@@ -40,7 +40,7 @@
 func (s *store) accept(generation uint64, doc *manifest.Document) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	root, objects := manifest.Split(doc)
+	root, objects := manifest.SplitAfter(doc, []manifest.Acceptance{{Generation: generation - 1}})
 	if s.objects == nil {
 		s.objects = make(map[string][]byte)
 	}
@@ -341,6 +341,26 @@
 	})
 }
 
+// Guards against a manifest that is taken for a later generation than its own:
+// the daemon would never take the real ones that follow.
+func TestWrongGenerationIsRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		c.store.accept(1, c.doc)
+		c.network.setDamage(func(_ *peerv1.FetchManifestRequest, resp *peerv1.FetchManifestResponse) {
+			if resp.Generation > 0 {
+				resp.Generation += 10
+			}
+		})
+		c.daemons = append(c.daemons, c.launch(0, c.store), c.launch(1, c.store))
+		time.Sleep(2 * bound)
+		synctest.Wait()
+		for _, d := range c.daemons {
+			c.Expect(d.last()).To(Equal(uint64(1)))
+		}
+	})
+}
+
 // Guards against a daemon that stays behind because a delta lacks an object:
 // this happens if it took another generation while the delta was on its way.
 func TestIncompleteDeltaIsReplacedByWholeManifest(t *testing.T) {
