--- a/internal/proof/run_test.go
+++ b/internal/proof/run_test.go
@@ -73,16 +73,33 @@
 }
 
 func (r *run) createTables() {
+	r.t.Helper()
+	r.exec(workload.Schema)
+}
+
+// exec runs one statement through an entry.
+func (r *run) exec(sql string) {
 	r.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), recovery)
 	defer cancel()
 	conn, err := workload.Connect(ctx, r.entries()[0], poolName, "setup")
 	r.g.Expect(err).NotTo(HaveOccurred())
 	defer conn.Close(ctx)
-	_, err = conn.Exec(ctx, workload.Schema)
+	_, err = conn.Exec(ctx, sql)
 	r.g.Expect(err).NotTo(HaveOccurred())
 }
 
+// otherThan returns a running host that is not h.
+func (r *run) otherThan(h *localdeploy.Host) *localdeploy.Host {
+	for _, other := range r.d.Hosts {
+		if other != h && other.Running() {
+			return other
+		}
+	}
+	r.t.Fatal("no other host runs")
+	return nil
+}
+
 func (r *run) entries() []string {
 	if r.d == nil {
 		return r.callers
--- /dev/null
+++ b/internal/proof/staleness_test.go
@@ -0,0 +1,45 @@
+package proof_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/internal/localdeploy"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/standin/database"
+)
+
+// Guards against reads below the session's own booking while replicas are far
+// behind, the primary is cut off and the owner is killed, with every request on
+// another entry.
+func TestReadYourWritesWithReplicasFarBehind(t *testing.T) {
+	r := newRun(t, localdeploy.Config{Hosts: 4})
+	lag := func(d time.Duration) {
+		for _, s := range r.d.Groups[poolName].Servers {
+			s.SetFaults(func(f *database.Faults) { f.ApplyLag = d })
+		}
+	}
+	lag(300 * time.Millisecond)
+	r.startSessions(false)
+	time.Sleep(time.Second)
+	lag(50 * time.Millisecond)
+	time.Sleep(time.Second)
+	cut := time.Now()
+	primary := r.d.Primary(poolName)
+	primary.SetFaults(func(f *database.Faults) { f.Cut = true })
+	r.confirmedAfter(cut)
+	primary.SetFaults(func(f *database.Faults) { f.Cut = false })
+	lag(300 * time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	killed := time.Now()
+	owner := r.d.Owner(poolName)
+	owner.Kill()
+	r.confirmedAfter(killed)
+	lag(0)
+	time.Sleep(500 * time.Millisecond)
+	r.g.Expect(owner.Start()).To(Succeed())
+	r.check()
+	r.g.Expect(r.d.Count(metrics.ReadsReplica)).To(BeNumerically(">", 20), "replicas took part")
+}
--- a/internal/standin/database/endpoint.go
+++ b/internal/standin/database/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,8 @@
 	store  *store
 	faults *faultBox
 	slots  *semaphore.Weighted
+	// statements counts the statements that took a slot.
+	statements atomic.Int64
 	// writeLock admits one write transaction of the engine at a time: a client's,
 	// the arrival of log entries, their application or a promotion.
 	writeLock *semaphore.Weighted
@@ -121,6 +124,7 @@
 		return err
 	}
 	defer ep.slots.Release(1)
+	ep.statements.Add(1)
 	if err := sleep(ctx, hold); err != nil {
 		return err
 	}
--- a/internal/standin/database/server.go
+++ b/internal/standin/database/server.go
@@ -164,6 +164,9 @@
 	s.clients--
 }
 
+// Statements returns the number of statements that took a slot since the start.
+func (s *Server) Statements() int64 { return s.ep.statements.Load() }
+
 // Connections returns the number of open client connections.
 func (s *Server) Connections() int {
 	s.mu.Lock()
