--- a/internal/owner/request.go
+++ b/internal/owner/request.go
@@ -262,6 +262,7 @@
 		conn:    c,
 		term:    term,
 		session: r.req.GetSession(),
+		wrote:   !r.info.ReadOnly,
 	})
 }
 
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -21,6 +21,8 @@
 
 	// mu serialises the batches of the transaction.
 	mu sync.Mutex
+	// wrote is true once a statement was sent that may hold locks.
+	wrote bool
 	// conn is nil once the transaction has ended.
 	conn *conn
 }
@@ -132,10 +134,14 @@
 	return a
 }
 
-// admitInTransaction waits for a slot. While the group is drained no slots are
-// given, but open transactions must be able to end.
+// admitInTransaction waits for a slot. A statement of a transaction that may
+// hold locks runs without one: all slots may be taken by statements that wait
+// for those locks, and none of them would ever end. So does every statement
+// while the group is drained, when no slots are given.
 func (r *request) admitInTransaction(ctx context.Context, t *transaction) (grantOf, *refusal) {
-	if r.g.startDraining() {
+	holdsLocks := t.wrote || r.info.Ends
+	t.wrote = t.wrote || !r.info.ReadOnly
+	if r.g.enterWithoutSlot(holdsLocks) {
 		return grantOf{}, nil
 	}
 	work := r.work(t.conn.address)
@@ -143,12 +149,13 @@
 	return r.g.admit(ctx, work)
 }
 
-// startDraining counts a request as in flight without a slot if the group is
-// being drained, and reports whether it is.
-func (g *group) startDraining() bool {
+// enterWithoutSlot counts a request as in flight without a slot if it holds
+// locks or the group is being drained, and reports whether it did.
+func (g *group) enterWithoutSlot(holdsLocks bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.view.Owned || !g.view.Changing {
+	draining := g.view.Owned && g.view.Changing
+	if !holdsLocks && !draining {
 		return false
 	}
 	g.inFlight++
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -114,6 +114,9 @@
 	op.End = time.Now()
 	op.Result = ResultOf(err)
 	op.Reason = ReasonOf(err)
+	if err != nil && op.Reason == "" && op.Result != history.Taken {
+		op.Reason = err.Error()
+	}
 	if conn.IsClosed() {
 		delete(s.conns, entry)
 	}
@@ -163,6 +166,10 @@
 	}
 	var pg *pgconn.PgError
 	if !errors.As(err, &pg) {
+		if pgconn.SafeToRetry(err) {
+			// The driver sent nothing, since it knew that the connection was closed.
+			return history.NotRun
+		}
 		return history.Unknown
 	}
 	switch {
