Keep the measured load open, describe violations, send one batch for each request

With 200 sessions a pool, the sessions themselves queued and the overload never ended; callers now give up at their deadline and 1500 sessions a pool keep the load open. pgx deallocates a cached statement after a refusal and loses step with the connection if that Close is refused too, which mixed up answers in the report; requests now use the unnamed statement.

--- a/internal/measure/check.go
+++ b/internal/measure/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,8 @@
 	createIndex    = "CREATE INDEX IF NOT EXISTS measure_by_session ON measure_bookings (session, seq)"
 	checkTimeout   = 30 * time.Second
 	checkRetry     = 100 * time.Millisecond
+	// maxViolations bounds the descriptions in a report.
+	maxViolations = 20
 )
 
 // Check compares what callers were told with what is stored.
@@ -29,6 +32,8 @@
 	RanAlthoughRefused int `json:"ran_although_refused"`
 	// Unknown are bookings whose outcome the caller was told to be unknown.
 	Unknown int `json:"unknown"`
+	// Violations describes the first violations.
+	Violations []string `json:"violations,omitempty"`
 	// StaleLookups missed a booking that was confirmed to their session.
 	StaleLookups int `json:"stale_lookups"`
 }
@@ -108,25 +113,36 @@
 	return rows.Err()
 }
 
+func (c *Check) describe(what string, o outcome, stored int) {
+	if len(c.Violations) < maxViolations {
+		c.Violations = append(c.Violations, fmt.Sprintf("%s: %s due at %v, answered after %v, stored %d times; %s",
+			what, o.job.Kind, o.job.At, o.latency, stored, o.message))
+	}
+}
+
 func (c *Check) add(o outcome, stored int) {
 	if o.stale {
 		c.StaleLookups++
+		c.describe("stale lookup", o, stored)
 	}
 	if o.job.Kind != kindBooking {
 		return
 	}
 	if stored > 1 {
 		c.Doubled++
+		c.describe("doubled", o, stored)
 	}
 	switch o.result {
 	case history.OK:
 		c.Confirmed++
 		if stored == 0 {
 			c.Lost++
+			c.describe("lost", o, stored)
 		}
 	case history.NotRun:
 		if stored > 0 {
 			c.RanAlthoughRefused++
+			c.describe("ran although refused", o, stored)
 		}
 	default:
 		c.Unknown++
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -100,5 +100,7 @@
 	c.add(outcome{job: booking, result: history.OK}, 2)
 	c.add(outcome{job: booking, result: history.NotRun}, 1)
 	c.add(outcome{job: Job{Kind: kindLookup}, stale: true}, 0)
+	g.Expect(c.Violations).To(HaveLen(4))
+	c.Violations = nil
 	g.Expect(c).To(Equal(Check{Confirmed: 3, Lost: 1, Doubled: 1, RanAlthoughRefused: 1, Unknown: 1, StaleLookups: 1}))
 }
--- a/internal/measure/outcome.go
+++ b/internal/measure/outcome.go
@@ -29,6 +29,8 @@
 	result   history.Result
 	// reason is the counter name or SQLSTATE of a failure.
 	reason string
+	// message is the error's text and DETAIL.
+	message string
 	// stale is true for a lookup that missed the session's own booking.
 	stale bool
 	// settled is true for a lookup whose session wrote nothing recently.
@@ -52,3 +54,11 @@
 	}
 	return reasonClosed
 }
+
+func messageOf(err error) string {
+	var pg *pgconn.PgError
+	if errors.As(err, &pg) {
+		return pg.Error() + " " + pg.Detail
+	}
+	return err.Error()
+}
--- a/internal/measure/runner.go
+++ b/internal/measure/runner.go
@@ -73,7 +73,7 @@
 	time.Sleep(r.roundTrip / 2)
 	o := outcome{job: j}
 	s := r.sessions[j.Pool][j.Session]
-	if s.acquire(ctx) {
+	if s.acquire(ctx, due.Add(j.deadline())) {
 		r.request(ctx, s, &o)
 		s.release()
 	} else {
@@ -93,6 +93,7 @@
 	}
 	if err := s.connect(ctx); err != nil {
 		o.result, o.reason = history.NotRun, reasonConnect
+		o.message = messageOf(err)
 		if reason := workload.ReasonOf(err); reason != "" {
 			o.reason = reason
 		}
@@ -100,6 +101,7 @@
 	}
 	if err := r.statement(ctx, s, o); err != nil {
 		o.result, o.reason = workload.ResultOf(err), reasonOf(err)
+		o.message = messageOf(err)
 		return
 	}
 	o.result = history.OK
@@ -108,16 +110,18 @@
 	}
 }
 
+// statement sends one batch in each case, so that a request is either refused or
+// run as a whole.
 func (r *runner) statement(ctx context.Context, s *session, o *outcome) error {
 	switch j := o.job; j.Kind {
 	case kindBooking:
 		r.wrote(s)
-		_, err := s.conn.Exec(ctx, insertBooking, j.id(r.run), s.name, j.Sequence)
+		_, err := s.conn.Exec(ctx, insertBooking, pgx.QueryExecModeExec, j.id(r.run), s.name, j.Sequence)
 		return err
 	case kindLookup:
 		o.settled = r.settled(s)
 		var seen int
-		err := s.conn.QueryRow(ctx, lookupBooking, s.name).Scan(&seen)
+		err := s.conn.QueryRow(ctx, lookupBooking, pgx.QueryExecModeExec, s.name).Scan(&seen)
 		o.stale = err == nil && seen < s.confirmed
 		return err
 	default:
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	defaultUnit     = 5 * time.Second
-	defaultSessions = 200
+	defaultUnit = 5 * time.Second
+	// defaultSessions keeps the load open: with 3 pools, 4500 requests of a 10-fold
+	// peak can be in flight at once.
+	defaultSessions = 1500
 	// retryPrefix starts the names of the daemons' retry counters.
 	retryPrefix = "retry."
 )
@@ -28,7 +30,7 @@
 	Seed   uint64
 	// Unit scales the lengths of all phases; 5 s by default.
 	Unit time.Duration
-	// Sessions is the number of sessions of each pool; 200 by default.
+	// Sessions is the number of sessions of each pool; 1500 by default.
 	Sessions int
 }
 
--- a/internal/measure/session.go
+++ b/internal/measure/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 
@@ -27,7 +28,11 @@
 	return s
 }
 
-func (s *session) acquire(ctx context.Context) bool {
+// acquire waits for the session's earlier request until giveUp: a caller whose
+// deadline has passed sends nothing.
+func (s *session) acquire(ctx context.Context, giveUp time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, giveUp)
+	defer cancel()
 	select {
 	case <-s.turn:
 		return true
--- a/internal/measure/table.go
+++ b/internal/measure/table.go
@@ -47,6 +47,9 @@
 	c := r.Check
 	fmt.Fprintf(out, "check: %d confirmed, %d lost, %d doubled, %d ran although refused, %d unknown, %d stale lookups\n",
 		c.Confirmed, c.Lost, c.Doubled, c.RanAlthoughRefused, c.Unknown, c.StaleLookups)
+	for _, v := range c.Violations {
+		fmt.Fprintln(out, "violation:", v)
+	}
 }
 
 func writeCounts(out io.Writer, title string, counts map[string]int64) {
