Test the entry and end connections of callers that vanish while idle

The fuzz target found that a connection whose caller vanished between requests stayed open: the reader canceled the connection's context and then could leave without telling the main goroutine, which did not watch that context. Callers that never pause kept a drain from ending; their next request after half a second is refused as not run. Batches that only close statements are answered locally.

--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -59,5 +59,16 @@
 	return false
 }
 
+// onlyCloses reports whether the batch does nothing but close statements.
+func (b *batch) onlyCloses() bool {
+	for _, i := range b.items {
+		closes := i.kind == typeClose && i.object == objectStatement
+		if !closes && i.kind != typeSync && i.kind != typeFlush {
+			return false
+		}
+	}
+	return true
+}
+
 // empty reports whether no message has arrived.
 func (b *batch) empty() bool { return b == nil || len(b.items) == 0 }
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -25,6 +25,11 @@
 	// drainGrace is how long an idle connection is still read before it is
 	// closed, so that a request that has already arrived is served.
 	drainGrace = 20 * time.Millisecond
+	// drainServe is how long a caller that sends one request after another is
+	// served after the drain began. Its next request is then refused as not run:
+	// such a connection is never idle, and closing it after an answer could lose a
+	// request that is on its way.
+	drainServe = 500 * time.Millisecond
 	// lingerTimeout is how long the entry reads on after the last message, so that
 	// the caller gets that message instead of a reset connection.
 	lingerTimeout = 500 * time.Millisecond
@@ -140,7 +145,8 @@
 	draining := c.gate.draining
 	for {
 		select {
-		case <-c.gate.ctx.Done():
+		case <-c.ctx.Done():
+			c.countGone()
 			return
 		case <-draining:
 			draining = nil
@@ -178,12 +184,19 @@
 		return false
 	default:
 		if errors.Is(e.err, errCallerGone) {
-			c.gate.cfg.Metrics.Inc(metrics.CallersGone)
+			c.countGone()
 		}
 		return false
 	}
 }
 
+// countGone counts a connection that ended without Terminate.
+func (c *caller) countGone() {
+	if c.gate.ctx.Err() == nil {
+		c.gate.cfg.Metrics.Inc(metrics.CallersGone)
+	}
+}
+
 // timedOut ends an idle connection while the gate drains.
 func (c *caller) timedOut(quiet bool) bool {
 	if !c.gate.isDraining() || c.status != statusIdle || c.skipping {
@@ -193,10 +206,15 @@
 	if !quiet {
 		return true
 	}
-	_ = c.end(notRun(stateShutdown, metrics.RefusedDraining, "terminating connection because the proxy is shutting down").ending())
+	_ = c.end(shuttingDown())
 	return false
 }
 
+// shuttingDown ends a connection while the gate drains.
+func shuttingDown() *refusal {
+	return notRun(stateShutdown, metrics.RefusedDraining, "terminating connection because the proxy is shutting down").ending()
+}
+
 // end sends the last message of a connection and returns errStartupOver.
 func (c *caller) end(r *refusal) error {
 	c.gate.cfg.Metrics.Inc(r.reason)
@@ -227,6 +245,9 @@
 	if c.skipping {
 		return c.skip(b)
 	}
+	if c.status == statusIdle && c.gate.drainedFor() > drainServe {
+		return c.end(shuttingDown())
+	}
 	c.gate.cfg.Metrics.Inc(metrics.Requests)
 	p, refused := c.prepare(b)
 	if refused != nil {
@@ -236,7 +257,7 @@
 	if refused := ch.refusal(); refused != nil {
 		return c.refuse(b, refused)
 	}
-	if ch.local() {
+	if ch.local() || b.onlyCloses() {
 		return c.answerLocally(b, p, ch)
 	}
 	return newRequest(c, p, ch).run()
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -27,8 +28,9 @@
 	mu       sync.Mutex
 	listener net.Listener
 	drained  bool
-	// draining is closed when Drain begins.
-	draining chan struct{}
+	// draining is closed when Drain begins; drainStart is set before.
+	draining   chan struct{}
+	drainStart time.Time
 	// ctx ends when the connections that are left are cut off.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -99,6 +101,14 @@
 	}
 }
 
+// drainedFor returns the time since Drain began, 0 before.
+func (g *Gate) drainedFor() time.Duration {
+	if !g.isDraining() {
+		return 0
+	}
+	return time.Since(g.drainStart)
+}
+
 // accept serves one connection on a goroutine of its own.
 func (g *Gate) accept(conn net.Conn) {
 	if g.open.Add(1) > int64(g.cfg.MaxCallers+maxStarting) {
@@ -121,12 +131,15 @@
 }
 
 // Drain stops accepting. Connections that are idle outside a transaction are
-// closed; requests in flight and open transactions finish. When ctx ends first,
+// closed; requests in flight and open transactions finish. A caller that never
+// pauses is served for another half second, and its next request outside a
+// transaction is then refused as not run. When ctx ends first,
 // the rest is cut off and an error is returned.
 func (g *Gate) Drain(ctx context.Context) error {
 	g.mu.Lock()
 	if !g.drained {
 		g.drained = true
+		g.drainStart = time.Now()
 		close(g.draining)
 	}
 	if g.listener != nil {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -74,13 +74,19 @@
 }
 
 func startOwner(t testing.TB) *daemon {
+	t.Helper()
+	return startOwnerNaming(t, nil)
+}
+
+// startOwnerNaming returns a daemon that answers Locate with a location.
+func startOwnerNaming(t testing.TB, location *peerv1.Location) *daemon {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	d := &daemon{owner: &fakeOwner{}, address: ln.Addr().String()}
-	d.service = peer.NewService(peer.ServiceConfig{Server: d.owner, Control: &fakeControl{}})
+	d.service = peer.NewService(peer.ServiceConfig{Server: d.owner, Control: &fakeControl{location: location}})
 	go func() { _ = d.service.Serve(ln) }()
 	t.Cleanup(d.service.Close)
 	return d
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -10,9 +10,9 @@
 // caller gets the messages that a database would send.
 func (c *caller) answerLocally(b *batch, p *prepared, ch check) error {
 	a := &answer{w: c, batch: p}
-	if c.status == statusFailed {
+	if c.status == statusFailed && len(ch.verdicts) > 0 {
 		a.fail(notRun(stateInFailedTransaction, metrics.RefusedSessionState, "current transaction is aborted, commands ignored until end of transaction block"))
-		return a.ready(c.status)
+		return c.finishLocally(a)
 	}
 	tags := ch.verdicts
 	for _, i := range b.items {
@@ -31,10 +31,17 @@
 		c.statements.apply(change)
 	}
 	c.clearStatements(ch)
-	if p.flush {
-		return a.flush()
+	return c.finishLocally(a)
+}
+
+// finishLocally writes the answer, with ReadyForQuery unless the caller ended
+// the batch with Flush.
+func (c *caller) finishLocally(a *answer) error {
+	if !a.batch.flush {
+		return a.ready(c.status)
 	}
-	return a.ready(c.status)
+	c.skipping = a.failed
+	return a.flush()
 }
 
 // clearStatements forgets the prepared statements after DISCARD ALL and
--- /dev/null
+++ b/internal/entry/outcome_test.go
@@ -0,0 +1,327 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/internal/control"
+	"github.com/beryltrestle/beryltrestle/internal/entry"
+	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/peer"
+	"github.com/beryltrestle/beryltrestle/internal/peer/peertest"
+)
+
+const (
+	writeText = "insert into slots values (1)"
+	readText  = "select 1"
+)
+
+// pgError returns the error that a caller got.
+func pgError(g *WithT, err error) *pgconn.PgError {
+	var pg *pgconn.PgError
+	g.ExpectWithOffset(1, errors.As(err, &pg)).To(BeTrue(), "%v", err)
+	return pg
+}
+
+// linked returns a harness whose streams pass a link that can be cut.
+func linked(t *testing.T) (*harness, *peertest.Link) {
+	h := newHarness(t, func(c *entry.Config) { c.OutcomeWait = 300 * time.Millisecond })
+	link := peertest.NewLink(t, h.address)
+	h.views.publish(control.GroupView{OwnerAddress: link.Address, OwnerIncarnation: testIncarnation, Term: testTerm})
+	return h, link
+}
+
+// cutOnce cuts the link when the text is first run, after sending prefix.
+func cutOnce(h *harness, link *peertest.Link, text string, prefix func(*peerv1.Request) []byte) {
+	cut := false
+	h.owner.serve = func(ctx context.Context, req *peerv1.Request, w peer.AnswerWriter) {
+		if cut || !strings.Contains(string(req.GetBatch()), text) {
+			answerBatch(req, w)
+			return
+		}
+		cut = true
+		if prefix != nil {
+			_, _ = w.Write(prefix(req))
+			time.Sleep(50 * time.Millisecond)
+		}
+		link.Cut()
+		<-ctx.Done()
+		w.Finish(&peerv1.Answer{Outcome: peerv1.Outcome_OUTCOME_UNKNOWN})
+	}
+}
+
+// largeAnswer is longer than what the entry and the stream gather.
+func largeAnswer(req *peerv1.Request) []byte {
+	out, _ := batchAnswer(&peerv1.Request{Batch: req.GetBatch()})
+	end := len(out) - 6 - 14 // ReadyForQuery and CommandComplete "SELECT 1".
+	var rows []byte
+	for range 40 {
+		rows = append(rows, largeRow...)
+	}
+	return append(rows, out[end:]...)
+}
+
+var largeRow = func() []byte {
+	value := strings.Repeat("x", 2000)
+	return append([]byte{'D', 0, 0, byte((len(value) + 10) >> 8), byte(len(value) + 10), 0, 1, 0, 0, byte(len(value) >> 8), byte(len(value))}, value...)
+}()
+
+// Guards guarantees 5 and 6 when a stream breaks in the middle of a request: the
+// kept answer is delivered, a request that did not run is repeated, a read is
+// repeated, and a write whose outcome is not known is neither repeated nor
+// reported as not run.
+func TestLostAnswer(t *testing.T) {
+	kept, _ := batchAnswer(&peerv1.Request{Batch: simpleQuery(writeText)})
+	running := 0
+	cases := map[string]struct {
+		text    string
+		outcome func() *peerv1.QueryOutcomeResponse
+		runs    int
+		sqlCode string
+		counter metrics.Name
+	}{
+		"done": {writeText, func() *peerv1.QueryOutcomeResponse {
+			running++
+			if running < 3 {
+				return &peerv1.QueryOutcomeResponse{Outcome: peerv1.Outcome_OUTCOME_RUNNING}
+			}
+			return &peerv1.QueryOutcomeResponse{Outcome: peerv1.Outcome_OUTCOME_DONE, HasAnswer: true, Answer: kept, TransactionStatus: "I"}
+		}, 1, "", metrics.AnswersKept},
+		"done, answer not kept": {writeText, func() *peerv1.QueryOutcomeResponse {
+			return &peerv1.QueryOutcomeResponse{Outcome: peerv1.Outcome_OUTCOME_DONE, TransactionStatus: "I"}
+		}, 1, "08007", metrics.UnknownOwnerLost},
+		"not run": {writeText, func() *peerv1.QueryOutcomeResponse {
+			return &peerv1.QueryOutcomeResponse{Outcome: peerv1.Outcome_OUTCOME_NOT_RUN}
+		}, 2, "", metrics.RetryOwnerLost},
+		"unknown write": {writeText, nil, 1, "08007", metrics.UnknownOwnerLost},
+		"unknown read":  {readText, nil, 2, "", metrics.RetryReadRepeated},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h, link := linked(t)
+			conn := h.connect(t, "")
+			cutOnce(h, link, tc.text, nil)
+			if tc.outcome != nil {
+				h.owner.outcomes = func(*peerv1.QueryOutcomeRequest) *peerv1.QueryOutcomeResponse { return tc.outcome() }
+			}
+			_, err := conn.Exec(testContext(t), tc.text, pgx.QueryExecModeSimpleProtocol)
+			if tc.sqlCode == "" {
+				g.Expect(err).NotTo(HaveOccurred())
+			} else {
+				g.Expect(pgError(g, err).Code).To(Equal(tc.sqlCode))
+				g.Expect(pgError(g, err).Detail).To(Equal("outcome=unknown reason=unknown.owner_lost"))
+			}
+			g.Expect(h.owner.seen()).To(HaveLen(tc.runs))
+			g.Expect(h.metrics.Count(tc.counter)).To(Equal(int64(1)))
+			_, err = conn.Exec(testContext(t), "select 2", pgx.QueryExecModeSimpleProtocol)
+			g.Expect(err).NotTo(HaveOccurred(), "the connection is usable afterwards")
+		})
+	}
+}
+
+// Guards against a read that is repeated, or an answer that is delivered twice,
+// after the caller has got a part of it.
+func TestLostAnswerInTheMiddle(t *testing.T) {
+	for name, keep := range map[string]bool{"kept": true, "lost": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h, link := linked(t)
+			conn := h.connect(t, "")
+			var whole []byte
+			cutOnce(h, link, readText, func(req *peerv1.Request) []byte {
+				whole = append(rowHeader(), largeAnswer(req)...)
+				return whole
+			})
+			h.owner.outcomes = func(*peerv1.QueryOutcomeRequest) *peerv1.QueryOutcomeResponse {
+				return &peerv1.QueryOutcomeResponse{Outcome: peerv1.Outcome_OUTCOME_DONE, HasAnswer: keep, Answer: whole, TransactionStatus: "I"}
+			}
+			rows, err := conn.Query(testContext(t), readText, pgx.QueryExecModeSimpleProtocol)
+			g.Expect(err).NotTo(HaveOccurred())
+			n := 0
+			for rows.Next() {
+				n++
+			}
+			if keep {
+				g.Expect(rows.Err()).NotTo(HaveOccurred())
+				g.Expect(n).To(Equal(40))
+			} else {
+				g.Expect(pgError(g, rows.Err()).Code).To(Equal("08007"))
+			}
+			g.Expect(h.owner.seen()).To(HaveLen(1))
+		})
+	}
+}
+
+func rowHeader() []byte {
+	out, _ := rowDescription.Encode(nil)
+	return out
+}
+
+// Guards guarantee 5 and the retry rule: only a request that was not run is sent
+// again, never one that was refused for load, is unknown, or was half answered.
+func TestOnlyNotRunIsRetried(t *testing.T) {
+	notRun := func(reason metrics.Name) *peerv1.Answer {
+		return &peerv1.Answer{Outcome: peerv1.Outcome_OUTCOME_NOT_RUN, Reason: string(reason), Sqlstate: "57P03", RetryAfterMs: 5}
+	}
+	cases := map[string]struct {
+		end     *peerv1.Answer
+		partial bool
+		runs    int
+		detail  string
+		counter metrics.Name
+	}{
+		"not owner":     {end: notRun(metrics.RefusedNotOwner), runs: 2, counter: metrics.RetryNotOwner},
+		"lease":         {end: notRun(metrics.RefusedLeaseExpired), runs: 2, counter: metrics.RetryLease},
+		"other":         {end: notRun("refused.something_new"), runs: 2, counter: metrics.RetryOther},
+		"expected wait": {end: notRun(metrics.RefusedExpectedWait), runs: 1, detail: "outcome=not_run reason=refused.expected_wait"},
+		"unknown": {
+			end:  &peerv1.Answer{Outcome: peerv1.Outcome_OUTCOME_UNKNOWN, Reason: string(metrics.UnknownTermChanged)},
+			runs: 1, detail: "outcome=unknown reason=unknown.term_changed",
+		},
+		"half answered": {end: notRun(metrics.RefusedLeaseExpired), partial: true, runs: 1, detail: "outcome=not_run reason=refused.lease_expired"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(t, nil)
+			conn := h.connect(t, "")
+			first := true
+			h.owner.serve = func(_ context.Context, req *peerv1.Request, w peer.AnswerWriter) {
+				if !first {
+					answerBatch(req, w)
+					return
+				}
+				first = false
+				if tc.partial {
+					_, _ = w.Write(append(rowHeader(), largeAnswer(req)...))
+					time.Sleep(50 * time.Millisecond)
+				}
+				w.Finish(tc.end)
+			}
+			rows, _ := conn.Query(testContext(t), readText, pgx.QueryExecModeSimpleProtocol)
+			rows.Close()
+			if tc.detail == "" {
+				g.Expect(rows.Err()).NotTo(HaveOccurred())
+				g.Expect(h.metrics.Count(tc.counter)).To(Equal(int64(1)))
+			} else {
+				g.Expect(pgError(g, rows.Err()).Detail).To(Equal(tc.detail))
+			}
+			seen := h.owner.seen()
+			g.Expect(seen).To(HaveLen(tc.runs))
+			if tc.runs > 1 {
+				g.Expect(seen[0].GetRequestId()).NotTo(Equal(seen[1].GetRequestId()))
+			}
+		})
+	}
+}
+
+// Guards against retries that multiply load: the budget ends them.
+func TestRetryBudget(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, nil)
+	h.owner.serve = func(_ context.Context, _ *peerv1.Request, w peer.AnswerWriter) {
+		w.Finish(&peerv1.Answer{Outcome: peerv1.Outcome_OUTCOME_NOT_RUN, Reason: string(metrics.RefusedConnect)})
+	}
+	const callers = 30
+	done := make(chan error, callers)
+	for range callers {
+		conn := h.connect(t, "")
+		go func() {
+			_, err := conn.Exec(testContext(t), readText, pgx.QueryExecModeSimpleProtocol)
+			done <- err
+		}()
+	}
+	for range callers {
+		g.Expect(pgError(g, <-done).Detail).To(Equal("outcome=not_run reason=refused.connect"))
+	}
+	g.Expect(len(h.owner.seen())).To(BeNumerically("<=", callers+64+callers/10))
+	g.Expect(h.metrics.Count(metrics.RetryBudgetSpent)).To(Equal(int64(callers)))
+}
+
+// Guards the failover gap: requests wait while no owner can be reached and go to
+// the new owner as soon as the View or a candidate names it.
+func TestRequestsFollowTheOwner(t *testing.T) {
+	for _, how := range []string{"view", "locate", "answer"} {
+		t.Run(how, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(t, nil)
+			conn := h.connect(t, "")
+			next := startOwner(t)
+			location := &peerv1.Location{Address: next.address, Incarnation: 8, Term: testTerm + 1}
+			group := control.GroupView{OwnerAddress: h.address, OwnerIncarnation: testIncarnation, Term: testTerm}
+			switch how {
+			case "view":
+				h.service.Close()
+				time.AfterFunc(100*time.Millisecond, func() {
+					h.views.publish(control.GroupView{OwnerAddress: next.address, OwnerIncarnation: 8, Term: testTerm + 1})
+				})
+			case "locate":
+				h.service.Close()
+				witness := startOwnerNaming(t, location)
+				group.Candidates = []string{witness.address}
+				h.views.publish(group)
+			case "answer":
+				h.owner.serve = func(_ context.Context, _ *peerv1.Request, w peer.AnswerWriter) {
+					w.Finish(&peerv1.Answer{Outcome: peerv1.Outcome_OUTCOME_NOT_RUN, Reason: string(metrics.RefusedNotOwner), Location: location})
+				}
+			}
+			start := time.Now()
+			_, err := conn.Exec(testContext(t), writeText, pgx.QueryExecModeSimpleProtocol)
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Logf("served by the new owner after %v", time.Since(start))
+			seen := next.owner.seen()
+			g.Expect(seen).To(HaveLen(1))
+			g.Expect(seen[0].GetOwnerIncarnation()).To(Equal(uint64(8)))
+			g.Expect(seen[0].GetTerm()).To(Equal(uint64(testTerm + 1)))
+		})
+	}
+}
+
+// Guards against a transaction that goes on at another owner, or a batch of a
+// lost transaction that is repeated.
+func TestLostTransaction(t *testing.T) {
+	for _, tc := range []struct{ text, code string }{{writeText, "08006"}, {"commit", "08007"}} {
+		t.Run(tc.text, func(t *testing.T) {
+			g := NewWithT(t)
+			h, link := linked(t)
+			conn := h.connect(t, "")
+			ctx := testContext(t)
+			cutOnce(h, link, tc.text, nil)
+			_, err := conn.Exec(ctx, "begin", pgx.QueryExecModeSimpleProtocol)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(conn.PgConn().TxStatus()).To(Equal(byte('T')))
+			_, err = conn.Exec(ctx, tc.text, pgx.QueryExecModeSimpleProtocol)
+			g.Expect(pgError(g, err).Code).To(Equal(tc.code))
+			g.Expect(conn.PgConn().TxStatus()).To(Equal(byte('I')))
+			g.Expect(h.owner.seen()).To(HaveLen(2))
+		})
+	}
+	t.Run("not sent", func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, nil)
+		conn := h.connect(t, "")
+		_, err := conn.Exec(testContext(t), "begin", pgx.QueryExecModeSimpleProtocol)
+		g.Expect(err).NotTo(HaveOccurred())
+		h.service.Close()
+		time.Sleep(50 * time.Millisecond)
+		_, err = conn.Exec(testContext(t), "commit", pgx.QueryExecModeSimpleProtocol)
+		g.Expect(pgError(g, err).Code).To(Equal("40001"))
+		g.Expect(pgError(g, err).Detail).To(Equal("outcome=not_run reason=refused.transaction_lost"))
+		g.Expect(conn.PgConn().TxStatus()).To(Equal(byte('I')))
+	})
+}
+
+// simpleQuery returns an encoded Query.
+func simpleQuery(text string) []byte {
+	n := len(text) + 5
+	return append(append([]byte{'Q', 0, 0, byte(n >> 8), byte(n)}, text...), 0)
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -253,6 +253,10 @@
 		return res.err
 	}
 	if res.refusal != nil {
+		if r.c.transaction != nil && res.status == statusIdle {
+			// The owner may still hold the transaction that the caller is told is gone.
+			r.abandon(a)
+		}
 		r.c.setTransaction(res.status, a)
 		return r.refuse(res.refusal, res.status)
 	}
