--- a/internal/proof/path_test.go
+++ b/internal/proof/path_test.go
@@ -23,6 +23,9 @@
 // endpoints and the platform run as programs of their own, and SIGTERM drains.
 func TestSeparateProcesses(t *testing.T) {
 	p, r := newProcessRun(t, 3)
+	for i := range p.databases {
+		p.setFaults(i, `{"apply_lag_ms": 20}`)
+	}
 	r.startSessions(false)
 	time.Sleep(time.Second)
 	r.check()
