Let open write transactions of the stand-in block no other writer

An open transaction held the engine's only write lock, so autocommit writers waited in all slots of the owner, which the transaction's COMMIT then needed. A transaction's statements are now repeated before its next statement and at COMMIT; a changed result fails with SQLSTATE 40001.

--- a/internal/standin/database/doc.go
+++ b/internal/standin/database/doc.go
@@ -6,7 +6,8 @@
 //
 // Differences from PostgreSQL: SQL has the dialect of the embedded engine with
 // $n parameters, ::type casts and now() translated; reads are read-committed;
-// write transactions of one endpoint run one after another; savepoints and COPY
-// are not supported. Replication repeats statements, so that a statement with
+// write transactions are optimistic and fail with SQLSTATE 40001 if a concurrent
+// commit changes the result of one of their writes or locking reads; savepoints
+// and COPY are not supported. Replication repeats statements, so that a statement with
 // random() may differ on a replica.
 package database
--- a/internal/standin/database/errors.go
+++ b/internal/standin/database/errors.go
@@ -30,6 +30,7 @@
 	stateIdleInTransaction   = "25P03"
 	stateInvalidStatement    = "26000"
 	stateInvalidPortal       = "34000"
+	stateSerialization       = "40001"
 	stateSyntax              = "42601"
 	stateUndefinedColumn     = "42703"
 	stateUndefinedFunction   = "42883"
--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -33,9 +33,9 @@
 		c.tx.block = true
 		return result{tag: "BEGIN"}, nil
 	case commandCommit:
-		return c.endBlock(true)
+		return c.endBlock(ctx, true)
 	case commandRollback:
-		return c.endBlock(false)
+		return c.endBlock(ctx, false)
 	case commandSession:
 		return result{tag: p.sessionTag()}, nil
 	case commandShow:
@@ -56,12 +56,12 @@
 }
 
 // endBlock handles COMMIT and ROLLBACK; COMMIT of a failed transaction rolls back.
-func (c *session) endBlock(commit bool) (result, error) {
+func (c *session) endBlock(ctx context.Context, commit bool) (result, error) {
 	if !commit || c.tx.failed {
 		c.rollback()
 		return result{tag: "ROLLBACK"}, nil
 	}
-	return result{tag: "COMMIT"}, c.commit()
+	return result{tag: "COMMIT"}, c.commit(ctx)
 }
 
 func (p *parsedStatement) sessionTag() string {
@@ -74,62 +74,86 @@
 func (c *session) runRead(ctx context.Context, p *parsedStatement, d description, args []any) (result, error) {
 	f, _ := c.srv.faults.get()
 	res := result{columns: d.columns}
-	err := c.ep.serve(ctx, f.ServiceTime, func() error {
-		return c.reading(func(q querier) error {
-			var err error
-			res.rows, err = fetch(ctx, q, p.sql, args)
-			return err
-		})
-	})
+	read := func(q querier) error {
+		var err error
+		res.rows, err = fetch(ctx, q, p.sql, args)
+		return err
+	}
+	if c.tx.write != nil {
+		err := c.ownChanges(ctx, f.ServiceTime, read)
+		res.tag = p.tag(int64(len(res.rows)))
+		return res, err
+	}
+	err := c.ep.serve(ctx, f.ServiceTime, func() error { return read(c.ep.store.readers) })
 	res.tag = p.tag(int64(len(res.rows)))
 	return res, err
 }
 
-// reading runs work on the session's own changes if it has some.
-func (c *session) reading(work func(q querier) error) error {
+// ownChanges runs work inside the session's write transaction. It holds a slot
+// for the service time before it waits for the write lock, so that who holds the
+// lock always gets a slot.
+func (c *session) ownChanges(ctx context.Context, service time.Duration, work func(q querier) error) error {
+	if err := c.ep.serve(ctx, service, func() error { return nil }); err != nil {
+		return err
+	}
+	return c.inWrite(ctx, work)
+}
+
+// inWrite runs work inside the session's write transaction, and gives the write
+// lock back if the transaction may stay open for long.
+func (c *session) inWrite(ctx context.Context, work func(q querier) error) error {
+	w := c.tx.write
+	if err := w.acquire(ctx); err != nil {
+		return err
+	}
+	if c.tx.block {
+		defer w.park()
+	}
+	return w.run(work)
+}
+
+// reading runs work on what the session sees.
+func (c *session) reading(ctx context.Context, work func(q querier) error) error {
 	if c.tx.write != nil {
-		return c.tx.write.run(work)
+		return c.inWrite(ctx, work)
 	}
 	return work(c.ep.store.readers)
 }
 
-// runWrite occupies a slot for the service time before it waits for the write
-// lock, so that a transaction that holds the lock always gets a slot.
 func (c *session) runWrite(ctx context.Context, p *parsedStatement, d description, args []any) (result, error) {
 	if err := c.ep.checkWritable(c.tx.term); err != nil {
 		return result{}, err
 	}
-	f, _ := c.srv.faults.get()
-	if err := c.ep.serve(ctx, f.ServiceTime, func() error { return nil }); err != nil {
-		return result{}, err
-	}
-	w, err := c.writing(ctx)
-	if err != nil {
-		return result{}, err
+	if c.tx.write == nil {
+		c.tx.write = &writeTx{ep: c.ep, term: c.tx.term}
 	}
+	w := c.tx.write
+	f, _ := c.srv.faults.get()
 	res := result{columns: d.columns}
-	err = w.run(func(q querier) error {
-		n, err := runIn(ctx, q, p, args, &res)
-		if err == nil && p.command == commandWrite {
-			w.record(Statement{SQL: p.sql, Values: encodeValues(args)}, p.ddl)
-		}
+	err := c.ownChanges(ctx, f.ServiceTime, func(q querier) error {
+		rows, n, err := runIn(ctx, q, p, args, len(d.columns) > 0)
+		res.rows = rows
 		res.tag = p.tag(n)
+		if err == nil {
+			w.record(newStep(p, args, res, n))
+		}
 		return err
 	})
 	return res, err
 }
 
-func runIn(ctx context.Context, q querier, p *parsedStatement, args []any, res *result) (int64, error) {
-	if len(res.columns) > 0 {
-		var err error
-		res.rows, err = fetch(ctx, q, p.sql, args)
-		return int64(len(res.rows)), err
+// runIn runs one statement and returns its rows and how many it changed.
+func runIn(ctx context.Context, q querier, p *parsedStatement, args []any, columns bool) ([][]any, int64, error) {
+	if columns {
+		rows, err := fetch(ctx, q, p.sql, args)
+		return rows, int64(len(rows)), err
 	}
 	r, err := q.ExecContext(ctx, p.sql, args...)
 	if err != nil {
-		return 0, err
+		return nil, 0, err
 	}
-	return r.RowsAffected()
+	n, err := r.RowsAffected()
+	return nil, n, err
 }
 
 func fetch(ctx context.Context, q querier, text string, args []any) ([][]any, error) {
--- a/internal/standin/database/extended.go
+++ b/internal/standin/database/extended.go
@@ -187,7 +187,7 @@
 func (c *session) sync() error {
 	c.skipping = false
 	if !c.tx.block {
-		if err := c.commit(); err != nil {
+		if err := c.commit(c.srv.ctx); err != nil {
 			if c.srv.ctx.Err() != nil {
 				return err
 			}
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -196,7 +196,7 @@
 func (c *session) receive() (pgproto3.FrontendMessage, error) {
 	idle := c.srv.cfg.IdleInTransaction
 	ctx := c.srv.ctx
-	if c.tx.block {
+	if c.tx.open {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, idle)
 		defer cancel()
@@ -209,7 +209,7 @@
 	}
 	var netErr net.Error
 	timedOut := errors.As(err, &netErr) && netErr.Timeout() || errors.Is(err, context.DeadlineExceeded)
-	if timedOut && c.tx.block && c.srv.ctx.Err() == nil {
+	if timedOut && c.tx.open && c.srv.ctx.Err() == nil {
 		c.rollback()
 		return nil, newFatal(stateIdleInTransaction, "terminating connection due to idle-in-transaction timeout")
 	}
--- a/internal/standin/database/simple.go
+++ b/internal/standin/database/simple.go
@@ -48,7 +48,7 @@
 		return err
 	}
 	if last && !c.tx.block {
-		if err := c.commit(); err != nil {
+		if err := c.commit(ctx); err != nil {
 			return err
 		}
 	}
@@ -79,7 +79,7 @@
 		return d, nil
 	}
 	var d description
-	err := c.reading(func(q querier) error {
+	err := c.reading(ctx, func(q querier) error {
 		var err error
 		d, err = describe(ctx, q, p)
 		return err
--- a/internal/standin/database/transaction.go
+++ b/internal/standin/database/transaction.go
@@ -42,18 +42,8 @@
 	c.tx.term = c.term
 }
 
-// writing returns the write transaction, and opens it if needed.
-func (c *session) writing(ctx context.Context) (*writeTx, error) {
-	if c.tx.write != nil {
-		return c.tx.write, nil
-	}
-	w, err := c.ep.beginWrite(ctx, c.tx.term)
-	c.tx.write = w
-	return w, err
-}
-
 // commit ends the transaction. Nothing is committed if it returns an error.
-func (c *session) commit() error {
+func (c *session) commit(ctx context.Context) error {
 	w := c.tx.write
 	failed := c.tx.failed
 	c.tx = transaction{}
@@ -61,11 +51,15 @@
 	if w == nil || failed {
 		return nil
 	}
-	if err := c.srv.faults.waitWhile(c.srv.ctx, Faults.paused); err != nil {
+	if err := c.srv.faults.waitWhile(ctx, Faults.paused); err != nil {
 		w.rollback()
 		return err
 	}
-	return w.commit()
+	err := w.commit(ctx)
+	if err != nil {
+		w.rollback()
+	}
+	return err
 }
 
 func (c *session) rollback() {
--- a/internal/standin/database/write_tx.go
+++ b/internal/standin/database/write_tx.go
@@ -11,34 +11,51 @@
 )
 
 // writeTx is a client's write transaction. It holds the endpoint's write lock
-// until it is committed, rolled back or aborted by a change of the term.
+// only while a statement runs or until the end of an implicit transaction:
+// inside a block its statements are repeated before the next one and at COMMIT,
+// so that an open transaction blocks no other writer. If a repeated statement
+// has another result than the client was told, the transaction fails with
+// SQLSTATE 40001.
 type writeTx struct {
 	ep *endpoint
 	// term is the term in which the client's transaction began.
 	term uint64
 
-	mu         sync.Mutex
-	tx         *sql.Tx
-	done       bool
-	statements []Statement
-	ddl        bool
+	mu sync.Mutex
+	// tx is the open engine transaction, nil while the write lock is not held.
+	tx    *sql.Tx
+	done  bool
+	steps []step
+	ddl   bool
 }
 
-// beginWrite opens a write transaction for a client's transaction that began at
-// the term.
-func (ep *endpoint) beginWrite(ctx context.Context, term uint64) (*writeTx, error) {
-	if err := ep.checkWritable(term); err != nil {
-		return nil, err
+// acquire takes the write lock, opens an engine transaction and repeats the
+// statements so far.
+func (w *writeTx) acquire(ctx context.Context) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.done {
+		return w.abortedError()
 	}
-	if err := ep.writeLock.Acquire(ctx, 1); err != nil {
-		return nil, err
+	if w.tx != nil {
+		return nil
+	}
+	if err := w.ep.writeLock.Acquire(ctx, 1); err != nil {
+		return err
 	}
-	w := &writeTx{ep: ep, term: term}
 	if err := w.open(); err != nil {
-		ep.writeLock.Release(1)
-		return nil, err
+		w.ep.writeLock.Release(1)
+		return err
+	}
+	if err := w.repeat(ctx); err != nil {
+		w.end()
+		return err
 	}
-	return w, nil
+	return nil
+}
+
+func (w *writeTx) abortedError() error {
+	return newError(stateReadOnly, "transaction of term %d was aborted by a change of the term", w.term)
 }
 
 func (w *writeTx) open() error {
@@ -46,17 +63,26 @@
 	if err != nil {
 		return err
 	}
-	w.tx = tx
 	w.ep.mu.Lock()
 	defer w.ep.mu.Unlock()
 	if err := w.ep.checkWritableLocked(w.term); err != nil {
 		_ = tx.Rollback()
 		return err
 	}
+	w.tx = tx
 	w.ep.active = w
 	return nil
 }
 
+func (w *writeTx) repeat(ctx context.Context) error {
+	for _, s := range w.steps {
+		if err := s.repeat(ctx, w.tx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (ep *endpoint) checkWritable(term uint64) error {
 	ep.mu.RLock()
 	defer ep.mu.RUnlock()
@@ -78,37 +104,68 @@
 func (w *writeTx) run(work func(q querier) error) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.done {
-		return newError(stateReadOnly, "transaction of term %d was aborted by a change of the term", w.term)
+	if w.done || w.tx == nil {
+		return w.abortedError()
 	}
 	return work(w.tx)
 }
 
-func (w *writeTx) record(st Statement, ddl bool) {
-	w.statements = append(w.statements, st)
-	w.ddl = w.ddl || ddl
+// park gives the write lock back between two statements of a block.
+func (w *writeTx) park() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.tx != nil {
+		_ = w.tx.Rollback()
+		w.release()
+	}
+}
+
+func (w *writeTx) record(s step) {
+	w.steps = append(w.steps, s)
+	w.ddl = w.ddl || s.statement.ddl
+}
+
+// logged returns the statements of the log entry.
+func (w *writeTx) logged() []Statement {
+	var out []Statement
+	for _, s := range w.steps {
+		if s.statement.command == commandWrite {
+			out = append(out, Statement{SQL: s.statement.sql, Values: encodeValues(s.args)})
+		}
+	}
+	return out
 }
 
 // commit appends the entry to the log in the same engine transaction as the
 // changes. The term is checked under the lock that AdvanceTerm takes.
-func (w *writeTx) commit() error {
+func (w *writeTx) commit(ctx context.Context) error {
+	if err := w.acquire(ctx); err != nil {
+		return err
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.done {
-		return newError(stateReadOnly, "transaction of term %d was aborted by a change of the term", w.term)
+		return w.abortedError()
 	}
-	defer w.finish()
-	ep := w.ep
+	defer func() {
+		w.done = true
+		w.release()
+	}()
+	return w.ep.commitWrite(w)
+}
+
+func (ep *endpoint) commitWrite(w *writeTx) error {
 	ep.mu.Lock()
 	defer ep.mu.Unlock()
 	if err := ep.checkWritableLocked(w.term); err != nil {
 		_ = w.tx.Rollback()
 		return err
 	}
-	if len(w.statements) == 0 {
+	statements := w.logged()
+	if len(statements) == 0 {
 		return w.tx.Rollback()
 	}
-	entry := ep.nextEntry(w.term, w.statements)
+	entry := ep.nextEntry(w.term, statements)
 	if err := commitEntry(w.tx, entry); err != nil {
 		return err
 	}
@@ -151,20 +208,27 @@
 func (w *writeTx) rollback() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.done {
-		return
-	}
-	_ = w.tx.Rollback()
-	w.finish()
+	w.end()
 }
 
-// finish releases the write lock; w.mu must be held.
-func (w *writeTx) finish() {
+// end rolls back for good; w.mu must be held.
+func (w *writeTx) end() {
 	w.done = true
+	if w.tx != nil {
+		_ = w.tx.Rollback()
+		w.release()
+	}
+}
+
+// release gives the write lock back after the end of the engine transaction;
+// w.mu must be held.
+func (w *writeTx) release() {
+	w.tx = nil
 	w.ep.writeLock.Release(1)
 }
 
-// abortActive rolls back the open write transaction of an earlier term.
+// abortActive rolls back the transaction of an earlier term that may hold the
+// write lock. Others find the changed term when they run their next statement.
 func (ep *endpoint) abortActive() {
 	ep.mu.Lock()
 	w := ep.active
