--- a/internal/manifeststore/resolve.go
+++ b/internal/manifeststore/resolve.go
@@ -42,6 +42,10 @@
 	switch {
 	case found && winner.ApplyID == a.item.ApplyID:
 		return a.done(), true, nil
+	case len(manifest.Diff(accepted.Document, a.doc)) == 0:
+		// Another apply of the same document won, such as an earlier run of this
+		// command whose write took effect late.
+		return Result{Generation: accepted.Item.Generation, Unchanged: true}, true, nil
 	case found || !a.unknown:
 		return Result{}, true, a.conflict(ctx, accepted)
 	default:
@@ -65,7 +69,7 @@
 
 // baseDocument returns the manifest that the apply was based on.
 func (a *apply) baseDocument(ctx context.Context, theirs *Accepted) (*manifest.Document, bool) {
-	if a.base.Item.Generation == a.expected {
+	if a.base.Item.Generation == a.expected && a.base.Document != nil {
 		return a.base.Document, true
 	}
 	if a.expected == 0 {
