--- /dev/null
+++ b/internal/daemon/manifests.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"context"
+
+	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
+	"github.com/beryltrestle/beryltrestle/internal/manifeststore"
+	"github.com/beryltrestle/beryltrestle/internal/manifestsync"
+	"github.com/beryltrestle/beryltrestle/internal/platform"
+)
+
+// manifests keeps this daemon's manifest up to date; see manifestsync.Syncer.
+type manifests interface {
+	Run(ctx context.Context) error
+	// Observe is told the generation that a peer applies.
+	Observe(address string, generation uint64)
+	// SetHosts is told each new version of the platform's host list.
+	SetHosts(hosts platform.Hosts)
+	FetchManifest(ctx context.Context, req *peerv1.FetchManifestRequest) (*peerv1.FetchManifestResponse, error)
+}
+
+func (d *Daemon) newManifests() manifests {
+	s := d.cfg.Settings
+	return manifestsync.New(manifestsync.Config{
+		Name:      s.Name,
+		Address:   s.PeerAddress,
+		Store:     manifeststore.New(d.cfg.Table, d.cfg.Objects),
+		Peers:     d.calls,
+		HostList:  d.cfg.Hosts,
+		Bootstrap: s.Peers,
+		Publish:   d.loop.SetManifest,
+		Metrics:   d.metrics,
+		Log:       d.cfg.Log,
+	})
+}
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -21,6 +21,8 @@
 
 	// mu serialises the batches of the transaction.
 	mu sync.Mutex
+	// wrote is true once a statement was sent that may hold locks.
+	wrote bool
 	// conn is nil once the transaction has ended.
 	conn *conn
 }
@@ -87,9 +89,7 @@
 		return refused(transactionLost())
 	}
 	t.timer.Reset(idleTransactionTimeout)
-	work := r.work(t.conn.address)
-	work.Priority = transactionPriority
-	grant, ref := r.g.admit(ctx, work)
+	grant, ref := r.admitInTransaction(ctx, t)
 	if ref != nil {
 		r.o.dropTransaction(t, false)
 		return refused(ref)
@@ -134,6 +134,34 @@
 	return a
 }
 
+// admitInTransaction waits for a slot. A statement of a transaction that may
+// hold locks runs without one: all slots may be taken by statements that wait
+// for those locks, and none of them would ever end. So does every statement
+// while the group is drained, when no slots are given.
+func (r *request) admitInTransaction(ctx context.Context, t *transaction) (grantOf, *refusal) {
+	holdsLocks := t.wrote || r.info.Ends
+	t.wrote = t.wrote || !r.info.ReadOnly
+	if r.g.enterWithoutSlot(holdsLocks) {
+		return grantOf{}, nil
+	}
+	work := r.work(t.conn.address)
+	work.Priority = transactionPriority
+	return r.g.admit(ctx, work)
+}
+
+// enterWithoutSlot counts a request as in flight without a slot if it holds
+// locks or the group is being drained, and reports whether it did.
+func (g *group) enterWithoutSlot(holdsLocks bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	draining := g.view.Owned && g.view.Changing
+	if !holdsLocks && !draining {
+		return false
+	}
+	g.inFlight++
+	return true
+}
+
 func transactionLost() *refusal {
 	return notRun(metrics.RefusedTransactionLost, stateSerialization, "the transaction was rolled back since its connection was lost")
 }
