--- a/coord/admission/sim_test.go
+++ b/coord/admission/sim_test.go
@@ -352,23 +352,26 @@
 	}
 }
 
-// Measures the table of docs/design/admission.md.
-func TestCompareOrders(t *testing.T) {
-	if testing.Short() {
-		t.Skip("comparison of orders")
-	}
-	for name, make := range map[string]func(float64) simulation{"cooperative": cooperative, "lindqvist": lindqvist} {
+// Measures the table of docs/design/admission.md; run it once with -benchtime 1x.
+func BenchmarkCompareOrders(b *testing.B) {
+	for range b.N {
 		for _, crest := range []float64{1, 5, 10} {
 			for _, p := range simPolicies() {
-				r := make(crest).run(p.make())
-				seconds := make(crest).length.Seconds() - 5
-				t.Logf("%-11s %2.0fx %-8s good/s %6.0f of %6.0f, useful %5.1f%%, late %5d, refused %6d (%6d at once), p50 %6.1f ms, p99 %7.1f ms, long %4d, replica %5.1f%%",
-					name, crest, p.name, float64(r.good)/seconds, float64(r.offered)/seconds, make(crest).usefulShare(r), r.late, r.refused, r.atOnce,
-					ms(r.quantile(0.5)), ms(r.quantile(0.99)), r.longDone,
-					100*float64(r.replicaReads)/float64(max(r.eligibleReads, 1)))
+				b.Log(compareRow("cooperative", p.name, cooperative(crest), p.make()))
+				b.Log(compareRow("lindqvist", p.name, lindqvist(crest), p.make()))
 			}
 		}
 	}
 }
 
+func compareRow(name, policy string, c simulation, s Scheduler) string {
+	r := c.run(s)
+	seconds := c.length.Seconds() - 5
+	atOnce := 100 * float64(r.atOnce) / float64(max(r.refused, 1))
+	return fmt.Sprintf("| %s | %.0fx | %s | %.0f | %.0f | %.1f | %d | %d | %.0f | %.1f | %.0f | %.1f |",
+		name, c.crest, policy, float64(r.offered)/seconds, float64(r.good)/seconds, c.usefulShare(r),
+		r.late, r.refused, atOnce, ms(r.quantile(0.5)), ms(r.quantile(0.99)),
+		100*float64(r.replicaReads)/float64(max(r.eligibleReads, 1)))
+}
+
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/coord/confirm/confirm_test.go
+++ b/coord/confirm/confirm_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/beryltrestle/beryltrestle/coord/confirm"
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
@@ -50,3 +51,61 @@
 	g.Expect(c.TermSeen()).To(BeZero())
 	g.Expect(c.Received()).To(Equal(logpos.Position{}))
 }
+
+// Guards against a majority that is counted wrongly, with answers in any order:
+// both results are compared with their definitions.
+func TestMajoritiesMatchTheirDefinition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "d", "e"}[:rapid.IntRange(1, 5).Draw(t, "endpoints")]
+		c := confirm.New(7, names)
+		received := map[string]logpos.Position{}
+		started := map[string]int{}
+		for range rapid.IntRange(0, 20).Draw(t, "answers") {
+			name := rapid.SampledFrom(names).Draw(t, "name")
+			term := rapid.Uint64Range(6, 8).Draw(t, "term")
+			p := pos(rapid.Uint64Range(6, 7).Draw(t, "log term"), rapid.Uint64Range(1, 9).Draw(t, "offset"))
+			ms := rapid.IntRange(1, 50).Draw(t, "started")
+			c.Observe(name, term, p, at(ms))
+			if term != 7 {
+				continue
+			}
+			started[name] = max(started[name], ms)
+			if p.Term == 7 {
+				received[name] = logpos.Max(received[name], p)
+			}
+		}
+		var wantReceived logpos.Position
+		var wantSeen time.Time
+		for _, candidate := range names {
+			n, m := 0, 0
+			for _, name := range names {
+				if !received[name].Less(received[candidate]) {
+					n++
+				}
+				if started[name] >= started[candidate] {
+					m++
+				}
+			}
+			if 2*n > len(names) {
+				wantReceived = logpos.Max(wantReceived, received[candidate])
+			}
+			if 2*m > len(names) && started[candidate] > 0 && at(started[candidate]).After(wantSeen) {
+				wantSeen = at(started[candidate])
+			}
+		}
+		if c.Received() != wantReceived || !c.TermSeen().Equal(wantSeen) {
+			t.Fatalf("received %v at %v, want %v at %v", c.Received(), c.TermSeen(), wantReceived, wantSeen)
+		}
+	})
+}
+
+// Measures one status answer and both queries.
+func BenchmarkObserve(b *testing.B) {
+	c := confirm.New(7, []string{"a", "b", "c"})
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		c.Observe("b", 7, pos(7, uint64(n)), at(n))
+		c.Received()
+		c.TermSeen()
+	}
+}
--- a/coord/outcomes/table.go
+++ b/coord/outcomes/table.go
@@ -93,7 +93,7 @@
 }
 
 // Query returns what is known of the request. An ID that was never seen is
-// recorded as never to run and NotRun is returned. If the table has no room for
+// recorded as never to run for MaxLifetime, and NotRun is returned. If the table has no room for
 // that record, the answer is Unknown, because the request could still arrive.
 func (t *Table) Query(id ID, now time.Time) Record {
 	t.Expire(now)
--- /dev/null
+++ b/coord/outcomes/table_test.go
@@ -0,0 +1,152 @@
+package outcomes_test
+
+import (
+	"encoding/binary"
+	"runtime"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/beryltrestle/beryltrestle/coord/outcomes"
+)
+
+func idOf(n uint64) (id outcomes.ID) {
+	binary.LittleEndian.PutUint64(id[:], n)
+	return id
+}
+
+// Guards against "not run" for a request that ran, against a request that runs
+// after it was reported as not run, and against unbounded memory.
+func TestNotRunIsNeverWrong(t *testing.T) {
+	const maxRecords, ids = 8, 14
+	rapid.Check(t, func(t *rapid.T) {
+		table := outcomes.New(4, 10*time.Second,
+			outcomes.WithMaxRecords(maxRecords), outcomes.WithMaxAnswerBytes(10))
+		now := at(0)
+		began := map[uint64]bool{}
+		result := map[uint64]outcomes.Outcome{}
+		ended := map[uint64]time.Time{}
+		reported := map[uint64]time.Time{}
+		id := func() uint64 { return rapid.Uint64Range(0, ids).Draw(t, "id") }
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 15).Draw(t, "seconds")) * time.Second)
+			},
+			"begin": func(t *rapid.T) {
+				n := id()
+				ok := table.Begin(idOf(n), now)
+				since, told := reported[n]
+				if ok && told && now.Sub(since) < outcomes.MaxLifetime {
+					t.Fatalf("%d runs %v after it was reported as not run", n, now.Sub(since))
+				}
+				if ok && began[n] && (ended[n].IsZero() || now.Sub(ended[n]) < outcomes.MaxLifetime) {
+					t.Fatalf("%d runs twice", n)
+				}
+				if ok {
+					began[n], result[n], ended[n] = true, outcomes.Running, time.Time{}
+				}
+			},
+			"finish": func(t *rapid.T) {
+				n := id()
+				o := rapid.SampledFrom([]outcomes.Outcome{outcomes.Done, outcomes.NotRun, outcomes.Unknown}).Draw(t, "outcome")
+				table.Finish(idOf(n), now, outcomes.Record{Outcome: o, Answer: []byte("1234"), HasAnswer: true})
+				if r := result[n]; began[n] && (r == outcomes.Running || r == outcomes.Unknown) {
+					result[n] = o
+					if ended[n].IsZero() {
+						ended[n] = now
+					}
+				}
+			},
+			"query": func(t *rapid.T) {
+				n := id()
+				r := table.Query(idOf(n), now)
+				remembered := began[n] && (ended[n].IsZero() || now.Sub(ended[n]) < outcomes.MaxLifetime)
+				if remembered && r.Outcome != result[n] {
+					t.Fatalf("%d is %v, want %v", n, r.Outcome, result[n])
+				}
+				// The record lasts from the first report: the request was sent before
+				// it, and lives no longer than MaxLifetime.
+				since, told := reported[n]
+				if !remembered && r.Outcome == outcomes.NotRun && (!told || now.Sub(since) >= outcomes.MaxLifetime) {
+					reported[n] = now
+					delete(began, n)
+				}
+			},
+			"": func(t *rapid.T) {
+				if table.Len() > maxRecords+maxRecords/8 || table.AnswerBytes() > 10 {
+					t.Fatalf("%d records, %d bytes of answers", table.Len(), table.AnswerBytes())
+				}
+			},
+		})
+	})
+}
+
+// Guards against a confirmed write that is reported as not run after a failover,
+// and a lost one that is reported as done, also when a further promotion came in
+// between.
+func TestResolveIsNeverWrong(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lower := rapid.Uint64Range(1, 10).Draw(t, "lower")
+		commit := lower + rapid.Uint64Range(1, 5).Draw(t, "commit")
+		w := outcomes.Write{
+			Lower: pos(4, lower), Upper: pos(4, commit+rapid.Uint64Range(0, 3).Draw(t, "slack")),
+			UpperKnown: rapid.Bool().Draw(t, "upper known"),
+		}
+		kept := rapid.Uint64Range(0, 20).Draw(t, "kept")
+		promotion := pos(4, kept)
+		switch rapid.IntRange(0, 2).Draw(t, "promotion") {
+		case 1: // The promoted endpoint had received nothing of the term.
+			kept, promotion = 0, pos(3, 40)
+		case 2: // The promotion point seen is that of a later failover.
+			promotion = pos(5, kept+rapid.Uint64Range(1, 9).Draw(t, "later"))
+		}
+		ran := commit <= kept
+		switch got := outcomes.Resolve(w, promotion); {
+		case got == outcomes.Done && !ran, got == outcomes.NotRun && ran, got == outcomes.Running:
+			t.Fatalf("%v for %+v at %v; the new primary has it: %v", got, w, promotion, ran)
+		}
+	})
+}
+
+// Guards against an answer that outlives its retention or its size limit.
+func TestAnswersAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	table := outcomes.New(4, 10*time.Second)
+	for n, answer := range []string{"1234", "12345"} {
+		g.Expect(table.Begin(idOf(uint64(n)), at(0))).To(BeTrue())
+		table.Finish(idOf(uint64(n)), at(0), outcomes.Record{Outcome: outcomes.Done, Answer: []byte(answer), HasAnswer: true})
+	}
+	g.Expect(table.Query(idOf(0), at(9)).HasAnswer).To(BeTrue())
+	g.Expect(table.Query(idOf(1), at(9))).To(Equal(outcomes.Record{Outcome: outcomes.Done}))
+	g.Expect(table.Query(idOf(0), at(10))).To(Equal(outcomes.Record{Outcome: outcomes.Done}))
+	g.Expect(table.Expire(at(60))).To(Equal(2))
+}
+
+// Measures the time of a request's record, and its memory once the answer has
+// expired; see docs/design/outcomes.md.
+func BenchmarkRecord(b *testing.B) {
+	const records = 100_000
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	table := outcomes.New(32<<10, 10*time.Second)
+	for n := range uint64(records) {
+		table.Begin(idOf(n), at(0))
+		table.Finish(idOf(n), at(0), outcomes.Record{Outcome: outcomes.Done})
+	}
+	table.Expire(at(30))
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	perRecord := float64(after.HeapAlloc-before.HeapAlloc) / records
+	n := uint64(records)
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		now := at(31 + int(n/2000))
+		table.Begin(idOf(n), now)
+		table.Finish(idOf(n), now, outcomes.Record{Outcome: outcomes.Done})
+	}
+	b.ReportMetric(perRecord, "bytes/record")
+}
--- a/coord/routing/staleness_test.go
+++ b/coord/routing/staleness_test.go
@@ -57,3 +57,13 @@
 		}
 	})
 }
+
+// Measures a sample and an age with the largest number of samples kept.
+func BenchmarkStaleness(b *testing.B) {
+	s := routing.NewStaleness()
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		s.Sample(at(n*20), pos(uint64(n)))
+		s.Age(at(n*20), pos(uint64(max(n-500, 0))))
+	}
+}
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -185,3 +185,11 @@
 	_, err = statement.NewRules(manifest.Pool{Name: "p", Classes: []manifest.Class{{Match: manifest.Match{Pattern: "("}}}})
 	g.Expect(err).To(MatchError(ContainSubstring(`pool "p"`)))
 }
+
+// Measures the classification of a typical lookup.
+func BenchmarkClassifySQL(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		statement.ClassifySQL("/* kind=lookup */ SELECT id, due, fitter FROM visits WHERE customer = $1 AND due > '2026-01-01' ORDER BY due LIMIT 20")
+	}
+}
