--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -7,6 +7,7 @@
 	Manifest manifestCommands `cmd:"" help:"Check, compare, apply and show manifests."`
 	Status   statusCommand    `cmd:"" help:"Show the state of a daemon."`
 	Demo     demoCommand      `cmd:"" help:"Show the main job on embedded stand-ins; ends by itself in under 30 s."`
+	Measure  measureCommand   `cmd:"" help:"Measure a scenario on embedded stand-ins."`
 	Standin  standinCommands  `cmd:"" help:"Run stand-ins for tests and demonstrations."`
 }
 
