Add focused tests of the claim rules; fix waits after lost claims

The back-off ended before the time given to a newer owner, so its jitter had no effect; it now starts after that time. An owner cut off from all endpoints claimed a term without hope of a majority and announced itself meanwhile, which delayed the candidates; it now replaces a missed primary only if a majority answered since.

--- a/coord/claim/model_test.go
+++ b/coord/claim/model_test.go
@@ -19,6 +19,8 @@
 	address string
 	log     []entry
 	down    bool
+	// refuses makes promotions fail.
+	refuses bool
 }
 
 func (s *server) end() logpos.Position {
@@ -40,7 +42,7 @@
 			s.Role = claim.RoleFenced
 		}
 		s.Term, s.Holder = c.Term, holder
-	case c.Term != s.Term || holder != s.Holder:
+	case c.Term != s.Term || holder != s.Holder || c.Kind == claim.CallPromote && s.refuses:
 		return false
 	case c.Kind == claim.CallPromote:
 		s.Role, s.AppointedTerm, s.Primary = claim.RolePrimary, c.Term, ""
--- a/coord/claim/serve.go
+++ b/coord/claim/serve.go
@@ -76,8 +76,9 @@
 
 // primaryLost reports whether the primary is to be replaced: it was missed, an
 // error of traffic was confirmed by a failed poll, or it is no primary any more.
-// Without a lease the owner may itself be cut off, and a claim could not get a
-// majority.
+// If no majority has answered since the primary's last answer, the owner itself
+// may be cut off: a claim could get no majority and would only delay the
+// candidates.
 func (m *Machine) primaryLost(now time.Time) bool {
 	r := m.records[m.primary]
 	if r == nil {
@@ -89,7 +90,7 @@
 	since := latest(r.aliveAt, m.evidenceSince, m.promotedAt)
 	switch {
 	case now.Sub(since) >= PrimaryMissed:
-		return true
+		return m.lease.Start(m.addresses()).After(r.aliveAt)
 	case r.failed && !r.suspectedAt.Before(m.evidenceSince):
 		return true
 	}
--- a/coord/claim/timing.go
+++ b/coord/claim/timing.go
@@ -42,10 +42,10 @@
 	MarkerPatience = 3 * time.Second
 	// Stall is the gap between two steps above which all evidence is discarded.
 	Stall = 300 * time.Millisecond
-	// BackoffMin is the shortest wait after a lost claim. A winner needs a few
-	// round trips before its heartbeat ends the loser's attempt.
-	BackoffMin = 400 * time.Millisecond
-	// BackoffMax is the longest wait after a lost claim.
+	// BackoffMin is the mean wait, beyond HeartbeatMissed, after the first lost
+	// claim. It exceeds the duration of an undisturbed claim.
+	BackoffMin = 200 * time.Millisecond
+	// BackoffMax bounds the mean wait after further lost claims.
 	BackoffMax = 3200 * time.Millisecond
 	// SwitchoverHold is the longest hold of new writes before the primary of a
 	// planned switchover is fenced even if transactions are still open.
--- a/coord/claim/watch.go
+++ b/coord/claim/watch.go
@@ -78,10 +78,11 @@
 	m.backOff(now)
 }
 
-// backOff sets the time of the next attempt, with jitter so that two claimants
-// that blocked each other don't meet again.
+// backOff sets the time of the next attempt. Whoever is ahead gets the time to
+// be heard; jitter keeps two claimants that blocked each other from meeting
+// again.
 func (m *Machine) backOff(now time.Time) {
 	d := min(BackoffMin<<m.failures, BackoffMax)
 	m.failures = min(m.failures+1, 8)
-	m.retryAt = now.Add(d/2 + time.Duration(m.random.Int64N(int64(d))))
+	m.retryAt = now.Add(HeartbeatMissed + d/2 + time.Duration(m.random.Int64N(int64(d))))
 }
--- a/coord/claim/world_test.go
+++ b/coord/claim/world_test.go
@@ -72,8 +72,10 @@
 		w.servers = append(w.servers, &server{address: a})
 		w.endpoints = append(w.endpoints, claim.Endpoint{Address: a})
 	}
-	for i := range nodes {
+	for range nodes {
 		w.nodes = append(w.nodes, &node{rate: 1})
+	}
+	for i := range w.nodes {
 		w.restart(i)
 	}
 	return w
@@ -118,9 +120,12 @@
 	w.queue = append(w.queue, scheduled{w.now + d, do})
 }
 
-// deliver gives an event to a node's current process; a paused one takes it
-// when it resumes.
+// deliver gives an event to a node, unless its process has been replaced; a
+// paused one takes it when it resumes.
 func (w *world) deliver(n *node, e claim.Event) {
+	if !slices.Contains(w.nodes, n) {
+		return
+	}
 	if n.paused {
 		n.inbox = append(n.inbox, e)
 		return
--- a/internal/control/fake_cluster_test.go
+++ b/internal/control/fake_cluster_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"os"
+	"io"
 	"sync"
 	"testing"
 	"time"
@@ -66,10 +66,11 @@
 
 func (c *cluster) newDaemon(i uint64, drain func(context.Context, string)) *daemon {
 	d := &daemon{address: fmt.Sprintf("d%d", i), metrics: metrics.NewRegistry()}
-	log := zerolog.Nop()
-	if os.Getenv("CONTROL_TEST_LOG") != "" {
-		log = zerolog.New(os.Stderr).With().Timestamp().Str("daemon", d.address).Logger()
-	}
+	log := zerolog.New(io.Discard).Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, message string) {
+		if message == "group owned" && !d.View().Groups[pool].Owned {
+			c.t.Errorf("%s acts on a state before its View is published", d.address)
+		}
+	}))
 	d.Loop = control.New(control.Config{
 		Name: d.address, Address: d.address, Incarnation: 100 + i, Seed: i,
 		GroupControl: c.endpoints, Peers: &fakePeers{c, d},
