--- a/internal/entry/fake_owner_test.go
+++ b/internal/entry/fake_owner_test.go
@@ -66,6 +66,12 @@
 	return append([]*peerv1.Request(nil), o.requests...)
 }
 
+func (o *fakeOwner) closedTransactions() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]string(nil), o.closed...)
+}
+
 // answerBatch answers a batch as a database would.
 func answerBatch(req *peerv1.Request, w peer.AnswerWriter) {
 	out, status := batchAnswer(req)
--- a/internal/entry/protocol_test.go
+++ b/internal/entry/protocol_test.go
@@ -299,14 +299,24 @@
 	c.conn.Close()
 	g.Eventually(ended).Should(Receive())
 	begin := h.owner.seen()[0]
-	g.Eventually(func() []string {
-		h.owner.mu.Lock()
-		defer h.owner.mu.Unlock()
-		return append([]string(nil), h.owner.closed...)
-	}).Should(ContainElement(string(begin.GetRequestId())))
+	g.Eventually(h.owner.closedTransactions).Should(ContainElement(string(begin.GetRequestId())))
 	g.Eventually(func() int64 { return h.metrics.Values()[string(metrics.CallersOpen)] }).Should(BeZero())
 }
 
+// Guards against a transaction that stays open after its caller has gone while
+// no request ran.
+func TestIdleCallerGone(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, nil)
+	c := h.raw(t)
+	c.Send(&pgproto3.Query{String: "begin"})
+	g.Expect(c.Flush()).To(Succeed())
+	c.types('Z')
+	c.conn.Close()
+	begin := h.owner.seen()[0]
+	g.Eventually(h.owner.closedTransactions).Should(ContainElement(string(begin.GetRequestId())))
+}
+
 // Guards against one slow caller with a large result that delays the others.
 func TestSlowCallerDelaysNoOther(t *testing.T) {
 	g := NewWithT(t)
