--- a/internal/history/op.go
+++ b/internal/history/op.go
@@ -48,6 +48,8 @@
 	// Holder is the booking ID that a Holder read returned; empty if none.
 	Holder string
 	Result Result
+	// Attempts is how often the request was sent; 0 means once.
+	Attempts int
 	// Reason is the counter name that the caller was given with a refusal.
 	Reason string
 	// Start and End are the times of call and return.
--- a/internal/workload/session.go
+++ b/internal/workload/session.go
@@ -22,6 +22,9 @@
 // operationTimeout bounds one operation; longer ones end as unknown.
 const operationTimeout = 15 * time.Second
 
+// maxAttempts bounds how often a keyed booking is sent.
+const maxAttempts = 4
+
 // Session is one user's session. It is not safe for concurrent use.
 type Session struct {
 	Name string
@@ -30,8 +33,8 @@
 	// Entries are the addresses that the session uses in turn.
 	Entries  []string
 	Recorder *history.Recorder
-	// Keyed adds a request key to each booking and repeats it once after an
-	// unknown outcome.
+	// Keyed adds a request key to each booking and repeats it after an unknown
+	// outcome.
 	Keyed bool
 
 	conns map[string]*pgx.Conn
@@ -50,12 +53,25 @@
 		Frame:   frame,
 	}
 	op = s.run(ctx, op, s.insert)
-	if op.Result == history.Unknown && s.Keyed {
-		start := op.Start
+	if s.Keyed {
+		op = s.repeatUnknown(ctx, op)
+	}
+	s.Recorder.Add(op)
+	return op
+}
+
+// repeatUnknown repeats a booking under its request key while its outcome is
+// unknown. A repeat that did not run leaves the outcome of the first unknown.
+func (s *Session) repeatUnknown(ctx context.Context, op history.Op) history.Op {
+	start := op.Start
+	for n := 2; n <= maxAttempts && op.Result == history.Unknown; n++ {
 		op = s.run(ctx, op, s.insert)
 		op.Start = start
+		op.Attempts = n
+		if op.Result == history.NotRun {
+			op.Result = history.Unknown
+		}
 	}
-	s.Recorder.Add(op)
 	return op
 }
 
