Take no request key from a batch that only prepares

Cause: a driver sends Parse, Describe and Sync before it executes. That batch names the same request key, so its answer was recorded under the key and was returned to the batch that executes; the caller then waited for an answer to its Execute for ever. Ruled out: a statement waiting for a slot or a lock, as no request was running at any owner while the caller waited.

--- a/internal/statement/batch.go
+++ b/internal/statement/batch.go
@@ -30,6 +30,9 @@
 		}
 		at += headerBytes + len(body)
 	}
+	if !b.executes {
+		b.info.RequestKey = ""
+	}
 	b.info.ReadOnly = b.texts > 0 && !b.writes && len(b.info.Unresolved) == 0
 	return b.info, nil
 }
@@ -51,7 +54,9 @@
 	info   Info
 	texts  int
 	writes bool
-	parsed map[string]bool
+	// executes is true if the batch runs a statement, and does not only prepare.
+	executes bool
+	parsed   map[string]bool
 }
 
 func (b *batchInfo) message(kind byte, body []byte, at int) error {
@@ -65,6 +70,7 @@
 	case 'D':
 		return b.describe(body, at)
 	case 'E':
+		b.executes = true
 		return decode(&pgproto3.Execute{}, body, at)
 	case 'C':
 		return decode(&pgproto3.Close{}, body, at)
@@ -81,6 +87,7 @@
 	if err := decode(&m, body, at); err != nil {
 		return err
 	}
+	b.executes = true
 	b.addText(m.String)
 	return nil
 }
--- a/internal/statement/info.go
+++ b/internal/statement/info.go
@@ -19,7 +19,9 @@
 	Fingerprint uint64
 	// Tag is the value of the first comment /* kind=TAG */.
 	Tag string
-	// RequestKey is the value of the first comment /* request_key=KEY */.
+	// RequestKey is the value of the first comment /* request_key=KEY */; empty
+	// for a batch that only prepares or describes, since the record of its answer
+	// would be returned to the batch that executes.
 	RequestKey string
 	// Text is the SQL text; the texts of several messages are joined by ";\n".
 	Text string
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -153,6 +153,21 @@
 	g.Expect(i.Unresolved).To(Equal([]string{"earlier"}))
 }
 
+// Guards against the answer to a preparation being recorded under the request
+// key, and then returned to the batch that executes the statement.
+func TestOnlyExecutionHasARequestKey(t *testing.T) {
+	g := NewWithT(t)
+	insert := "/* request_key=k1 */ insert into x values ($1)"
+	i, err := statement.Classify(batch(t,
+		&pgproto3.Parse{Query: insert}, &pgproto3.Describe{ObjectType: 'S'}, &pgproto3.Sync{}))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(i.RequestKey).To(BeEmpty())
+
+	i, err = statement.Classify(batch(t, &pgproto3.Query{String: insert}))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(i.RequestKey).To(Equal("k1"))
+}
+
 // Guards against a panic or a wrong class on bytes that are not messages.
 func TestClassifyRejectsMalformedBatches(t *testing.T) {
 	g := NewWithT(t)
