Find bookings that are stored although they were refused; test request keys under failure

A booking that ran twice was hidden by its primary key: the second run is refused as taken. The checker now reports a booking that is refused and stored.

--- a/internal/history/check.go
+++ b/internal/history/check.go
@@ -35,6 +35,8 @@
 			found = append(found, Violation{RuleLost, op.ID})
 		case op.Result == NotRun && n > 0:
 			found = append(found, Violation{RuleNotRunRan, op.ID})
+		case op.Result == Taken && n > 0:
+			found = append(found, Violation{RuleRefusedStored, op.ID})
 		}
 	}
 	return found
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -28,9 +28,11 @@
 		{Kind: history.Book, ID: "ran", Result: history.NotRun},
 		{Kind: history.Book, ID: "maybe", Result: history.Unknown},
 		{Kind: history.Book, ID: "kept", Result: history.OK},
+		{Kind: history.Book, ID: "refused", Result: history.Taken},
+		{Kind: history.Book, ID: "sent twice", Result: history.Taken},
 	}
-	found := history.Check(ops, map[string]int{"twice": 2, "ran": 1, "kept": 1})
-	g.Expect(rules(found)).To(ConsistOf(history.RuleLost, history.RuleDuplicate, history.RuleNotRunRan))
+	found := history.Check(ops, map[string]int{"twice": 2, "ran": 1, "kept": 1, "sent twice": 1})
+	g.Expect(rules(found)).To(ConsistOf(history.RuleLost, history.RuleDuplicate, history.RuleNotRunRan, history.RuleRefusedStored))
 }
 
 // Guards against a checker that accepts reads below what the session has seen.
--- a/internal/history/violation.go
+++ b/internal/history/violation.go
@@ -7,9 +7,12 @@
 
 // Rules that Check verifies.
 const (
-	RuleLost           Rule = "confirmed booking lost"
-	RuleDuplicate      Rule = "booking made twice"
-	RuleNotRunRan      Rule = "booking reported as not run did run"
+	RuleLost      Rule = "confirmed booking lost"
+	RuleDuplicate Rule = "booking made twice"
+	RuleNotRunRan Rule = "booking reported as not run did run"
+	// RuleRefusedStored also finds a booking that was sent to the database twice:
+	// the second one meets the first one's key.
+	RuleRefusedStored  Rule = "booking refused as taken is stored"
 	RuleReadYourWrites Rule = "read below the session's own booking"
 	RuleMonotonicReads Rule = "read below the session's earlier read"
 	RuleLinearizable   Rule = "frame history is not linearizable"
--- a/internal/proof/keyed_test.go
+++ b/internal/proof/keyed_test.go
@@ -30,6 +30,7 @@
 		time.Sleep(settled)
 	}
 	r.check()
+	t.Logf("%d bookings were repeated", repeated(r.rec.Ops()))
 	r.g.Expect(repeated(r.rec.Ops())).To(BeNumerically(">", 0), "no booking was repeated after an unknown outcome")
 }
 
