Keep rankings that a change of the hosts does not touch

Each manifest and each change of a host ranked all hosts for all pools on the control goroutine. Rankings are now carried over a change of the hosts, and most hosts are skipped without a logarithm.

--- a/coord/placement/rank.go
+++ b/coord/placement/rank.go
@@ -23,7 +23,11 @@
 	top := make([]scored, 0, n)
 	seed := xxhash.Sum64String(group)
 	for i := range hosts {
-		top = insert(top, scored{score(seed, &hosts[i]), i}, hosts)
+		u := uniform(seed, &hosts[i])
+		if len(top) == n && below(u, &hosts[i], top[n-1].score) {
+			continue
+		}
+		top = insert(top, scored{score(u, &hosts[i]), i}, hosts)
 	}
 	ranked := make([]Host, len(top))
 	for i, s := range top {
@@ -59,15 +63,28 @@
 	return hosts[a.index].Name < hosts[b.index].Name
 }
 
-// score is -weight/ln(h), with h uniform in (0, 1). The greatest score belongs
-// to each host with a probability proportional to its weight.
-func score(group uint64, h *Host) float64 {
+// uniform returns a number in (0, 1) that depends on the group and the host.
+func uniform(group uint64, h *Host) float64 {
 	x := mix(group ^ xxhash.Sum64String(h.Name))
-	// 53 bits fill a float64's mantissa; the half keeps h away from 0 and 1.
-	u := (float64(x>>11) + 0.5) / (1 << 53)
-	return -float64(max(h.Weight, 1)) / math.Log(u)
+	// 53 bits fill a float64's mantissa; the half keeps the result away from 0 and 1.
+	return (float64(x>>11) + 0.5) / (1 << 53)
 }
 
+// score is -weight/ln(u). The greatest score belongs to each host with a
+// probability proportional to its weight.
+func score(u float64, h *Host) float64 { return -weight(h) / math.Log(u) }
+
+// below reports whether the score is surely less than the worst of the best,
+// without the logarithm: -ln(u) is at least 1-u. The margin exceeds the rounding
+// errors of both computations.
+func below(u float64, h *Host, worst float64) bool {
+	const margin = 1e-9
+	return weight(h) < worst*(1-u)*(1-margin)
+}
+
+// weight returns the host's weight, at least 1.
+func weight(h *Host) float64 { return float64(max(h.Weight, 1)) }
+
 // mix spreads the combination of two hashes over all bits (the finalizer of
 // SplitMix64), because the exclusive or of hashes alone correlates the rankings
 // of two groups.
--- a/coord/placement/rank_test.go
+++ b/coord/placement/rank_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/beryltrestle/beryltrestle/coord/placement"
 )
@@ -48,6 +50,36 @@
 	}
 }
 
+// Guards against a ranking carried over a change of the hosts that differs from
+// the one of a daemon that ranks anew, and against a shortcut that skips a host
+// that belongs to the best.
+func TestRerankEqualsRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(label string) []placement.Host {
+			var list []placement.Host
+			for i := range 12 {
+				if rapid.Bool().Draw(t, label) {
+					w := rapid.IntRange(0, 3).Draw(t, "weight")
+					list = append(list, placement.Host{Name: fmt.Sprint("host-", i), Weight: w})
+				}
+			}
+			return list
+		}
+		before, after := draw("before"), draw("after")
+		n := rapid.IntRange(1, 5).Draw(t, "n")
+		change := placement.Compare(before, after)
+		for i := range 50 {
+			group := fmt.Sprint("pool-", i)
+			got := placement.Rerank(group, placement.Rank(group, before, n), change, after, n)
+			want := placement.Rank(group, after, len(after))
+			want = want[:min(n, len(want))]
+			if len(got)+len(want) > 0 && !slices.Equal(got, want) {
+				t.Fatalf("group %s: %v instead of %v", group, got, want)
+			}
+		}
+	})
+}
+
 func BenchmarkRank(b *testing.B) {
 	for _, n := range []int{14, 5500} {
 		hs := hosts(n)
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -4,12 +4,15 @@
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/claim"
+	"github.com/beryltrestle/beryltrestle/coord/placement"
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
 )
 
 // group is the loop's state of one pool.
 type group struct {
-	pool       manifest.Pool
+	pool manifest.Pool
+	// ranked are the best hosts in placement, candidates their addresses.
+	ranked     []placement.Host
 	candidates []string
 	// machine is nil while this daemon has no part in the group.
 	machine *claim.Machine
--- a/internal/control/inputs.go
+++ b/internal/control/inputs.go
@@ -77,20 +77,36 @@
 	l.dirtyAll = true
 }
 
-// place ranks the hosts for every pool.
+// place ranks the hosts for every pool. Rankings that a change of the hosts does
+// not touch are kept: ranking 5,500 hosts for 6,800 pools takes longer than the
+// read lease, and a manifest that changes one pool comes every 13 s.
 func (l *Loop) place(now time.Time) {
 	hosts := l.members.Placeable()
+	change := placement.Compare(l.placed, hosts)
+	l.placed = hosts
 	for name, g := range l.groups {
-		ranked := placement.Rank(name, hosts, candidateCount)
-		g.candidates = make([]string, len(ranked))
-		for i, h := range ranked {
-			g.candidates[i] = h.Address
-		}
+		l.rank(name, g, change)
 		l.setGroup(now, name, g)
 	}
 	l.dirtyAll = true
 }
 
+// rank brings the group's ranking up to date after a change of the hosts.
+func (l *Loop) rank(name string, g *group, change placement.Change) {
+	if g.ranked == nil {
+		g.ranked = placement.Rank(name, l.placed, candidateCount)
+	} else {
+		g.ranked = placement.Rerank(name, g.ranked, change, l.placed, candidateCount)
+	}
+	if g.candidates != nil && change.Empty() {
+		return
+	}
+	g.candidates = make([]string, len(g.ranked))
+	for i, h := range g.ranked {
+		g.candidates[i] = h.Address
+	}
+}
+
 // setGroup tells the machine of its endpoints and candidates, and creates or
 // drops the machine.
 func (l *Loop) setGroup(now time.Time, name string, g *group) {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -10,6 +10,7 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/claim"
 	"github.com/beryltrestle/beryltrestle/coord/membership"
+	"github.com/beryltrestle/beryltrestle/coord/placement"
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
@@ -45,10 +46,12 @@
 	changed atomic.Pointer[chan struct{}]
 
 	// The fields below belong to the control goroutine.
-	random        *rand.Rand
-	members       *membership.Members
-	generation    uint64
-	document      *manifest.Document
+	random     *rand.Rand
+	members    *membership.Members
+	generation uint64
+	document   *manifest.Document
+	// placed are the hosts of the current rankings.
+	placed        []placement.Host
 	groups        map[string]*group
 	active        map[string]*group
 	dirty         map[string]bool
--- /dev/null
+++ b/internal/peer/capacity_test.go
@@ -0,0 +1,190 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/internal/capacitytest"
+	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
+	"github.com/beryltrestle/beryltrestle/internal/peer"
+)
+
+// answeringControl answers heartbeats, pre-votes and fetches.
+type answeringControl struct{ fakeControl }
+
+func (*answeringControl) Heartbeat(context.Context, *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
+	return &peerv1.HeartbeatResponse{Incarnation: 1 << 62, ManifestGeneration: 5_000_000, HostListVersion: 900_000}, nil
+}
+
+func (*answeringControl) PreVote(context.Context, *peerv1.PreVoteRequest) (*peerv1.PreVoteResponse, error) {
+	return &peerv1.PreVoteResponse{OwnerAlive: true, HighestTerm: 90_000}, nil
+}
+
+func (*answeringControl) FetchManifest(context.Context, *peerv1.FetchManifestRequest) (*peerv1.FetchManifestResponse, error) {
+	return &peerv1.FetchManifestResponse{Generation: 5_000_000, Root: fmt.Sprintf("%064d", 7)}, nil
+}
+
+// startCounted returns a client and the counting listener of a service.
+func startCounted(b *testing.B) (*peer.Calls, *capacitytest.Listener, string) {
+	b.Helper()
+	ln := capacitytest.Listen(b)
+	service := peer.NewService(peer.ServiceConfig{Server: &fakeServer{serve: echo}, Control: &answeringControl{}})
+	go func() { _ = service.Serve(ln) }()
+	b.Cleanup(service.Close)
+	calls := peer.NewCalls(peer.Config{Address: "10.0.21.250:7430"})
+	b.Cleanup(calls.Close)
+	return calls, ln, ln.Addr().String()
+}
+
+// benchmarkCall measures a unary call, both sides together.
+func benchmarkCall(b *testing.B, call func(c *peer.Calls, address string) error) {
+	calls, ln, address := startCounted(b)
+	if err := call(calls, address); err != nil {
+		b.Fatal(err)
+	}
+	in, out, start := ln.In.Load(), ln.Out.Load(), capacitytest.Processor()
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := call(calls, address); err != nil {
+			b.Fatal(err)
+		}
+	}
+	capacitytest.Report(b, start, ln.In.Load()-in, ln.Out.Load()-out)
+}
+
+// Measures a heartbeat that names n owned groups.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, n := range []int{0, 1, 2, 8} {
+		b.Run(fmt.Sprintf("groups=%d", n), func(b *testing.B) {
+			req := &peerv1.HeartbeatRequest{
+				Host: "entry-5499", Address: "10.0.21.250:7430", Incarnation: 1 << 62,
+				ManifestGeneration: 5_000_000, HostListVersion: 900_000, LoadPercent: 40,
+			}
+			for i := range n {
+				req.Owned = append(req.Owned, &peerv1.OwnedGroup{Pool: fmt.Sprintf("members-%04d", i), Term: 90_000})
+			}
+			benchmarkCall(b, func(c *peer.Calls, address string) error {
+				_, err := c.Heartbeat(context.Background(), address, req)
+				return err
+			})
+		})
+	}
+}
+
+// Measures one pre-vote.
+func BenchmarkPreVote(b *testing.B) {
+	req := &peerv1.PreVoteRequest{Pool: "members-0001", Term: 90_000, Candidate: "10.0.21.250:7430"}
+	benchmarkCall(b, func(c *peer.Calls, address string) error {
+		_, err := c.PreVote(context.Background(), address, req)
+		return err
+	})
+}
+
+// Measures a fetch from a peer that has no newer manifest.
+func BenchmarkFetchWithoutNews(b *testing.B) {
+	req := &peerv1.FetchManifestRequest{SinceGeneration: 5_000_000}
+	benchmarkCall(b, func(c *peer.Calls, address string) error {
+		_, err := c.FetchManifest(context.Background(), address, req)
+		return err
+	})
+}
+
+// Measures a heartbeat to a peer that this daemon has no connection to, as each
+// message to a random peer of thousands is.
+func BenchmarkHeartbeatOnNewConnection(b *testing.B) {
+	_, ln, address := startCounted(b)
+	req := &peerv1.HeartbeatRequest{Host: "entry-5499", Address: "10.0.21.250:7430", Incarnation: 1 << 62}
+	start := capacitytest.Processor()
+	for b.Loop() {
+		calls := peer.NewCalls(peer.Config{Address: "10.0.21.250:7430"})
+		if _, err := calls.Heartbeat(context.Background(), address, req); err != nil {
+			b.Fatal(err)
+		}
+		calls.Close()
+	}
+	capacitytest.Report(b, start, ln.In.Load(), ln.Out.Load())
+}
+
+// Measures connections on which nothing is sent after one call: bytes and
+// processor time for each connection and second, and memory of both sides.
+func BenchmarkIdleConnections(b *testing.B) {
+	const watched = 3 * time.Second
+	for _, n := range []int{20, 200} {
+		b.Run(fmt.Sprintf("connections=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				_, ln, address := startCounted(b)
+				before := capacitytest.Heap()
+				for range n {
+					calls := peer.NewCalls(peer.Config{Address: "10.0.21.250:7430"})
+					b.Cleanup(calls.Close)
+					if _, err := calls.Heartbeat(context.Background(), address, &peerv1.HeartbeatRequest{}); err != nil {
+						b.Fatal(err)
+					}
+				}
+				memory := capacitytest.Heap() - before
+				in, out, start := ln.In.Load(), ln.Out.Load(), capacitytest.Processor()
+				time.Sleep(watched)
+				per := 1 / (float64(n) * watched.Seconds())
+				b.ReportMetric(float64(capacitytest.Processor()-start)*per, "cpu-ns/conn/s")
+				b.ReportMetric(float64(ln.In.Load()-in)*per, "wire-in-B/conn/s")
+				b.ReportMetric(float64(ln.Out.Load()-out)*per, "wire-out-B/conn/s")
+				b.ReportMetric(float64(memory)/float64(n), "memory-B/conn")
+			}
+		})
+	}
+}
+
+// Measures a request on the shared stream, both sides together, by the number
+// of callers at once and of owners that they are spread over.
+func BenchmarkExchange(b *testing.B) {
+	for _, s := range []struct{ callers, owners int }{{1, 1}, {80, 1}, {80, 8}, {80, 80}} {
+		b.Run(fmt.Sprintf("callers=%d/owners=%d", s.callers, s.owners), func(b *testing.B) {
+			benchmarkExchange(b, s.callers, s.owners)
+		})
+	}
+}
+
+func benchmarkExchange(b *testing.B, callers, owners int) {
+	streams, _ := startStreams(b, peer.Config{})
+	var listeners []*capacitytest.Listener
+	for range owners {
+		_, ln, _ := startCounted(b)
+		listeners = append(listeners, ln)
+	}
+	body := string(make([]byte, 200))
+	var next atomic.Int64
+	run := func(total int64) {
+		next.Store(0)
+		var wg sync.WaitGroup
+		for c := range callers {
+			address := listeners[c%owners].Addr().String()
+			wg.Go(func() {
+				for next.Add(1) <= total {
+					if _, err := streams.Do(context.Background(), address, newRequest(body), func([]byte) error { return nil }); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+		}
+		wg.Wait()
+	}
+	run(int64(10 * callers))
+	wire := func() (in, out int64) {
+		for _, ln := range listeners {
+			in += ln.In.Load()
+			out += ln.Out.Load()
+		}
+		return in, out
+	}
+	in, out := wire()
+	start := capacitytest.Processor()
+	b.ResetTimer()
+	run(int64(b.N))
+	in2, out2 := wire()
+	capacitytest.Report(b, start, in2-in, out2-out)
+}
