Keep a lost transaction failed until the caller ends it

Cause: after its owner was lost a transaction was reported as ended, so a caller that overlooked the error ran the rest of it as single statements and saw its commit succeed. The entry now answers 25P02 until the transaction's end, and ROLLBACK to a commit. Before: status I after the error, the next insert reached an owner; after: status E, nothing reaches an owner. The test that expected status I now expects E for statements, I for a commit, as databases do.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -254,6 +254,9 @@
 		return c.refuse(b, refused)
 	}
 	ch := checkTexts(append(p.texts[:len(p.texts):len(p.texts)], p.parsed...))
+	if c.lostTransaction() && !b.onlyCloses() {
+		return c.answerLost(b, p, ch)
+	}
 	if refused := ch.refusal(); refused != nil {
 		return c.refuse(b, refused)
 	}
--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -20,6 +20,8 @@
 	classBegin
 	// classCommit may make the effects of a transaction permanent.
 	classCommit
+	// classRollback ends a transaction without an effect.
+	classRollback
 	// classLocal is answered by the entry.
 	classLocal
 	// classRefused needs session state or a protocol that pooling cannot keep.
@@ -142,6 +144,10 @@
 		return verdict{class: classBegin}
 	case "commit", "end":
 		return verdict{class: classCommit}
+	case "rollback", "abort":
+		if !slices.ContainsFunc(tokens, func(t token) bool { return t.text == "to" }) {
+			return verdict{class: classRollback}
+		}
 	case "select", "with", "values", "table", "show":
 		return classifyQuery(tokens)
 	}
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -289,7 +289,10 @@
 // Guards against a transaction that goes on at another owner, or a batch of a
 // lost transaction that is repeated.
 func TestLostTransaction(t *testing.T) {
-	for _, tc := range []struct{ text, code string }{{writeText, "08006"}, {"commit", "08007"}} {
+	for _, tc := range []struct {
+		text, code string
+		status     byte
+	}{{writeText, "08006", 'E'}, {"commit", "08007", 'I'}} {
 		t.Run(tc.text, func(t *testing.T) {
 			g := NewWithT(t)
 			h, link := linked(t)
@@ -301,6 +304,21 @@
 			g.Expect(conn.PgConn().TxStatus()).To(Equal(byte('T')))
 			_, err = conn.Exec(ctx, tc.text, pgx.QueryExecModeSimpleProtocol)
 			g.Expect(pgError(g, err).Code).To(Equal(tc.code))
+			g.Expect(conn.PgConn().TxStatus()).To(Equal(tc.status))
+			g.Expect(h.owner.seen()).To(HaveLen(2))
+			if tc.status == 'I' {
+				return
+			}
+			// A caller that overlooks the error must not write outside a transaction,
+			// and its commit must not look like one.
+			for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+				_, err = conn.Exec(ctx, writeText, mode)
+				g.Expect(pgError(g, err).Code).To(Equal("25P02"))
+				g.Expect(pgError(g, err).Detail).To(Equal("outcome=not_run reason=refused.transaction_lost"))
+			}
+			tag, err := conn.Exec(ctx, "commit", pgx.QueryExecModeSimpleProtocol)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(tag.String()).To(Equal("ROLLBACK"))
 			g.Expect(conn.PgConn().TxStatus()).To(Equal(byte('I')))
 			g.Expect(h.owner.seen()).To(HaveLen(2))
 		})
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -253,12 +253,8 @@
 		return res.err
 	}
 	if res.refusal != nil {
-		if r.c.transaction != nil && res.status == statusIdle {
-			// The owner may still hold the transaction that the caller is told is gone.
-			r.abandon(a)
-		}
-		r.c.setTransaction(res.status, a)
-		return r.refuse(res.refusal, res.status)
+		r.afterRefusal(a, res.status)
+		return r.refuse(res.refusal, r.c.status)
 	}
 	for _, change := range r.answer.changes {
 		r.c.statements.apply(change)
@@ -267,6 +263,20 @@
 	return r.send(res.status)
 }
 
+// afterRefusal records the transaction status after a refusal.
+func (r *request) afterRefusal(a attempt, status byte) {
+	lost := r.c.transaction != nil && status == statusIdle
+	if lost {
+		// The owner may still hold the transaction that the caller is told is gone.
+		r.abandon(a)
+	}
+	if lost && r.check.count(classCommit, classRollback) == 0 {
+		r.c.loseTransaction()
+		return
+	}
+	r.c.setTransaction(status, a)
+}
+
 // refuse ends the answer with an error.
 func (r *request) refuse(refused *refusal, status byte) error {
 	if !refused.counted {
