Hold writes and reads of new data until the previous read lease has ended

Cause: a read at a new owner could return a write of the new term while the previous owner's read lease still held; the same session could then read older data at the previous owner.

--- a/internal/owner/admit.go
+++ b/internal/owner/admit.go
@@ -67,6 +67,13 @@
 	return admission.Grant{}, gone
 }
 
+// untilConfirm returns the time until writes of this term can be confirmed.
+func (g *group) untilConfirm(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.view.ConfirmAfter.Sub(now)
+}
+
 // poolOf returns the connections to an endpoint in the current term.
 func (g *group) poolOf(addr string) (*connPool, uint64) {
 	g.mu.Lock()
--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -74,7 +74,14 @@
 	} else if !g.tracker.Received().Covers(c.write.Upper) {
 		return false, nil
 	}
-	return c.reads || !now.Before(g.view.ConfirmAfter), nil
+	return g.mayAnswer(now, c), nil
+}
+
+// mayAnswer reports whether the previous owner's read lease has ended, or the
+// batch saw nothing that a session could miss at the previous owner.
+func (g *group) mayAnswer(now time.Time, c confirmation) bool {
+	sawOldOnly := c.reads && g.view.Marker.Covers(c.write.Upper)
+	return sawOldOnly || !now.Before(g.view.ConfirmAfter)
 }
 
 // leaseValid uses the polls of the control goroutine and those made for
@@ -115,9 +122,6 @@
 
 // retryAt returns when a batch may be confirmed by time alone.
 func (g *group) retryAt(c confirmation) time.Time {
-	if c.reads || g.view.ConfirmAfter.IsZero() {
-		return time.Time{}
-	}
 	return g.view.ConfirmAfter
 }
 
--- a/internal/owner/request.go
+++ b/internal/owner/request.go
@@ -111,7 +111,7 @@
 	if r.info.Begins && r.o.isDraining() {
 		return refused(notRun(metrics.RefusedDraining, stateCannotConnect, "the host is leaving"))
 	}
-	grant, ref := r.g.admit(ctx, r.work(""))
+	grant, ref := r.admit(ctx)
 	if ref != nil {
 		return refused(ref)
 	}
@@ -133,6 +133,25 @@
 	return r.runOnce(ctx, grant, pool, c, term)
 }
 
+// admit waits for a slot. A write starts only when it can be confirmed: one that
+// ran while the previous owner's read lease may still hold would keep all reads
+// of its effects waiting.
+func (r *request) admit(ctx context.Context) (admission.Grant, *refusal) {
+	for {
+		grant, ref := r.g.admit(ctx, r.work(""))
+		if ref != nil || r.info.ReadOnly {
+			return grant, ref
+		}
+		wait := r.g.untilConfirm(time.Now())
+		if wait <= 0 {
+			return grant, nil
+		}
+		r.g.release(grant, 0, false)
+		r.g.end()
+		sleep(ctx, wait)
+	}
+}
+
 func (r *request) connect(ctx context.Context, pool *connPool) (*conn, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline())
 	defer cancel()
