--- a/internal/localdeploy/config.go
+++ b/internal/localdeploy/config.go
@@ -10,6 +10,7 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/admission"
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
+	"github.com/beryltrestle/beryltrestle/internal/settings"
 	"github.com/beryltrestle/beryltrestle/internal/standin/database"
 )
 
@@ -30,7 +31,9 @@
 	// NewScheduler and PrimaryOnly choose the policy; nil is the current one.
 	NewScheduler func() admission.Scheduler
 	PrimaryOnly  bool
-	Log          zerolog.Logger
+	// TLS is given to each daemon.
+	TLS settings.TLS
+	Log zerolog.Logger
 }
 
 // Rules are the kinds and classes of a pool.
--- a/internal/localdeploy/host.go
+++ b/internal/localdeploy/host.go
@@ -33,6 +33,7 @@
 	s.Name = fmt.Sprintf("host-%02d", i)
 	s.AvailabilityZone = d.zone(i)
 	s.CallerListen, s.PeerListen, s.AdminListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.TLS = d.cfg.TLS
 	s.Platform.TableEndpoint = d.Platform.URL()
 	s.Platform.ObjectEndpoint = d.Platform.URL()
 	s.Platform.HostListEndpoint = d.Platform.HostListURL()
