--- a/internal/measure/job.go
+++ b/internal/measure/job.go
@@ -16,7 +16,10 @@
 const (
 	// shortDeadline is the time within which short work counts as goodput.
 	shortDeadline = time.Second
-	longDeadline  = 30 * time.Second
+	// shortStart is the time within which short work must start: callers wait for
+	// shortDeadline, of which running, confirming and the way back need a part.
+	shortStart   = 800 * time.Millisecond
+	longDeadline = 30 * time.Second
 	// longWork is how long a ledger reconciliation holds its slot.
 	longWork = time.Second
 )
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -31,6 +31,8 @@
 	// BlockingRatio is the p99 of short work beside long work over that alone.
 	BlockingRatio *float64 `json:"blocking_ratio,omitempty"`
 	Check         Check    `json:"check"`
+	// Noise tells how much of the latencies is due to a busy machine.
+	Noise Noise `json:"noise"`
 }
 
 // PhaseReport is the result of one phase of constant load.
--- a/internal/measure/runner.go
+++ b/internal/measure/runner.go
@@ -30,6 +30,7 @@
 	roundTrip time.Duration
 	lag       time.Duration
 	start     time.Time
+	noise     Noise
 
 	mu       sync.Mutex
 	outcomes []outcome
