Keep the newest log entries of the stand-in in memory

Replicas read each new entry from a table and decoded it again. They now read the log's tail from memory. A replica with a long receive lag turns to a new primary at once; before, it waited the lag out.

--- a/internal/standin/database/apply.go
+++ b/internal/standin/database/apply.go
@@ -23,7 +23,7 @@
 	if err := ep.faults.waitWhile(ctx, Faults.paused); err != nil {
 		return err
 	}
-	entries, err := readEntries(ctx, ep.store.readers, ep.position().Offset, applyChunk)
+	entries, err := ep.entriesAfter(ctx, ep.position().Offset)
 	if err != nil || len(entries) == 0 {
 		return err
 	}
@@ -71,7 +71,7 @@
 			return err
 		}
 	}
-	if err := setApplied(tx, last); err != nil {
+	if err := ep.store.setApplied(tx, last); err != nil {
 		_ = tx.Rollback()
 		return err
 	}
@@ -104,7 +104,7 @@
 	if first.Offset != applied.Offset+1 || last.Offset > received.Offset {
 		return false, nil
 	}
-	term, err := termAt(ep.store.writer, last.Offset)
+	term, err := ep.termAt(last.Offset)
 	return term == last.Term, err
 }
 
--- a/internal/standin/database/control.go
+++ b/internal/standin/database/control.go
@@ -124,7 +124,7 @@
 		return err
 	}
 	marker := ep.nextEntry(term, nil)
-	if err := commitEntry(tx, marker); err != nil {
+	if err := ep.commitEntry(tx, marker); err != nil {
 		return err
 	}
 	ep.logGrew(marker.Position(), marker.Position())
@@ -134,7 +134,7 @@
 // applyAll applies the received log without a lag; writeLock must be held.
 func (ep *endpoint) applyAll(ctx context.Context) error {
 	for {
-		entries, err := readEntries(ctx, ep.store.readers, ep.position().Offset, applyChunk)
+		entries, err := ep.entriesAfter(ctx, ep.position().Offset)
 		if err != nil || len(entries) == 0 {
 			return err
 		}
--- a/internal/standin/database/endpoint.go
+++ b/internal/standin/database/endpoint.go
@@ -35,6 +35,7 @@
 	state    controlState
 	received logpos.Position
 	applied  logpos.Position
+	tail     logTail
 	active   *writeTx
 	// grown is closed and replaced when received, applied or state changes.
 	grown chan struct{}
--- a/internal/standin/database/log_page.go
+++ b/internal/standin/database/log_page.go
@@ -40,7 +40,14 @@
 	return page, ep.fillPage(ctx, &page, after)
 }
 
+// fillPage compares the logs at the position; mu must be held.
 func (ep *endpoint) fillPage(ctx context.Context, page *logPage, after logpos.Position) error {
+	if term, ok := ep.tail.termAt(after.Offset); ok && term == after.Term {
+		entries, _ := ep.tail.after(after.Offset)
+		page.Matches = true
+		page.add(entries)
+		return nil
+	}
 	term, err := termAt(ep.store.readers, after.Offset)
 	if err != nil {
 		return err
@@ -51,8 +58,12 @@
 		return err
 	}
 	entries, err := readEntries(ctx, ep.store.readers, after.Offset, applyChunk)
+	page.add(entries)
+	return err
+}
+
+func (p *logPage) add(entries []receivedEntry) {
 	for _, e := range entries {
-		page.Entries = append(page.Entries, e.Entry)
+		p.Entries = append(p.Entries, e.Entry)
 	}
-	return err
 }
--- a/internal/standin/database/replicate.go
+++ b/internal/standin/database/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"database/sql"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -56,10 +57,12 @@
 	if err := p.ep.faults.waitWhile(ctx, Faults.replicationBlocked); err != nil {
 		return err
 	}
-	pullCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	state, end := p.ep.followed()
-	go p.cancelOnFollow(pullCtx, cancel, state.Primary)
+	go p.cancelOnFollow(ctx, cancel, state.Primary)
+	pullCtx, cancelPull := context.WithTimeout(ctx, pullTimeout)
+	defer cancelPull()
 	if err := p.connect(pullCtx, state.Primary); err != nil {
 		return err
 	}
@@ -70,8 +73,9 @@
 	return p.ep.receive(ctx, page, end, state.Primary)
 }
 
-// cancelOnFollow ends a request to a primary that is no longer followed. A
-// primary that is cut off would otherwise hold the replica until pullTimeout.
+// cancelOnFollow ends the pull from a primary that is no longer followed. A
+// primary that is cut off, or a long receive lag, would otherwise hold up the
+// replica.
 func (p *puller) cancelOnFollow(ctx context.Context, cancel context.CancelFunc, primary string) {
 	changed := func() bool { return p.ep.state.Primary != primary }
 	if p.ep.waitChange(ctx, changed) == nil {
@@ -164,7 +168,7 @@
 	}
 	now := time.Now()
 	for _, e := range entries {
-		if err := appendEntry(tx, e, now); err != nil {
+		if err := ep.store.appendEntry(tx, receivedEntry{Entry: e, receivedAt: now}); err != nil {
 			_ = tx.Rollback()
 			return err
 		}
@@ -172,6 +176,9 @@
 	if err := tx.Commit(); err != nil {
 		return err
 	}
+	for _, e := range entries {
+		ep.tail.add(receivedEntry{Entry: e, receivedAt: now})
+	}
 	ep.logGrew(entries[len(entries)-1].Position(), ep.applied)
 	return nil
 }
@@ -220,7 +227,7 @@
 	if err != nil {
 		return err
 	}
-	applied, err := truncateIn(tx, offset, ep.applied)
+	applied, err := ep.store.truncate(tx, offset, ep.applied)
 	if err != nil {
 		_ = tx.Rollback()
 		return err
@@ -233,12 +240,13 @@
 	if err := tx.Commit(); err != nil {
 		return err
 	}
+	ep.tail.clear()
 	ep.catalog.clear()
 	ep.logGrew(end, applied)
 	return nil
 }
 
-func truncateIn(q querier, offset uint64, applied logpos.Position) (logpos.Position, error) {
+func (s *store) truncate(q *sql.Tx, offset uint64, applied logpos.Position) (logpos.Position, error) {
 	ctx := context.Background()
 	if _, err := q.ExecContext(ctx, "DELETE FROM platform_log WHERE log_offset > ?", int64(offset)); err != nil {
 		return applied, err
@@ -249,11 +257,11 @@
 	if err := dropTables(q); err != nil {
 		return applied, err
 	}
-	return rebuild(ctx, q)
+	return s.rebuild(ctx, q)
 }
 
 // rebuild applies the whole log to empty tables.
-func rebuild(ctx context.Context, q querier) (logpos.Position, error) {
+func (s *store) rebuild(ctx context.Context, q *sql.Tx) (logpos.Position, error) {
 	var end logpos.Position
 	for {
 		entries, err := readEntries(ctx, q, end.Offset, applyChunk)
@@ -261,7 +269,7 @@
 			return end, err
 		}
 		if len(entries) == 0 {
-			return end, setApplied(q, end)
+			return end, s.setApplied(q, end)
 		}
 		for _, e := range entries {
 			if err := applyEntry(q, e.Entry); err != nil {
--- a/internal/standin/database/store.go
+++ b/internal/standin/database/store.go
@@ -34,6 +34,9 @@
 type store struct {
 	readers *sql.DB
 	writer  *sql.DB
+	// insertLog and updateApplied are prepared on the writer's only connection.
+	insertLog     *sql.Stmt
+	updateApplied *sql.Stmt
 }
 
 // querier is a reader pool or a transaction.
@@ -53,13 +56,27 @@
 	if _, err := writer.Exec(schema); err != nil {
 		return nil, errors.CombineErrors(err, writer.Close())
 	}
-	readers, err := sql.Open("sqlite", path+"&_pragma=query_only(1)")
-	if err != nil {
+	s := &store{writer: writer}
+	if err := s.prepare(path); err != nil {
 		return nil, errors.CombineErrors(err, writer.Close())
 	}
-	readers.SetMaxOpenConns(readerConns)
-	readers.SetMaxIdleConns(readerConns)
-	return &store{readers: readers, writer: writer}, nil
+	return s, nil
+}
+
+func (s *store) prepare(path string) error {
+	var err error
+	if s.insertLog, err = s.writer.Prepare("INSERT INTO platform_log VALUES (?, ?, ?, ?)"); err != nil {
+		return err
+	}
+	if s.updateApplied, err = s.writer.Prepare("UPDATE platform_applied SET term = ?, log_offset = ?"); err != nil {
+		return err
+	}
+	if s.readers, err = sql.Open("sqlite", path+"&_pragma=query_only(1)"); err != nil {
+		return err
+	}
+	s.readers.SetMaxOpenConns(readerConns)
+	s.readers.SetMaxIdleConns(readerConns)
+	return nil
 }
 
 func (s *store) close() error {
@@ -87,19 +104,17 @@
 	return p, row.Scan(&p.Term, &p.Offset)
 }
 
-func setApplied(q querier, p logpos.Position) error {
-	_, err := q.ExecContext(context.Background(),
-		"UPDATE platform_applied SET term = ?, log_offset = ?", int64(p.Term), int64(p.Offset))
+func (s *store) setApplied(tx *sql.Tx, p logpos.Position) error {
+	_, err := tx.Stmt(s.updateApplied).Exec(int64(p.Term), int64(p.Offset))
 	return err
 }
 
-func appendEntry(q querier, e Entry, now time.Time) error {
-	body, err := json.Marshal(e)
+func (s *store) appendEntry(tx *sql.Tx, e receivedEntry) error {
+	body, err := json.Marshal(e.Entry)
 	if err != nil {
 		return err
 	}
-	_, err = q.ExecContext(context.Background(), "INSERT INTO platform_log VALUES (?, ?, ?, ?)",
-		int64(e.Offset), int64(e.Term), now.UnixNano(), string(body))
+	_, err = tx.Stmt(s.insertLog).Exec(int64(e.Offset), int64(e.Term), e.receivedAt.UnixNano(), string(body))
 	return err
 }
 
--- a/internal/standin/database/write_tx.go
+++ b/internal/standin/database/write_tx.go
@@ -166,7 +166,7 @@
 		return w.tx.Rollback()
 	}
 	entry := ep.nextEntry(w.term, statements)
-	if err := commitEntry(w.tx, entry); err != nil {
+	if err := ep.commitEntry(w.tx, entry); err != nil {
 		return err
 	}
 	ep.logGrew(entry.Position(), entry.Position())
@@ -185,17 +185,22 @@
 	}
 }
 
-// commitEntry appends an applied entry and commits.
-func commitEntry(tx *sql.Tx, e Entry) error {
-	err := appendEntry(tx, e, time.Now())
+// commitEntry appends an applied entry and commits; mu must be held.
+func (ep *endpoint) commitEntry(tx *sql.Tx, e Entry) error {
+	received := receivedEntry{Entry: e, receivedAt: time.Now()}
+	err := ep.store.appendEntry(tx, received)
 	if err == nil {
-		err = setApplied(tx, e.Position())
+		err = ep.store.setApplied(tx, e.Position())
 	}
 	if err != nil {
 		_ = tx.Rollback()
 		return err
 	}
-	return tx.Commit()
+	if err := tx.Commit(); err != nil {
+		return err
+	}
+	ep.tail.add(received)
+	return nil
 }
 
 // logGrew publishes positions after a commit; mu must be held.
