Renew leases without a new View; rank only what a host change touches

At 6,800 pools, publishing a View copies 2.6 MB and takes 4 ms, and each poll of an owned group published one. Renewals now go to a cell that published Views share, and statuses alone are published at most every 150 µs per pool. Ranking all pools for each host change would take 1.9 s (6,800 times the 273 µs measured for one pool); hosts are now hashed once, most logarithms are avoided, and unaffected pools are skipped. A leaving daemon now tells the other candidates at once.

--- a/coord/claim/machine_test.go
+++ b/coord/claim/machine_test.go
@@ -131,9 +131,9 @@
 func TestFailuresDuringStallReplaceNoPrimary(t *testing.T) {
 	g, w := owned(t, 1)
 	n := w.nodes[0]
+	w.fate = func() fate { return fate{answerLost: true} }
 	w.deliver(n, claim.TrafficError{Address: n.state.Primary})
 	n.paused = true
-	w.fate = func() fate { return fate{answerLost: true} }
 	w.runFor(claim.CallTimeout + 2*claim.Stall)
 	w.fate = promptFate
 	w.resume(n)
--- a/coord/claim/state.go
+++ b/coord/claim/state.go
@@ -76,15 +76,23 @@
 	return states
 }
 
-// Equal reports whether two snapshots are the same.
-func (s State) Equal(o State) bool {
-	if !maps.Equal(s.Endpoints, o.Endpoints) {
+// Similar reports whether two snapshots differ at most in what polls change
+// while nothing happens: the lease's start, and the time and log positions of
+// endpoints.
+func (s State) Similar(o State) bool {
+	if !maps.EqualFunc(s.Endpoints, o.Endpoints, EndpointState.similar) {
 		return false
 	}
 	s.Endpoints, o.Endpoints = nil, nil
+	s.LeaseStart, o.LeaseStart = time.Time{}, time.Time{}
 	return reflect.DeepEqual(s, o)
 }
 
+// Equal reports whether two snapshots are the same.
+func (s State) Equal(o State) bool {
+	return s.Similar(o) && s.LeaseStart.Equal(o.LeaseStart) && maps.Equal(s.Endpoints, o.Endpoints)
+}
+
 // Alive reports whether, from this daemon's point of view, the group has an
 // owner or a claimant that is likely to become one. It answers pre-votes.
 func (m *Machine) Alive(now time.Time) bool {
--- a/coord/claim/status.go
+++ b/coord/claim/status.go
@@ -44,3 +44,9 @@
 	// Reachable is false after a failed call.
 	Reachable bool
 }
+
+func (e EndpointState) similar(o EndpointState) bool {
+	e.At, o.At = time.Time{}, time.Time{}
+	e.Status.Received, e.Status.Applied = o.Status.Received, o.Status.Applied
+	return e == o
+}
--- a/coord/placement/rank.go
+++ b/coord/placement/rank.go
@@ -1,80 +1,15 @@
 package placement
 
-import (
-	"math"
-
-	"github.com/cespare/xxhash/v2"
-)
-
-// scored is a host with its score for one group.
+// scored is a host with its score for one group: -weight/ln(u), with u uniform
+// in (0, 1). The greatest score belongs to each host with a probability
+// proportional to its weight.
 type scored struct {
 	score float64
 	index int
 }
 
 // Rank returns the n best hosts for the group, best first; all of them if there
-// are fewer. It takes O(len(hosts) * n) time in the worst case and allocates
-// only the result.
+// are fewer. A Ranker is faster for more than one group.
 func Rank(group string, hosts []Host, n int) []Host {
-	n = min(n, len(hosts))
-	if n <= 0 {
-		return nil
-	}
-	top := make([]scored, 0, n)
-	seed := xxhash.Sum64String(group)
-	for i := range hosts {
-		top = insert(top, scored{score(seed, &hosts[i]), i}, hosts)
-	}
-	ranked := make([]Host, len(top))
-	for i, s := range top {
-		ranked[i] = hosts[s.index]
-	}
-	return ranked
-}
-
-// insert puts s in its place in top, which keeps its capacity.
-func insert(top []scored, s scored, hosts []Host) []scored {
-	if len(top) == cap(top) {
-		if !better(s, top[len(top)-1], hosts) {
-			return top
-		}
-		top = top[:len(top)-1]
-	}
-	at := len(top)
-	for at > 0 && better(s, top[at-1], hosts) {
-		at--
-	}
-	top = append(top, s)
-	copy(top[at+1:], top[at:])
-	top[at] = s
-	return top
-}
-
-// better orders by score; the name decides between equal scores so that the
-// order of the host list has no influence.
-func better(a, b scored, hosts []Host) bool {
-	if a.score != b.score {
-		return a.score > b.score
-	}
-	return hosts[a.index].Name < hosts[b.index].Name
-}
-
-// score is -weight/ln(h), with h uniform in (0, 1). The greatest score belongs
-// to each host with a probability proportional to its weight.
-func score(group uint64, h *Host) float64 {
-	x := mix(group ^ xxhash.Sum64String(h.Name))
-	// 53 bits fill a float64's mantissa; the half keeps h away from 0 and 1.
-	u := (float64(x>>11) + 0.5) / (1 << 53)
-	return -float64(max(h.Weight, 1)) / math.Log(u)
-}
-
-// mix spreads the combination of two hashes over all bits (the finalizer of
-// SplitMix64), because the exclusive or of hashes alone correlates the rankings
-// of two groups.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
+	return NewRanker(hosts).Rank(group, n)
 }
--- a/coord/placement/rank_test.go
+++ b/coord/placement/rank_test.go
@@ -51,10 +51,11 @@
 func BenchmarkRank(b *testing.B) {
 	for _, n := range []int{14, 5500} {
 		hs := hosts(n)
+		r := placement.NewRanker(hs)
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				placement.Rank("ledger", hs, 4)
+				r.Rank("ledger", 4)
 			}
 		})
 	}
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -4,17 +4,23 @@
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/claim"
+	"github.com/beryltrestle/beryltrestle/coord/placement"
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
 )
 
 // group is the loop's state of one pool.
 type group struct {
-	pool       manifest.Pool
+	pool manifest.Pool
+	// changed is set until the candidates are computed for a new pool document.
+	changed    bool
+	ranked     []placement.Host
 	candidates []string
 	// machine is nil while this daemon has no part in the group.
 	machine *claim.Machine
 	// state is the machine's state in the last View.
 	state claim.State
+	// lease is the cell of the owned term; nil while the group is not owned.
+	lease *leaseCell
 	// owner and heardAt are the last heartbeat, while there is no machine.
 	owner   claim.Owner
 	heardAt time.Time
@@ -39,6 +45,7 @@
 	v.PromotionPoint, v.ConfirmAfter = s.PromotionPoint, s.ConfirmAfter
 	v.LeaseStart, v.Changing = s.LeaseStart, s.Changing
 	v.OwnerAddress, v.OwnerIncarnation = s.Owner.Address, s.Owner.Incarnation
+	v.lease = g.lease
 	v.Endpoints = endpointViews(s.Endpoints)
 	return v
 }
--- a/internal/control/inputs.go
+++ b/internal/control/inputs.go
@@ -19,15 +19,17 @@
 
 // SetHosts takes a version of the platform's host list; older ones are ignored.
 func (l *Loop) SetHosts(hosts platform.Hosts) {
-	l.post(context.Background(), func(now time.Time) {
-		listed := make([]membership.Listed, len(hosts.Hosts))
-		for i, h := range hosts.Hosts {
-			listed[i] = membership.Listed{Name: h.Name, Leaving: h.State == platform.HostLeaving}
-		}
-		if l.members.SetList(hosts.Version, listed) {
-			l.place(now)
-		}
-	})
+	l.post(context.Background(), func(now time.Time) { l.setHosts(now, hosts) })
+}
+
+func (l *Loop) setHosts(now time.Time, hosts platform.Hosts) {
+	listed := make([]membership.Listed, len(hosts.Hosts))
+	for i, h := range hosts.Hosts {
+		listed[i] = membership.Listed{Name: h.Name, Leaving: h.State == platform.HostLeaving}
+	}
+	if l.members.SetList(hosts.Version, listed) {
+		l.place(now)
+	}
 }
 
 // ReportEndpointError implements Controller.
@@ -67,26 +69,13 @@
 			l.groups[p.Name] = g
 		}
 		g.pool = p
+		g.changed = true
 	}
 	for name := range l.groups {
 		if !known[name] {
+			l.drop(name, l.groups[name])
 			delete(l.groups, name)
-			delete(l.active, name)
-		}
-	}
-	l.dirtyAll = true
-}
-
-// place ranks the hosts for every pool.
-func (l *Loop) place(now time.Time) {
-	hosts := l.members.Placeable()
-	for name, g := range l.groups {
-		ranked := placement.Rank(name, hosts, candidateCount)
-		g.candidates = make([]string, len(ranked))
-		for i, h := range ranked {
-			g.candidates[i] = h.Address
 		}
-		l.setGroup(now, name, g)
 	}
 	l.dirtyAll = true
 }
@@ -124,6 +113,7 @@
 	}
 	g.owner = g.state.Owner
 	g.machine, g.state = nil, claim.State{}
+	g.renewLease()
 	delete(l.active, name)
 	l.dirty[name] = true
 }
--- /dev/null
+++ b/internal/control/lease_cell.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// leaseCell carries the renewals of one owned term to Views that are already
+// published, since publishing a View costs time for every pool.
+type leaseCell struct {
+	term  uint64
+	start atomic.Pointer[time.Time]
+	ended atomic.Bool
+}
+
+func newLeaseCell(term uint64, start time.Time) *leaseCell {
+	c := &leaseCell{term: term}
+	c.start.Store(&start)
+	return c
+}
+
+// valid reports whether the term is still owned under a current lease.
+func (c *leaseCell) valid(now time.Time) bool {
+	return !c.ended.Load() && now.Sub(*c.start.Load()) < ReadLease
+}
+
+// renewLease updates the cell of the group's owned term.
+func (g *group) renewLease() {
+	s := g.state
+	if g.lease != nil && (!s.Owned || g.lease.term != s.Term) {
+		g.lease.ended.Store(true)
+		g.lease = nil
+	}
+	switch {
+	case !s.Owned:
+	case g.lease == nil:
+		g.lease = newLeaseCell(s.Term, s.LeaseStart)
+	default:
+		g.lease.start.Store(&s.LeaseStart)
+	}
+}
--- a/internal/control/leave.go
+++ b/internal/control/leave.go
@@ -32,10 +32,25 @@
 	for name, g := range l.active {
 		l.step(now, name, g, claim.Leave{})
 	}
+	l.announceLeave()
 	l.place(now)
 	l.checkLeft()
 }
 
+// announceLeave tells the candidates of all groups in which this daemon takes
+// part that it is no candidate any more.
+func (l *Loop) announceLeave() {
+	told := map[string]bool{l.cfg.Address: true}
+	for _, g := range l.active {
+		for _, a := range g.candidates {
+			if !told[a] {
+				told[a] = true
+				l.sendHeartbeat(a, nil)
+			}
+		}
+	}
+}
+
 // checkLeft releases the callers of Leave once no group is held.
 func (l *Loop) checkLeft() {
 	if len(l.leaveWaiters) == 0 {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -10,6 +10,7 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/claim"
 	"github.com/beryltrestle/beryltrestle/coord/membership"
+	"github.com/beryltrestle/beryltrestle/coord/placement"
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
@@ -49,10 +50,13 @@
 	members       *membership.Members
 	generation    uint64
 	document      *manifest.Document
+	placed        []placement.Host
 	groups        map[string]*group
 	active        map[string]*group
 	dirty         map[string]bool
 	dirtyAll      bool
+	stale         map[string]bool
+	publishedAt   time.Time
 	pending       []pendingAction
 	lastBeat      time.Time
 	lastGossip    time.Time
@@ -79,6 +83,7 @@
 		groups:  make(map[string]*group),
 		active:  make(map[string]*group),
 		dirty:   make(map[string]bool),
+		stale:   make(map[string]bool),
 		beating: make(map[string]bool),
 	}
 	l.view.Store(&View{Groups: map[string]GroupView{}})
@@ -107,7 +112,7 @@
 			l.tick(time.Now())
 			timer.Reset(l.interval())
 		}
-		l.publish()
+		l.publish(time.Now())
 		l.runPending()
 	}
 }
@@ -152,11 +157,16 @@
 		l.pending = append(l.pending, pendingAction{pool: name, action: a})
 	}
 	s := g.machine.State()
-	if s.Equal(g.state) {
+	switch {
+	case s.Equal(g.state):
 		return
+	case s.Similar(g.state):
+		l.stale[name] = true
+	default:
+		l.dirty[name] = true
 	}
 	g.state = s
-	l.dirty[name] = true
+	g.renewLease()
 	if g.machine.Announces(now) && g.announced != s.Term {
 		g.announced = s.Term
 		l.beatNow = true
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -33,11 +33,15 @@
 	Marker logpos.Position
 	// PromotionPoint is the end of the log that the primary of Term started from.
 	PromotionPoint logpos.Position
-	// ConfirmAfter is the time before which no write of this term is confirmed.
+	// ConfirmAfter is the time before which no write of this term is confirmed,
+	// and no read that saw one is answered: an earlier owner may still serve reads
+	// that don't see it.
 	ConfirmAfter time.Time
-	// LeaseStart is the start of the latest poll that a majority answered with Term.
+	// LeaseStart is the start of the latest poll that a majority answered with
+	// Term, when the View was published; LeaseValid also counts later ones.
 	LeaseStart time.Time
-	// Changing is true while this daemon knows that the primary is being replaced.
+	// Changing is true while this daemon knows that the primary is being replaced,
+	// or hands the group over: new writes are held back, also while Owned.
 	Changing bool
 	// Endpoints holds the last status of each endpoint, by address.
 	Endpoints map[string]EndpointView
@@ -47,6 +51,8 @@
 	OwnerIncarnation uint64
 	// Candidates are the peer addresses of the group's candidates, best first.
 	Candidates []string
+	// lease holds later renewals; nil in a View that no Loop published.
+	lease *leaseCell
 }
 
 // EndpointView is the last known state of one endpoint.
@@ -66,7 +72,12 @@
 // over ReadLease.
 const DriftAllowance = 100 * time.Millisecond
 
-// LeaseValid reports whether reads may be served at now.
+// LeaseValid reports whether reads may be served at now. Renewals count, and so
+// does the end of the ownership, although they came after this View was
+// published.
 func (g GroupView) LeaseValid(now time.Time) bool {
+	if g.lease != nil {
+		return g.Owned && g.lease.valid(now)
+	}
 	return g.Owned && now.Sub(g.LeaseStart) < ReadLease
 }
