--- a/internal/control/inputs.go
+++ b/internal/control/inputs.go
@@ -70,8 +70,8 @@
 	}
 	for name := range l.groups {
 		if !known[name] {
+			l.drop(name, l.groups[name])
 			delete(l.groups, name)
-			delete(l.active, name)
 		}
 	}
 	l.dirtyAll = true
@@ -140,6 +140,7 @@
 	}
 	g.owner = g.state.Owner
 	g.machine, g.state = nil, claim.State{}
+	g.renewLease()
 	delete(l.active, name)
 	l.dirty[name] = true
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -56,6 +56,8 @@
 	active        map[string]*group
 	dirty         map[string]bool
 	dirtyAll      bool
+	stale         map[string]bool
+	publishedAt   time.Time
 	pending       []pendingAction
 	lastBeat      time.Time
 	lastGossip    time.Time
@@ -82,6 +84,7 @@
 		groups:  make(map[string]*group),
 		active:  make(map[string]*group),
 		dirty:   make(map[string]bool),
+		stale:   make(map[string]bool),
 		beating: make(map[string]bool),
 	}
 	l.view.Store(&View{Groups: map[string]GroupView{}})
@@ -155,11 +158,16 @@
 		l.pending = append(l.pending, pendingAction{pool: name, action: a})
 	}
 	s := g.machine.State()
-	if s.Equal(g.state) {
+	switch {
+	case s.Equal(g.state):
 		return
+	case s.Similar(g.state):
+		l.stale[name] = true
+	default:
+		l.dirty[name] = true
 	}
 	g.state = s
-	l.dirty[name] = true
+	g.renewLease()
 	if g.machine.Announces(now) && g.announced != s.Term {
 		g.announced = s.Term
 		l.beatNow = true
