Probe only exchange streams that are in use

HTTP/2 pings every 400 ms on every stream would cost a daemon with 5,500 peers about 14,000 pings/s, far beyond the control budget of 19 KB/s. A silent peer is now found by probes that are sent only while requests are pending (entry) or requests run or transactions are open (owner). TCP keepalives between daemons are rarer for the same reason.

--- a/internal/peer/calls.go
+++ b/internal/peer/calls.go
@@ -27,7 +27,7 @@
 	cfg = cfg.withDefaults()
 	return &Calls{
 		cfg:       cfg,
-		transport: newTransport(cfg),
+		transport: newTransport(cfg, callPingAfter, callPingTimeout),
 		clients:   make(map[string]peerv1connect.PeerServiceClient),
 	}
 }
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -37,6 +37,8 @@
 	ErrBackOff = errors.New("waiting before the next dial")
 	// ErrConnectTimeout reports that a stream was not established in time.
 	ErrConnectTimeout = errors.New("exchange stream was not established in time")
+	// ErrSilent reports that the peer did not answer a probe.
+	ErrSilent = errors.New("peer is silent")
 	// ErrCreditExceeded reports that the owner sent more than the credit allowed.
 	ErrCreditExceeded = errors.New("peer exceeded the credit of a request")
 	// ErrBadRequestID reports a request ID of the wrong length or one in use.
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,10 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	generation uint64
+	// empty is true while an empty frame is to be sent, as a probe or as the answer
+	// to one.
+	empty   atomic.Bool
+	monitor *monitor
 
 	mu      sync.Mutex
 	running map[requestID]*answerWriter
@@ -45,7 +50,7 @@
 	address string,
 ) *exchange {
 	ctx, cancel := context.WithCancel(ctx)
-	return &exchange{
+	x := &exchange{
 		cfg:     cfg,
 		load:    l,
 		conn:    conn,
@@ -57,12 +62,28 @@
 		open:    make(map[string]struct{}),
 		idle:    make(chan struct{}),
 	}
+	x.monitor = newMonitor(x.inUse, x.sendEmpty, cancel)
+	return x
+}
+
+// inUse reports whether requests run or transactions are open, which must end
+// if the entry has vanished.
+func (x *exchange) inUse() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.running)+len(x.open) > 0
+}
+
+// sendEmpty makes the sender send an empty frame.
+func (x *exchange) sendEmpty() {
+	x.empty.Store(true)
+	x.out.signal()
 }
 
 // run drives the stream until it ends. The first frame is empty; it tells the
 // entry that the stream is established.
 func (x *exchange) run() error {
-	defer x.closeTransactions()
+	defer x.monitor.stop()
 	defer x.cancel()
 	if err := x.sendFrame(nil); err != nil {
 		return err
@@ -76,6 +97,8 @@
 	go func() { received <- x.receiveAll() }()
 	err := x.waitEnd(received)
 	x.cancel()
+	// The sender may be blocked until the connection to a vanished entry is closed.
+	x.closeTransactions()
 	<-sent
 	return err
 }
@@ -109,10 +132,14 @@
 		if err != nil {
 			return err
 		}
+		x.monitor.hear()
 		if g := frame.GetManifestGeneration(); g != x.generation {
 			x.generation = g
 			x.cfg.Control.ObserveGeneration(x.address, g)
 		}
+		if len(frame.GetMessages()) == 0 {
+			x.sendEmpty()
+		}
 		for _, m := range frame.GetMessages() {
 			if err := x.handle(m); err != nil {
 				return connect.NewError(connect.CodeInvalidArgument, err)
@@ -196,6 +223,7 @@
 		return false
 	}
 	x.running[id] = w
+	x.monitor.watch()
 	return true
 }
 
@@ -284,7 +312,11 @@
 			return
 		case <-x.out.wake:
 		}
-		if x.sendFrame(x.out.take()) != nil {
+		answers := x.out.take()
+		if len(answers) == 0 && !x.empty.Swap(false) {
+			continue
+		}
+		if x.sendFrame(answers) != nil {
 			x.cancel()
 			return
 		}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -41,7 +41,7 @@
 	}
 	base, cancel := context.WithCancel(context.Background())
 	s := &Service{cfg: cfg, load: newLoad(), close: cancel}
-	h2 := http2Config()
+	h2 := http2Config(serverPingAfter, serverPingTimeout)
 	h2.MaxConcurrentStreams = maxConcurrentStreams
 	s.http = &http.Server{
 		Handler:           s.Handler(),
@@ -50,10 +50,22 @@
 		Protocols:         protocols(),
 		HTTP2:             h2,
 		BaseContext:       func(net.Listener) context.Context { return base },
+		ConnContext:       relaxKeepAlive,
 	}
 	return s
 }
 
+// relaxKeepAlive makes TCP keepalives rare; see keepAliveIdle.
+func relaxKeepAlive(ctx context.Context, conn net.Conn) context.Context {
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = wrapped.NetConn()
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle})
+	}
+	return ctx
+}
+
 // Handler returns the HTTP handler of PeerService.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -42,6 +43,9 @@
 	// established is closed once the owner's first frame arrived.
 	established chan struct{}
 	generation  uint64
+	monitor     *monitor
+	// probe is true while an empty frame is to be sent.
+	probe atomic.Bool
 
 	mu       sync.Mutex
 	over     bool
@@ -53,7 +57,7 @@
 // newStream returns a stream that is not yet running.
 func newStream(cfg Config, address string, client peerv1connect.PeerServiceClient) *stream {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	return &stream{
+	s := &stream{
 		cfg:         cfg,
 		address:     address,
 		client:      client,
@@ -65,6 +69,22 @@
 		open:        make(map[string]struct{}),
 		lastUsed:    time.Now(),
 	}
+	s.monitor = newMonitor(s.hasPending, s.sendProbe, func() { s.fail(ErrSilent) })
+	return s
+}
+
+// hasPending reports whether requests wait for answers.
+func (s *stream) hasPending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.pending) > 0
+}
+
+// sendProbe makes the sender send an empty frame, which the owner answers with
+// one.
+func (s *stream) sendProbe() {
+	s.probe.Store(true)
+	s.out.signal()
 }
 
 // register adds a call; it returns errStreamOver if the stream has ended.
@@ -79,6 +99,7 @@
 	}
 	s.pending[c.id] = c
 	s.lastUsed = time.Now()
+	s.monitor.watch()
 	return nil
 }
 
@@ -105,6 +126,7 @@
 	conn.RequestHeader().Set(addressHeader, s.cfg.Address)
 	timer := time.AfterFunc(connectTimeout, func() { s.fail(ErrConnectTimeout) })
 	defer timer.Stop()
+	defer s.monitor.stop()
 	if err := s.sendFrame(conn, nil); err != nil {
 		s.fail(err)
 		return false
@@ -137,7 +159,11 @@
 			return
 		case <-s.out.wake:
 		}
-		if err := s.sendFrame(conn, s.out.take()); err != nil {
+		items := s.out.take()
+		if len(items) == 0 && !s.probe.Swap(false) {
+			continue
+		}
+		if err := s.sendFrame(conn, items); err != nil {
 			// The receiver reports why the stream broke, unless only sending failed.
 			s.fail(err)
 			return
@@ -167,10 +193,15 @@
 	if err != nil {
 		return err
 	}
+	s.monitor.hear()
 	if g := frame.GetManifestGeneration(); g != s.generation {
 		s.generation = g
 		s.cfg.ObserveGeneration(s.address, g)
 	}
+	if len(frame.GetAnswers()) == 0 {
+		s.answerProbe()
+		return nil
+	}
 	for _, a := range frame.GetAnswers() {
 		if err := s.dispatch(a); err != nil {
 			return err
@@ -179,6 +210,16 @@
 	return nil
 }
 
+// answerProbe answers an empty frame of the owner with an empty message, which
+// the owner does not answer again. The first empty frame is the owner's greeting.
+func (s *stream) answerProbe() {
+	select {
+	case <-s.established:
+		s.send(nil, &peerv1.EntryMessage{})
+	default:
+	}
+}
+
 // dispatch hands an answer to its call. Answers of calls that have been given
 // up, or were never made, are discarded and counted.
 func (s *stream) dispatch(a *peerv1.Answer) error {
--- a/internal/peer/streams.go
+++ b/internal/peer/streams.go
@@ -33,7 +33,7 @@
 	return &Streams{
 		Calls:     NewCalls(cfg),
 		cfg:       cfg,
-		transport: newTransport(cfg),
+		transport: newTransport(cfg, 0, 0),
 		streams:   make(map[string]*stream),
 		delays:    make(map[string]*dialDelay),
 	}
--- a/internal/peer/streams_test.go
+++ b/internal/peer/streams_test.go
@@ -235,6 +235,27 @@
 	}
 }
 
+// Guards against probes that end a long request or an idle transaction of a
+// peer that is well.
+func TestLongRequestIsNotTakenForSilence(t *testing.T) {
+	g := NewWithT(t)
+	server := &fakeServer{serve: func(_ context.Context, req *peerv1.Request, w peer.AnswerWriter) {
+		time.Sleep(1500 * time.Millisecond)
+		w.Finish(done(string(req.GetBatch())))
+	}}
+	_, address := startService(t, peer.ServiceConfig{Server: server})
+	streams, _ := startStreams(t, peer.Config{})
+	begin := newRequest("T")
+	_, err := streams.Do(testContext(t), address, begin, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(1500 * time.Millisecond)
+	g.Expect(server.closedTransactions()).To(BeEmpty())
+	commit := newRequest("I")
+	commit.TransactionId = begin.GetRequestId()
+	_, err = streams.Do(testContext(t), address, commit, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
 // Guards the claim "never sent": a request to an owner that cannot be reached,
 // or that accepts connections and answers nothing, fails soon and as not sent.
 func TestUnreachableOwner(t *testing.T) {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -8,13 +8,27 @@
 	"connectrpc.com/connect"
 )
 
-// Limits of connections between daemons. A silent peer is found after
-// pingAfter plus pingTimeout, which together stay below 1 s.
+// Limits of connections between daemons.
 const (
-	connectTimeout  = time.Second
-	pingAfter       = 400 * time.Millisecond
-	pingTimeout     = 500 * time.Millisecond
-	idleConnTimeout = 30 * time.Second
+	connectTimeout = time.Second
+	// probeAfter and probeTimeout together bound the time after which a stream
+	// with pending requests finds that its peer is silent; they stay below 1 s.
+	// A stream without pending requests sends no probes: with thousands of peers,
+	// probes on idle streams would exceed the control budget of 19 KB/s.
+	probeAfter   = 400 * time.Millisecond
+	probeTimeout = 500 * time.Millisecond
+	// callPingAfter and callPingTimeout discard dead connections of unary calls,
+	// each of which has a timeout of its own.
+	callPingAfter   = 2 * time.Second
+	callPingTimeout = time.Second
+	idleConnTimeout = 5 * time.Second
+	// serverPingAfter and serverPingTimeout find entries that have vanished, so
+	// that their transactions don't hold connections to endpoints.
+	serverPingAfter   = 10 * time.Second
+	serverPingTimeout = 2 * time.Second
+	// keepAliveIdle replaces Go's default of 15 s between TCP keepalives, which
+	// would be most of the control traffic of a daemon with thousands of peers.
+	keepAliveIdle = 2 * time.Minute
 	// maxFrameBytes is the largest message between daemons; a request holds a
 	// batch of up to 16 MB.
 	maxFrameBytes = 64 << 20
@@ -26,16 +40,16 @@
 // addressHeader carries the sender's peer address.
 const addressHeader = "Beryltrestle-Peer-Address"
 
-// newTransport returns an HTTP/2 transport that finds silent peers by pings.
-func newTransport(cfg Config) *http.Transport {
+// newTransport returns an HTTP/2 transport. A pingAfter of 0 means no pings.
+func newTransport(cfg Config, pingAfter, pingTimeout time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: connectTimeout, KeepAlive: keepAliveIdle}).DialContext,
 		TLSClientConfig:     cfg.TLS.Clone(),
 		TLSHandshakeTimeout: connectTimeout,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 		Protocols:           protocols(),
-		HTTP2:               http2Config(),
+		HTTP2:               http2Config(pingAfter, pingTimeout),
 	}
 }
 
@@ -48,7 +62,7 @@
 }
 
 // http2Config is used on both sides.
-func http2Config() *http.HTTP2Config {
+func http2Config(pingAfter, pingTimeout time.Duration) *http.HTTP2Config {
 	return &http.HTTP2Config{
 		SendPingTimeout:               pingAfter,
 		PingTimeout:                   pingTimeout,
