--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -57,7 +57,6 @@
 	dirty         map[string]bool
 	dirtyAll      bool
 	stale         map[string]bool
-	publishedAt   time.Time
 	pending       []pendingAction
 	lastBeat      time.Time
 	lastGossip    time.Time
@@ -87,7 +86,7 @@
 		stale:   make(map[string]bool),
 		beating: make(map[string]bool),
 	}
-	l.view.Store(&View{Groups: map[string]GroupView{}})
+	l.view.Store(&View{})
 	ch := make(chan struct{})
 	l.changed.Store(&ch)
 	return l
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -1,16 +1,10 @@
 package control
 
 import (
+	"iter"
 	"maps"
-	"time"
 )
 
-// publishCost is the time between two Views that differ in endpoint statuses
-// only, for each pool of the manifest: a View copies an entry of each pool, and
-// without a limit the polls of a few groups among thousands of pools would take
-// more processor time than everything else in this package.
-const publishCost = 150 * time.Microsecond
-
 // View implements Controller.
 func (l *Loop) View() *View { return l.view.Load() }
 
@@ -18,41 +12,42 @@
 // View misses no change.
 func (l *Loop) Changed() <-chan struct{} { return *l.changed.Load() }
 
-// publish makes the current state visible: changes at once, mere renewals of
-// endpoint statuses at a limited rate.
+// publish makes the current state visible if it changed. A View shares what did
+// not change with the one before, so that the cost of a poll does not depend on
+// the number of pools.
 func (l *Loop) publish() {
-	now := time.Now()
-	changed := l.dirtyAll || len(l.dirty) > 0
-	interval := time.Duration(len(l.groups)) * publishCost
-	if !changed && (len(l.stale) == 0 || now.Sub(l.publishedAt) < interval) {
+	if !l.dirtyAll && len(l.dirty) == 0 && len(l.stale) == 0 {
 		return
 	}
-	v := &View{Generation: l.generation, Manifest: l.document, Groups: l.groupViews()}
+	old := l.view.Load()
+	v := &View{Generation: l.generation, Manifest: l.document}
+	if l.dirtyAll {
+		v.Groups = NewGroups(l.views(maps.Keys(l.groups)))
+	} else {
+		v.Groups = old.Groups.with(l.views(l.changedPools()))
+	}
 	l.dirtyAll = false
 	clear(l.dirty)
 	clear(l.stale)
-	l.publishedAt = now
 	l.view.Store(v)
 	ch := make(chan struct{})
 	close(*l.changed.Swap(&ch))
 }
 
-// groupViews returns the groups of the next View.
-func (l *Loop) groupViews() map[string]GroupView {
-	if l.dirtyAll {
-		views := make(map[string]GroupView, len(l.groups))
-		for name, g := range l.groups {
+// changedPools returns the pools that differ from the last View.
+func (l *Loop) changedPools() iter.Seq[string] {
+	names := maps.Clone(l.dirty)
+	maps.Copy(names, l.stale)
+	return maps.Keys(names)
+}
+
+// views returns the current views of those of the pools that the manifest holds.
+func (l *Loop) views(pools iter.Seq[string]) map[string]GroupView {
+	views := make(map[string]GroupView)
+	for name := range pools {
+		if g, ok := l.groups[name]; ok {
 			views[name] = g.view()
 		}
-		return views
-	}
-	views := maps.Clone(l.view.Load().Groups)
-	for _, names := range []map[string]bool{l.dirty, l.stale} {
-		for name := range names {
-			if g, ok := l.groups[name]; ok {
-				views[name] = g.view()
-			}
-		}
 	}
 	return views
 }
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -17,7 +17,13 @@
 	Generation uint64
 	Manifest   *manifest.Document
 	// Groups holds every pool of the manifest, by name.
-	Groups map[string]GroupView
+	Groups *Groups
+}
+
+// Group returns the view of a pool, the zero view if the manifest lacks it.
+func (v *View) Group(pool string) GroupView {
+	g, _ := v.Groups.Get(pool)
+	return g
 }
 
 // GroupView is the control state of one group.
@@ -72,6 +78,9 @@
 // over ReadLease.
 const DriftAllowance = 100 * time.Millisecond
 
+// local reports whether this daemon has a part in the group.
+func (g GroupView) local() bool { return g.Owned || g.Changing || len(g.Endpoints) > 0 }
+
 // LeaseValid reports whether reads may be served at now. Renewals count, and so
 // does the end of the ownership, although they came after this View was
 // published.
