--- /dev/null
+++ b/internal/owner/claim_test.go
@@ -0,0 +1,33 @@
+package owner_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+)
+
+// claim takes the endpoints at the term, the first as primary, and returns the
+// marker once all have received it.
+func (h *harness) claim(holder string, term uint64, primary int, replicas ...int) logpos.Position {
+	h.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	addrs := h.group.Addresses()
+	for _, i := range append([]int{primary}, replicas...) {
+		_, err := h.groups.AdvanceTerm(ctx, addrs[i], term, holder)
+		h.g.Expect(err).NotTo(HaveOccurred())
+	}
+	st, err := h.groups.Promote(ctx, addrs[primary], term, holder)
+	h.g.Expect(err).NotTo(HaveOccurred())
+	for _, i := range replicas {
+		_, err := h.groups.Follow(ctx, addrs[i], term, holder, addrs[primary])
+		h.g.Expect(err).NotTo(HaveOccurred())
+		h.g.Eventually(func() bool {
+			return h.group.Servers[i].Status().Applied.Covers(st.Received)
+		}).WithTimeout(patience).WithPolling(time.Millisecond).Should(BeTrue())
+	}
+	return st.Received
+}
