--- a/internal/statement/functions.go
+++ b/internal/statement/functions.go
@@ -23,7 +23,7 @@
 
 // readFunctions belong to a volatile family but only read.
 var readFunctions = map[string]bool{
-	"platform_log_position": true, "lo_get": true,
+	"platform_log_position": true, "platform_work": true, "lo_get": true,
 }
 
 func volatileFunction(name string) bool {
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -23,6 +23,7 @@
 		"select 1 -- for update":                         true,
 		"select /* update /* nested */ delete */ 1":      true,
 		"select platform_log_position()":                 true,
+		"select platform_work(10)":                       true,
 		"select E'a\\'; delete from x; --'":              true,
 		"":                                               false,
 		"insert into x values (1)":                       false,
