Gossip with the same few neighbours, over connections that are rarely pinged

Heartbeats and manifest fetches went to new random peers each second. With thousands of hosts, each opened a connection that was then idle for 30 s and pinged every 400 ms by both sides: about 120 such connections each way. Both now go to the same eight neighbours for two minutes, on a transport that pings every 10 s; a service pings a silent connection after 2 s, and exchange streams are still pinged by the entry every 400 ms.

--- /dev/null
+++ b/coord/claim/capacity_test.go
@@ -0,0 +1,62 @@
+package claim_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/claim"
+)
+
+// Measures one claim after the owner died: calls to endpoints, pre-votes, virtual
+// time with messages of 1 ms each way, and the processor time of the machine's
+// steps together with the model. Status polls of the same time are included.
+func BenchmarkClaim(b *testing.B) {
+	for _, servers := range []int{3, 5} {
+		b.Run(fmt.Sprintf("endpoints=%d", servers), func(b *testing.B) {
+			var total, controls, votes int
+			var took time.Duration
+			for b.Loop() {
+				c, p, t, d := claimOnce(b, servers)
+				total, controls, votes, took = total+c, controls+p, votes+t, took+d
+			}
+			b.ReportMetric(float64(total)/float64(b.N), "polls/claim")
+			b.ReportMetric(float64(controls)/float64(b.N), "calls/claim")
+			b.ReportMetric(float64(votes)/float64(b.N), "prevotes/claim")
+			b.ReportMetric(took.Seconds()*1000/float64(b.N), "virtual-ms/claim")
+		})
+	}
+}
+
+// claimOnce kills the owner of a running group and counts until the next one owns
+// it.
+func claimOnce(b *testing.B, servers int) (polls, calls, votes int, took time.Duration) {
+	w := newWorld(4, servers, b.Fatalf)
+	w.runFor(5 * time.Second)
+	owner := w.owner()
+	if owner == nil {
+		b.Fatal("no owner")
+	}
+	owner.paused = true
+	w.count = func(a claim.Action) {
+		switch a := a.(type) {
+		case claim.Call:
+			if a.Kind == claim.CallStatus {
+				polls++
+			} else {
+				calls++
+			}
+		case claim.AskPreVote:
+			votes += len(a.Peers)
+		}
+	}
+	start := w.now
+	for w.now-start < 10*time.Second {
+		w.runFor(stepTime)
+		if n := w.owner(); n != nil && n != owner {
+			return polls, calls, votes, w.now - start
+		}
+	}
+	b.Fatal("no claim")
+	return
+}
--- a/coord/claim/world_test.go
+++ b/coord/claim/world_test.go
@@ -54,6 +54,7 @@
 	written   map[logpos.Position]entry
 	confirmed []confirmation
 	notes     map[claim.NoteKind]int
+	count     func(a claim.Action) // sees each action if it is set
 }
 
 type scheduled struct {
@@ -132,6 +133,9 @@
 }
 
 func (w *world) run(n *node, a claim.Action) {
+	if w.count != nil {
+		w.count(a)
+	}
 	switch a := a.(type) {
 	case claim.Call:
 		w.call(n, a)
--- /dev/null
+++ b/coord/manifest/capacity_test.go
@@ -0,0 +1,109 @@
+package manifest_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/manifest"
+)
+
+// spread counts the ticks until one host's manifest has reached all live hosts by
+// fetches alone, without the store and heartbeats. Every dead-th host is dead; 0
+// means none. It fails after a minute.
+func spread(tb testing.TB, n, dead int) int {
+	tb.Helper()
+	list := hosts(n)
+	now := time.Unix(1_000_000, 0)
+	index := make(map[string]int)
+	trackers := make([]*manifest.Tracker, n)
+	for i, h := range list {
+		index[h.Address] = i
+		if dead > 0 && i%dead == 1 {
+			continue
+		}
+		trackers[i] = manifest.New(h.Name)
+		trackers[i].SetHosts(list)
+		trackers[i].Answered(now, manifest.Store, 1)
+	}
+	trackers[0].Answered(now, manifest.Store, 2)
+	for tick := 1; tick <= 60; tick++ {
+		now = now.Add(time.Second)
+		held := make([]uint64, n)
+		for i, t := range trackers {
+			if t != nil {
+				held[i] = t.Generation()
+			}
+		}
+		for _, t := range trackers {
+			if t != nil {
+				fetchAll(t, now, index, held)
+			}
+		}
+		if !anyBehind(trackers) {
+			return tick
+		}
+	}
+	tb.Fatal("the manifest did not reach all hosts within 60 ticks")
+	return 0
+}
+
+// fetchAll runs one tick of a tracker; hosts that hold nothing are dead.
+func fetchAll(t *manifest.Tracker, now time.Time, index map[string]int, held []uint64) {
+	for _, f := range t.Tick(now) {
+		switch i, ok := index[f.From.Peer]; {
+		case !ok, held[i] == 0:
+			t.Failed(now, f.From)
+		default:
+			t.Answered(now, f.From, held[i])
+		}
+	}
+}
+
+func anyBehind(trackers []*manifest.Tracker) bool {
+	for _, t := range trackers {
+		if t != nil && t.Generation() < 2 {
+			return true
+		}
+	}
+	return false
+}
+
+// Measures how a manifest spreads while the store is down.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{14, 550, 5500} {
+		for _, dead := range []int{0, 3} {
+			b.Run(fmt.Sprintf("hosts=%d/dead=1 of %d", n, dead), func(b *testing.B) {
+				for b.Loop() {
+					b.ReportMetric(float64(spread(b, n, dead)), "ticks")
+				}
+			})
+		}
+	}
+}
+
+// Guards against neighbours that leave some hosts without news: a manifest must
+// reach all hosts well within the 18 s bound, also with a third of the hosts dead.
+func TestManifestReachesAllHosts(t *testing.T) {
+	for seed := range 3 {
+		if ticks := spread(t, 200+seed, 3); ticks > 12 {
+			t.Errorf("%d hosts took %d ticks", 200+seed, ticks)
+		}
+	}
+}
+
+// Measures the tick of one tracker, which chooses pollers and peers.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{14, 5500} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			t := tracker(n)
+			now := time.Unix(1_000_000, 0)
+			for b.Loop() {
+				now = now.Add(time.Second)
+				for _, f := range t.Tick(now) {
+					t.Answered(now, f.From, 1)
+				}
+			}
+		})
+	}
+}
--- a/coord/manifest/choose.go
+++ b/coord/manifest/choose.go
@@ -25,11 +25,7 @@
 // count: if most hosts are down, those that are left poll more often.
 func (t *Tracker) Poller(now time.Time) bool {
 	epoch := now.UnixNano() / int64(PollerEpoch)
-	up := slices.DeleteFunc(slices.Clone(t.hosts), func(h placement.Host) bool {
-		_, down := t.failed[h.Address]
-		return down
-	})
-	for _, h := range placement.Rank("manifest-poller/"+strconv.FormatInt(epoch, 10), up, Pollers) {
+	for _, h := range placement.Rank("manifest-poller/"+strconv.FormatInt(epoch, 10), t.up(), Pollers) {
 		if h.Name == t.self {
 			return true
 		}
@@ -37,10 +33,31 @@
 	return false
 }
 
-// randomPeers returns n peers that differ from tick to tick and from host to host.
-func (t *Tracker) randomPeers(n int) []placement.Host {
-	key := "manifest-peer/" + t.self + "/" + strconv.FormatUint(t.ticks, 10)
-	return placement.Rank(key, t.peers, n)
+// nextPeers returns n of the neighbours, each in its turn. Hosts that failed are
+// chosen again if too few others are left.
+func (t *Tracker) nextPeers(now time.Time, n int) []placement.Host {
+	hosts := t.up()
+	if len(hosts) <= Neighbours {
+		hosts = t.hosts
+	}
+	neighbours := placement.Neighbours(t.self, now, hosts, Neighbours)
+	next := make([]placement.Host, 0, n)
+	for range min(n, len(neighbours)) {
+		next = append(next, neighbours[t.turn%uint64(len(neighbours))])
+		t.turn++
+	}
+	return next
+}
+
+// up returns the hosts without those that did not answer lately.
+func (t *Tracker) up() []placement.Host {
+	if len(t.failed) == 0 {
+		return t.hosts
+	}
+	return slices.DeleteFunc(slices.Clone(t.hosts), func(h placement.Host) bool {
+		_, down := t.failed[h.Address]
+		return down
+	})
 }
 
 // fetchPeer adds a fetch from a peer unless one is in flight or the peer failed
--- a/coord/manifest/timing.go
+++ b/coord/manifest/timing.go
@@ -13,6 +13,11 @@
 // clock; a clock that differs only makes its host poll in another epoch.
 const PollerEpoch = 2 * time.Second
 
+// Neighbours is the number of peers that a host asks in turn. They stay the same
+// for placement.NeighbourEpoch, so that their connections are used again; one that
+// fails is replaced.
+const Neighbours = 8
+
 // PeersPerTick is the number of peers that are asked with each tick. The hosts
 // that have a new manifest grow two- to threefold with each tick. In a trial with
 // 5,500 trackers, one host's manifest reached all in 11 ticks, and in 14 ticks
--- a/coord/manifest/tracker.go
+++ b/coord/manifest/tracker.go
@@ -17,10 +17,10 @@
 type Tracker struct {
 	self  string
 	hosts []placement.Host
-	peers []placement.Host
 
 	generation uint64
-	ticks      uint64
+	// turn counts the neighbours that were asked.
+	turn uint64
 	// seen holds the generations of peers that were ahead when last heard of.
 	seen map[string]uint64
 	// failed holds when the last fetch from a peer failed, until one succeeds or
@@ -44,12 +44,6 @@
 // SetHosts replaces the hosts among which pollers and peers are chosen.
 func (t *Tracker) SetHosts(hosts []placement.Host) {
 	t.hosts = hosts
-	t.peers = t.peers[:0]
-	for _, h := range hosts {
-		if h.Name != t.self {
-			t.peers = append(t.peers, h)
-		}
-	}
 }
 
 // Generation returns the highest generation that was accepted; 0 if none.
@@ -57,14 +51,13 @@
 
 // Tick is called once a second. It returns the fetches to start.
 func (t *Tracker) Tick(now time.Time) []Fetch {
-	t.ticks++
 	t.forget(now)
 	n := PeersPerTick
 	if !t.Publishable(now) {
 		n = startPeers
 	}
 	fetches := t.fetchStore(now, nil)
-	for _, p := range t.randomPeers(n) {
+	for _, p := range t.nextPeers(now, n) {
 		fetches = t.fetchPeer(now, p.Address, fetches)
 	}
 	t.start.record(fetches)
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -5,17 +5,21 @@
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/claim"
+	"github.com/beryltrestle/beryltrestle/coord/placement"
 	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
 )
 
 const (
 	// heartbeatInterval is the time between an owner's heartbeats to candidates.
 	heartbeatInterval = 200 * time.Millisecond
-	// gossipInterval is the time between heartbeats to random hosts, which spread
+	// gossipInterval is the time between heartbeats to neighbours, which spread
 	// manifest generations.
 	gossipInterval = time.Second
-	// gossipPeers is the number of random hosts of a gossip round.
+	// gossipPeers is the number of neighbours of a gossip round.
 	gossipPeers = 2
+	// gossipNeighbours are the hosts among which gossip rounds take turns. They are
+	// those that the manifest is fetched from, so that both share connections.
+	gossipNeighbours = 8
 )
 
 // beat sends one heartbeat to each candidate of the groups owned here.
@@ -48,17 +52,16 @@
 	return byPeer
 }
 
-// gossip sends heartbeats to a few random hosts.
+// gossip sends heartbeats to a few neighbours, in turn.
 func (l *Loop) gossip(now time.Time) {
 	if l.document == nil || now.Sub(l.lastGossip) < gossipInterval {
 		return
 	}
 	l.lastGossip = now
-	for range min(gossipPeers, len(l.document.Hosts)-1) {
-		h := l.document.Hosts[l.random.IntN(len(l.document.Hosts))]
-		if h.Address != l.cfg.Address {
-			l.sendHeartbeat(h.Address, nil)
-		}
+	neighbours := placement.Neighbours(l.cfg.Name, now, l.placed, gossipNeighbours)
+	for range min(gossipPeers, len(neighbours)) {
+		l.sendHeartbeat(neighbours[l.gossipTurn%uint64(len(neighbours))].Address, nil)
+		l.gossipTurn++
 	}
 }
 
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,7 +45,6 @@
 	changed atomic.Pointer[chan struct{}]
 
 	// The fields below belong to the control goroutine.
-	random     *rand.Rand
 	members    *membership.Members
 	generation uint64
 	document   *manifest.Document
@@ -59,6 +57,7 @@
 	pending       []pendingAction
 	lastBeat      time.Time
 	lastGossip    time.Time
+	gossipTurn    uint64
 	beatNow       bool
 	beating       map[string]bool
 	leaving       bool
@@ -77,7 +76,6 @@
 		holder:  fmt.Sprintf("%s/%x", cfg.Name, cfg.Incarnation),
 		events:  make(chan event, eventQueue),
 		stopped: make(chan struct{}),
-		random:  rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
 		members: membership.New(),
 		groups:  make(map[string]*group),
 		active:  make(map[string]*group),
--- a/internal/peer/calls.go
+++ b/internal/peer/calls.go
@@ -16,9 +16,17 @@
 type Calls struct {
 	cfg       Config
 	transport *http.Transport
+	// background carries the calls to neighbours, which come every few seconds.
+	background *http.Transport
 
 	mu      sync.Mutex
-	clients map[string]peerv1connect.PeerServiceClient
+	clients map[clientKey]peerv1connect.PeerServiceClient
+}
+
+// clientKey names the client of a peer.
+type clientKey struct {
+	address    string
+	background bool
 }
 
 // NewCalls returns a client with connections of its own, so that bulk data of
@@ -26,43 +34,48 @@
 func NewCalls(cfg Config) *Calls {
 	cfg = cfg.withDefaults()
 	return &Calls{
-		cfg:       cfg,
-		transport: newTransport(cfg),
-		clients:   make(map[string]peerv1connect.PeerServiceClient),
+		cfg:        cfg,
+		transport:  newTransport(cfg),
+		background: newBackgroundTransport(cfg),
+		clients:    make(map[clientKey]peerv1connect.PeerServiceClient),
 	}
 }
 
 // Close closes the idle connections.
-func (c *Calls) Close() { c.transport.CloseIdleConnections() }
+func (c *Calls) Close() {
+	c.transport.CloseIdleConnections()
+	c.background.CloseIdleConnections()
+}
 
 // PreVote asks whether the peer still hears from the owner of a group.
 func (c *Calls) PreVote(ctx context.Context, address string, req *peerv1.PreVoteRequest) (*peerv1.PreVoteResponse, error) {
-	return unary(ctx, c, req, c.client(address).PreVote)
+	return unary(ctx, c, req, c.client(clientKey{address, false}).PreVote)
 }
 
-// Heartbeat sends this daemon's state to the peer.
+// Heartbeat sends this daemon's state to the peer. One that names no group is
+// background traffic.
 func (c *Calls) Heartbeat(ctx context.Context, address string, req *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
-	return unary(ctx, c, req, c.client(address).Heartbeat)
+	return unary(ctx, c, req, c.client(clientKey{address, len(req.GetOwned()) == 0}).Heartbeat)
 }
 
 // Handover offers a group to the peer.
 func (c *Calls) Handover(ctx context.Context, address string, req *peerv1.HandoverRequest) (*peerv1.HandoverResponse, error) {
-	return unary(ctx, c, req, c.client(address).Handover)
+	return unary(ctx, c, req, c.client(clientKey{address, false}).Handover)
 }
 
 // FetchManifest returns the changes of the manifest that the peer has.
 func (c *Calls) FetchManifest(ctx context.Context, address string, req *peerv1.FetchManifestRequest) (*peerv1.FetchManifestResponse, error) {
-	return unary(ctx, c, req, c.client(address).FetchManifest)
+	return unary(ctx, c, req, c.client(clientKey{address, true}).FetchManifest)
 }
 
 // QueryOutcome asks the owner that a request was addressed to.
 func (c *Calls) QueryOutcome(ctx context.Context, address string, req *peerv1.QueryOutcomeRequest) (*peerv1.QueryOutcomeResponse, error) {
-	return unary(ctx, c, req, c.client(address).QueryOutcome)
+	return unary(ctx, c, req, c.client(clientKey{address, false}).QueryOutcome)
 }
 
 // Locate asks the peer who owns a pool; nil if the peer knows no owner.
 func (c *Calls) Locate(ctx context.Context, address, pool string) (*peerv1.Location, error) {
-	resp, err := unary(ctx, c, &peerv1.LocateRequest{Pool: pool}, c.client(address).Locate)
+	resp, err := unary(ctx, c, &peerv1.LocateRequest{Pool: pool}, c.client(clientKey{address, false}).Locate)
 	if err != nil {
 		return nil, err
 	}
@@ -70,13 +83,17 @@
 }
 
 // client returns the client of a peer.
-func (c *Calls) client(address string) peerv1connect.PeerServiceClient {
+func (c *Calls) client(key clientKey) peerv1connect.PeerServiceClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	client, ok := c.clients[address]
+	client, ok := c.clients[key]
 	if !ok {
-		client = peerv1connect.NewPeerServiceClient(&http.Client{Transport: c.transport}, c.cfg.url(address), clientOptions()...)
-		c.clients[address] = client
+		transport := c.transport
+		if key.background {
+			transport = c.background
+		}
+		client = peerv1connect.NewPeerServiceClient(&http.Client{Transport: transport}, c.cfg.url(key.address), clientOptions()...)
+		c.clients[key] = client
 	}
 	return client
 }
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -43,6 +43,7 @@
 	s := &Service{cfg: cfg, load: newLoad(), close: cancel}
 	h2 := http2Config()
 	h2.MaxConcurrentStreams = maxConcurrentStreams
+	h2.SendPingTimeout = servicePingAfter
 	s.http = &http.Server{
 		Handler:           s.Handler(),
 		TLSConfig:         cfg.TLS.Clone(),
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -15,6 +15,13 @@
 	pingAfter       = 400 * time.Millisecond
 	pingTimeout     = 500 * time.Millisecond
 	idleConnTimeout = 30 * time.Second
+	// backgroundPingAfter is pingAfter on connections to neighbours. Their calls
+	// have deadlines and are repeated elsewhere, so that a connection that broke
+	// silently needs only to be replaced at some time.
+	backgroundPingAfter = 10 * time.Second
+	// servicePingAfter is pingAfter on accepted connections. Where a silent peer
+	// must be found sooner, that peer's own pings arrive every pingAfter.
+	servicePingAfter = 2 * time.Second
 	// maxFrameBytes is the largest message between daemons; a request holds a
 	// batch of up to 16 MB.
 	maxFrameBytes = 64 << 20
@@ -39,6 +46,14 @@
 	}
 }
 
+// newBackgroundTransport returns a transport for rare calls. A ping every 400 ms
+// on each connection to a neighbour costs more than the calls themselves.
+func newBackgroundTransport(cfg Config) *http.Transport {
+	t := newTransport(cfg)
+	t.HTTP2.SendPingTimeout = backgroundPingAfter
+	return t
+}
+
 // protocols allows only HTTP/2, with TLS and without.
 func protocols() *http.Protocols {
 	p := new(http.Protocols)
