--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -29,6 +29,12 @@
 	// keepAliveIdle replaces Go's default of 15 s between TCP keepalives, which
 	// would be most of the control traffic of a daemon with thousands of peers.
 	keepAliveIdle = 2 * time.Minute
+	// backgroundPingAfter is callPingAfter on connections to neighbours. Their
+	// calls have deadlines and are repeated elsewhere, so that a connection that
+	// broke silently needs only to be replaced at some time.
+	backgroundPingAfter = 10 * time.Second
+	// backgroundIdleTimeout exceeds the time between two calls to a neighbour.
+	backgroundIdleTimeout = 30 * time.Second
 	// maxFrameBytes is the largest message between daemons; a request holds a
 	// batch of up to 16 MB.
 	maxFrameBytes = 64 << 20
@@ -53,6 +59,14 @@
 	}
 }
 
+// newBackgroundTransport returns a transport for rare calls. Frequent pings on
+// each connection to a neighbour would cost more than the calls themselves.
+func newBackgroundTransport(cfg Config) *http.Transport {
+	t := newTransport(cfg, backgroundPingAfter, callPingTimeout)
+	t.IdleConnTimeout = backgroundIdleTimeout
+	return t
+}
+
 // protocols allows only HTTP/2, with TLS and without.
 func protocols() *http.Protocols {
 	p := new(http.Protocols)
