--- a/internal/owner/fake_control_test.go
+++ b/internal/owner/fake_control_test.go
@@ -21,7 +21,7 @@
 func (c *fakeControl) publish(g control.GroupView) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.view = &control.View{Generation: 1, Groups: map[string]control.GroupView{poolName: g}}
+	c.view = &control.View{Generation: 1, Groups: control.NewGroups(map[string]control.GroupView{poolName: g})}
 	c.read, c.waiting = false, false
 	c.wake()
 }
