--- a/internal/control/fake_cluster_test.go
+++ b/internal/control/fake_cluster_test.go
@@ -67,7 +67,7 @@
 func (c *cluster) newDaemon(i uint64, drain func(context.Context, string)) *daemon {
 	d := &daemon{address: fmt.Sprintf("d%d", i), metrics: metrics.NewRegistry()}
 	log := zerolog.New(io.Discard).Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, message string) {
-		if message == "group owned" && !d.View().Groups[pool].Owned {
+		if g, _ := d.View().Groups.Get(pool); message == "group owned" && !g.Owned {
 			c.t.Errorf("%s acts on a state before its View is published", d.address)
 		}
 	}))
@@ -100,7 +100,7 @@
 	var found *daemon
 	var highest control.GroupView
 	for _, d := range c.daemons {
-		v := d.View().Groups[pool]
+		v := d.View().Group(pool)
 		if !v.LeaseValid(time.Now()) {
 			continue
 		}
--- a/internal/localdeploy/host.go
+++ b/internal/localdeploy/host.go
@@ -33,6 +33,7 @@
 	s.Name = fmt.Sprintf("host-%02d", i)
 	s.AvailabilityZone = d.zone(i)
 	s.CallerListen, s.PeerListen, s.AdminListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.TLS = d.cfg.TLS
 	s.Platform.TableEndpoint = d.Platform.URL()
 	s.Platform.ObjectEndpoint = d.Platform.URL()
 	s.Platform.HostListEndpoint = d.Platform.HostListURL()
@@ -123,6 +124,5 @@
 	if v == nil {
 		return control.GroupView{}, false
 	}
-	g, ok := v.Groups[pool]
-	return g, ok
+	return v.Groups.Get(pool)
 }
