--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -18,6 +18,8 @@
 	machine *claim.Machine
 	// state is the machine's state in the last View.
 	state claim.State
+	// lease is the cell of the owned term; nil while the group is not owned.
+	lease *leaseCell
 	// owner and heardAt are the last heartbeat, while there is no machine.
 	owner   claim.Owner
 	heardAt time.Time
@@ -42,6 +44,7 @@
 	v.PromotionPoint, v.ConfirmAfter = s.PromotionPoint, s.ConfirmAfter
 	v.LeaseStart, v.Changing = s.LeaseStart, s.Changing
 	v.OwnerAddress, v.OwnerIncarnation = s.Owner.Address, s.Owner.Incarnation
+	v.lease = g.lease
 	v.Endpoints = endpointViews(s.Endpoints)
 	return v
 }
--- a/internal/peer/calls.go
+++ b/internal/peer/calls.go
@@ -35,7 +35,7 @@
 	cfg = cfg.withDefaults()
 	return &Calls{
 		cfg:        cfg,
-		transport:  newTransport(cfg),
+		transport:  newTransport(cfg, callPingAfter, callPingTimeout),
 		background: newBackgroundTransport(cfg),
 		clients:    make(map[clientKey]peerv1connect.PeerServiceClient),
 	}
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -23,6 +23,7 @@
 		"select 1 -- for update":                         true,
 		"select /* update /* nested */ delete */ 1":      true,
 		"select platform_log_position()":                 true,
+		"select platform_work(10)":                       true,
 		"select E'a\\'; delete from x; --'":              true,
 		"":                                               false,
 		"insert into x values (1)":                       false,
@@ -153,6 +154,21 @@
 	g.Expect(i.Unresolved).To(Equal([]string{"earlier"}))
 }
 
+// Guards against the answer to a preparation being recorded under the request
+// key, and then returned to the batch that executes the statement.
+func TestOnlyExecutionHasARequestKey(t *testing.T) {
+	g := NewWithT(t)
+	insert := "/* request_key=k1 */ insert into x values ($1)"
+	i, err := statement.Classify(batch(t,
+		&pgproto3.Parse{Query: insert}, &pgproto3.Describe{ObjectType: 'S'}, &pgproto3.Sync{}))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(i.RequestKey).To(BeEmpty())
+
+	i, err = statement.Classify(batch(t, &pgproto3.Query{String: insert}))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(i.RequestKey).To(Equal("k1"))
+}
+
 // Guards against a panic or a wrong class on bytes that are not messages.
 func TestClassifyRejectsMalformedBatches(t *testing.T) {
 	g := NewWithT(t)
@@ -185,3 +201,11 @@
 	_, err = statement.NewRules(manifest.Pool{Name: "p", Classes: []manifest.Class{{Match: manifest.Match{Pattern: "("}}}})
 	g.Expect(err).To(MatchError(ContainSubstring(`pool "p"`)))
 }
+
+// Measures the classification of a typical lookup.
+func BenchmarkClassifySQL(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		statement.ClassifySQL("/* kind=lookup */ SELECT id, due, fitter FROM visits WHERE customer = $1 AND due > '2026-01-01' ORDER BY due LIMIT 20")
+	}
+}
