Keep a claimant whose replicas are far behind

A claimant that waited longer than 3 s for its marker stopped its heartbeats, so the candidates replaced one another while replicas caught up; a test saw term 3 after 10 s. It is now replaced only without a lease, and polls at the usual rate after 3 s. The test keeps term 1.

--- a/coord/claim/machine_test.go
+++ b/coord/claim/machine_test.go
@@ -73,16 +73,21 @@
 }
 
 // Guards against reads that miss what an earlier owner confirmed: until the
-// marker is received, the log up to it may still be lost.
+// marker is received, the log up to it may still be lost. Guards as well against
+// candidates that replace one another while replicas are far behind.
 func TestOwnedOnlyOnceMarkerIsReceived(t *testing.T) {
 	g := NewWithT(t)
-	w := newWorld(1, 3, t.Fatalf)
-	for range 50 {
+	w := newWorld(2, 3, t.Fatalf)
+	for i := range 1000 {
 		w.step()
+		if i%20 == 0 {
+			w.heartbeat(w.nodes[0])
+		}
 	}
+	g.Expect(w.nodes[0].state.Term).To(BeEquivalentTo(1))
 	g.Expect(w.nodes[0].state.Phase).To(Equal(claim.PhaseAwaitingMarker))
 	g.Expect(w.nodes[0].state.Owned).To(BeFalse())
-	w.runFor(50 * time.Millisecond)
+	w.runFor(claim.PollInterval + 2*stepTime)
 	g.Expect(w.nodes[0].state.Owned).To(BeTrue())
 }
 
--- a/coord/claim/state.go
+++ b/coord/claim/state.go
@@ -114,10 +114,8 @@
 		return false
 	}
 	switch m.phase {
-	case PhaseOwning:
+	case PhasePromoting, PhaseAwaitingMarker, PhaseOwning:
 		return m.lease.Valid(m.addresses(), now)
-	case PhasePromoting, PhaseAwaitingMarker:
-		return m.lease.Valid(m.addresses(), now) && now.Sub(m.majorityAt) < MarkerPatience
 	case PhaseAdvancing:
 		return m.reclaiming && now.Sub(m.attemptAt) < AttemptTimeout
 	default:
@@ -128,8 +126,10 @@
 // Urgent reports whether the next step is due within FastPollInterval.
 func (m *Machine) Urgent() bool {
 	switch m.phase {
-	case PhaseAdvancing, PhasePromoting, PhaseAwaitingMarker, PhaseHandingOver:
+	case PhaseAdvancing, PhasePromoting, PhaseHandingOver:
 		return true
+	case PhaseAwaitingMarker:
+		return m.lastStep.Sub(m.majorityAt) < MarkerPatience
 	default:
 		return m.switchover.active
 	}
--- a/coord/claim/timing.go
+++ b/coord/claim/timing.go
@@ -37,8 +37,8 @@
 	// PrimaryGrace is how long a claimant with a majority waits for the answer of
 	// a primary that is not known to have failed, so that it is kept.
 	PrimaryGrace = 50 * time.Millisecond
-	// MarkerPatience bounds the time between the majority and the marker's
-	// receipt during which the claimant counts as alive to other candidates.
+	// MarkerPatience is how long a claimant polls at FastPollInterval for the
+	// marker's receipt. Replicas that need longer are far behind.
 	MarkerPatience = 3 * time.Second
 	// Stall is the gap between two steps above which all evidence is discarded.
 	Stall = 300 * time.Millisecond
