--- a/internal/owner/conn.go
+++ b/internal/owner/conn.go
@@ -40,6 +40,9 @@
 	// idle is true only if the last answer was read to its end and the endpoint
 	// reported no open transaction.
 	idle bool
+	// canceled is set once a cancel request was sent. It may reach the endpoint
+	// late and hit the next batch, so the connection is not used again.
+	canceled bool
 }
 
 // batchResult describes the answer to a batch.
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -86,6 +86,7 @@
 		g.beginTerm(v)
 	}
 	g.observeView(now, v)
+	g.breakUnreachable(v)
 	g.sched.SetEndpoints(now, g.schedEndpoints(v))
 	if !v.Owned && !v.Changing {
 		g.refuseWaiting(notRun(metrics.RefusedNotOwner, stateCannotConnect, "this host does not own the pool"))
@@ -94,6 +95,20 @@
 	g.pumpLocked()
 }
 
+// breakUnreachable ends the batches that wait for a replica which no longer
+// answers; they are reads and are repeated elsewhere. Those on the primary wait
+// for its replacement, which tells their outcome.
+func (g *group) breakUnreachable(v control.GroupView) {
+	if v.Term != g.term {
+		return
+	}
+	for addr, ep := range v.Endpoints {
+		if pool := g.pools[addr]; pool != nil && addr != v.Primary && !ep.At.IsZero() && !ep.Reachable {
+			pool.breakInUse()
+		}
+	}
+}
+
 func (g *group) compileRules(pool manifest.Pool) {
 	rules, err := statement.NewRules(pool)
 	if err != nil {
--- a/internal/owner/request.go
+++ b/internal/owner/request.go
@@ -246,13 +246,18 @@
 }
 
 // cancelWith cancels the batch on the endpoint if the caller goes away. A write
-// outside a transaction is left to end, since its outcome may be asked for.
+// outside a transaction is left to end, since its outcome may be asked for. The
+// returned function ends the watch.
 func (r *request) cancelWith(ctx context.Context, c *conn) func() {
 	if !r.info.ReadOnly && len(r.req.GetTransactionId()) == 0 {
 		return func() {}
 	}
 	stop := context.AfterFunc(ctx, func() { c.cancel(context.WithoutCancel(ctx)) })
-	return func() { stop() }
+	return func() {
+		if !stop() {
+			c.canceled = true
+		}
+	}
 }
 
 // mayStream confirms what the first part of a large answer has seen.
