--- a/internal/proof/answers_test.go
+++ b/internal/proof/answers_test.go
@@ -54,8 +54,6 @@
 	wrong []string
 	// whole counts verified answers, failed those that ended with an error.
 	whole, failed int
-	// longest is the longest time of a one-row read of a fast reader.
-	longest time.Duration
 }
 
 func (a *answers) store() {
--- a/internal/proof/leaving_test.go
+++ b/internal/proof/leaving_test.go
@@ -11,6 +11,7 @@
 	"github.com/beryltrestle/beryltrestle/internal/localdeploy"
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
 	"github.com/beryltrestle/beryltrestle/internal/standin/database"
+	"github.com/beryltrestle/beryltrestle/internal/standin/platform"
 )
 
 // leavingBound is the time after which a leaving endpoint gets no new work.
@@ -90,3 +91,44 @@
 	r.g.Expect(sum.Unknown).To(BeZero(), "a request in flight was cut off")
 	t.Logf("gap %s", history.Gap(r.rec.Ops(), time.Time{}))
 }
+
+// Guards against a leaving endpoint that gets work again from a new owner, when
+// the owner is killed as the endpoint leaves; twice in a row.
+func TestLeavingEndpointOwnerKilledTwice(t *testing.T) {
+	r := newRun(t, localdeploy.Config{Hosts: 4})
+	r.startSessions(false)
+	time.Sleep(500 * time.Millisecond)
+	for range 2 {
+		primary, owner := r.d.Primary(poolName), r.d.Owner(poolName)
+		r.markLeaving(primary.Address())
+		owner.Kill()
+		time.Sleep(leavingBound)
+		before := primary.Statements()
+		time.Sleep(time.Second)
+		r.g.Expect(primary.Statements()-before).To(BeZero(), "statements after the bound on %s", primary.Address())
+		r.g.Expect(owner.Start()).To(Succeed())
+		r.confirmedAfter(time.Now())
+	}
+	r.check()
+}
+
+// Guards against a shutdown that needs the store: hosts are drained and started
+// again while it is down and replicas are behind.
+func TestGracefulShutdownWhileStoreIsDown(t *testing.T) {
+	r := newRun(t, localdeploy.Config{Hosts: 4})
+	for _, s := range r.d.Groups[poolName].Servers {
+		s.SetFaults(func(f *database.Faults) { f.ApplyLag = 200 * time.Millisecond })
+	}
+	r.startSessions(false)
+	time.Sleep(300 * time.Millisecond)
+	r.d.Platform.SetFaults(platform.Faults{Outage: true, HostListOutage: true})
+	for _, h := range r.d.Hosts {
+		r.g.Expect(h.Drain(10 * time.Second)).To(Succeed())
+		r.g.Expect(h.Start()).To(Succeed())
+		time.Sleep(300 * time.Millisecond)
+	}
+	r.d.Platform.SetFaults(platform.Faults{})
+	r.check()
+	sum := history.Summarize(r.rec.Ops())
+	r.g.Expect(sum.Unknown).To(BeZero(), "a request in flight was cut off")
+}
--- a/internal/proof/path_test.go
+++ b/internal/proof/path_test.go
@@ -69,3 +69,23 @@
 	time.Sleep(time.Second)
 	r.check()
 }
+
+// Guards against the same when the primary is cut off during the pause and comes
+// back in the moment in which the owner resumes, both still believing that they
+// lead; its log reaches no replica until later.
+func TestOwnerPausedAndPrimaryCutFromReplicas(t *testing.T) {
+	p, r := newProcessRun(t, 4)
+	r.startSessions(false)
+	time.Sleep(500 * time.Millisecond)
+	owner, primary := p.owner(), p.primary()
+	paused := time.Now()
+	p.daemons[owner].signal(syscall.SIGSTOP)
+	p.setFaults(primary, `{"cut": true}`)
+	t.Logf("confirmed again %s after the pause", r.confirmedAfter(paused))
+	p.setFaults(primary, `{"cut": false, "cut_replication": true}`)
+	p.daemons[owner].signal(syscall.SIGCONT)
+	time.Sleep(settled)
+	p.setFaults(primary, `{"cut_replication": false}`)
+	time.Sleep(settled)
+	r.check()
+}
--- a/internal/proof/process_test.go
+++ b/internal/proof/process_test.go
@@ -236,7 +236,8 @@
 func (p *processes) setFaults(endpoint int, faults string) {
 	resp, err := http.Post("http://"+p.faults[endpoint]+"/faults", "application/json", strings.NewReader(faults))
 	p.g.Expect(err).NotTo(HaveOccurred())
-	resp.Body.Close()
+	defer resp.Body.Close()
+	p.g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 }
 
 // primary returns the index of the owner's primary.
--- a/internal/proof/transaction_test.go
+++ b/internal/proof/transaction_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/beryltrestle/beryltrestle/internal/localdeploy"
+	"github.com/beryltrestle/beryltrestle/internal/standin/database"
 	"github.com/beryltrestle/beryltrestle/internal/workload"
 )
 
@@ -120,7 +121,8 @@
 }
 
 // Guards against statements of one transaction that run in another one or on
-// their own, when an entry and then the owner die in the middle of transactions.
+// their own, when an entry and then the owner die in the middle of transactions,
+// the second time together with the primary.
 func TestTransactionsNeverMix(t *testing.T) {
 	r := newRun(t, localdeploy.Config{Hosts: 4})
 	r.exec("CREATE TABLE parts (tx integer NOT NULL, part integer NOT NULL, PRIMARY KEY (tx, part))")
@@ -131,15 +133,17 @@
 		defer close(ended)
 		x.drive(ctx, 8, r.entries())
 	}()
-	for range 2 {
+	for i := range 2 {
 		time.Sleep(700 * time.Millisecond)
-		owner := r.d.Owner(poolName)
+		owner, primary := r.d.Owner(poolName), r.d.Primary(poolName)
 		entry := r.otherThan(owner)
 		entry.Kill()
 		time.Sleep(300 * time.Millisecond)
 		r.g.Expect(entry.Start()).To(Succeed())
+		primary.SetFaults(func(f *database.Faults) { f.Cut = i == 1 })
 		owner.Kill()
 		time.Sleep(2500 * time.Millisecond)
+		primary.SetFaults(func(f *database.Faults) { f.Cut = false })
 		r.g.Expect(owner.Start()).To(Succeed())
 	}
 	time.Sleep(500 * time.Millisecond)
