--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,7 +45,6 @@
 	changed atomic.Pointer[chan struct{}]
 
 	// The fields below belong to the control goroutine.
-	random     *rand.Rand
 	members    *membership.Members
 	generation uint64
 	document   *manifest.Document
@@ -56,9 +54,11 @@
 	active        map[string]*group
 	dirty         map[string]bool
 	dirtyAll      bool
+	stale         map[string]bool
 	pending       []pendingAction
 	lastBeat      time.Time
 	lastGossip    time.Time
+	gossipTurn    uint64
 	beatNow       bool
 	beating       map[string]bool
 	leaving       bool
@@ -77,14 +77,14 @@
 		holder:  fmt.Sprintf("%s/%x", cfg.Name, cfg.Incarnation),
 		events:  make(chan event, eventQueue),
 		stopped: make(chan struct{}),
-		random:  rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
 		members: membership.New(),
 		groups:  make(map[string]*group),
 		active:  make(map[string]*group),
 		dirty:   make(map[string]bool),
+		stale:   make(map[string]bool),
 		beating: make(map[string]bool),
 	}
-	l.view.Store(&View{Groups: map[string]GroupView{}})
+	l.view.Store(&View{})
 	ch := make(chan struct{})
 	l.changed.Store(&ch)
 	return l
@@ -155,11 +155,16 @@
 		l.pending = append(l.pending, pendingAction{pool: name, action: a})
 	}
 	s := g.machine.State()
-	if s.Equal(g.state) {
+	switch {
+	case s.Equal(g.state):
 		return
+	case s.Similar(g.state):
+		l.stale[name] = true
+	default:
+		l.dirty[name] = true
 	}
 	g.state = s
-	l.dirty[name] = true
+	g.renewLease()
 	if g.machine.Announces(now) && g.announced != s.Term {
 		g.announced = s.Term
 		l.beatNow = true
--- a/internal/owner/request.go
+++ b/internal/owner/request.go
@@ -111,7 +111,7 @@
 	if r.info.Begins && r.o.isDraining() {
 		return refused(notRun(metrics.RefusedDraining, stateCannotConnect, "the host is leaving"))
 	}
-	grant, ref := r.g.admit(ctx, r.work(""))
+	grant, ref := r.admit(ctx)
 	if ref != nil {
 		return refused(ref)
 	}
@@ -133,6 +133,25 @@
 	return r.runOnce(ctx, grant, pool, c, term)
 }
 
+// admit waits for a slot. A write starts only when it can be confirmed: one that
+// ran while the previous owner's read lease may still hold would keep all reads
+// of its effects waiting.
+func (r *request) admit(ctx context.Context) (admission.Grant, *refusal) {
+	for {
+		grant, ref := r.g.admit(ctx, r.work(""))
+		if ref != nil || r.info.ReadOnly {
+			return grant, ref
+		}
+		wait := r.g.untilConfirm(time.Now())
+		if wait <= 0 {
+			return grant, nil
+		}
+		r.g.release(grant, 0, false)
+		r.g.end()
+		sleep(ctx, wait)
+	}
+}
+
 func (r *request) connect(ctx context.Context, pool *connPool) (*conn, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline())
 	defer cancel()
@@ -227,13 +246,18 @@
 }
 
 // cancelWith cancels the batch on the endpoint if the caller goes away. A write
-// outside a transaction is left to end, since its outcome may be asked for.
+// outside a transaction is left to end, since its outcome may be asked for. The
+// returned function ends the watch.
 func (r *request) cancelWith(ctx context.Context, c *conn) func() {
 	if !r.info.ReadOnly && len(r.req.GetTransactionId()) == 0 {
 		return func() {}
 	}
 	stop := context.AfterFunc(ctx, func() { c.cancel(context.WithoutCancel(ctx)) })
-	return func() { stop() }
+	return func() {
+		if !stop() {
+			c.canceled = true
+		}
+	}
 }
 
 // mayStream confirms what the first part of a large answer has seen.
