Let the first manifest take as long as its reads from the store do

A fetch from the store ended after 2 s and began anew. Reading 6,865 objects of 6,800 pools takes 3.4 s at two thousand reads a second, so that daemons that were all stopped never got a manifest again. The first one may now take a minute, and its reads end as soon as a peer has delivered it.

Also adds a benchmark of an idle deployment for each daemon.

--- /dev/null
+++ b/internal/localdeploy/capacity_test.go
@@ -0,0 +1,60 @@
+package localdeploy_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/beryltrestle/beryltrestle/internal/capacitytest"
+	"github.com/beryltrestle/beryltrestle/internal/localdeploy"
+	"github.com/beryltrestle/beryltrestle/internal/standin/database"
+)
+
+// Measures the processor time of a deployment without callers for each daemon and
+// second, and of its databases alone, which run in the same process.
+func BenchmarkIdleDaemon(b *testing.B) {
+	const watched = 10 * time.Second
+	for _, pools := range []int{3, 18} {
+		b.Run(fmt.Sprintf("hosts=14/pools=%d", pools), func(b *testing.B) {
+			for b.Loop() {
+				cfg := localdeploy.Config{Hosts: 14, Log: zerolog.Nop()}
+				for i := range pools {
+					cfg.Pools = append(cfg.Pools, fmt.Sprintf("members-%04d", i))
+				}
+				d, err := localdeploy.Start(context.Background(), cfg)
+				if err != nil {
+					b.Fatal(err)
+				}
+				time.Sleep(5 * time.Second)
+				all := share(watched)
+				_ = d.Close()
+				b.ReportMetric(all/14, "%core/daemon-with-databases")
+				b.ReportMetric(databasesAlone(b, pools, watched)/14, "%core/databases")
+			}
+		})
+	}
+}
+
+// databasesAlone returns the share of a core that idle database groups use.
+func databasesAlone(b *testing.B, groups int, watched time.Duration) float64 {
+	b.Helper()
+	for range groups {
+		g, err := database.StartGroup(3, database.Config{})
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer func() { _ = g.Close() }()
+	}
+	time.Sleep(time.Second)
+	return share(watched)
+}
+
+// share returns the percentage of a core that the process uses.
+func share(watched time.Duration) float64 {
+	start := capacitytest.Processor()
+	time.Sleep(watched)
+	return 100 * float64(capacitytest.Processor()-start) / float64(watched)
+}
--- a/internal/manifestsync/fetch.go
+++ b/internal/manifestsync/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,6 +17,10 @@
 // errNoObject reports that a peer's answer lacks an object.
 var errNoObject = errors.New("object is not in the answer")
 
+// errHeld ends the reads of a manifest that a peer has delivered meanwhile, so
+// that a zone of daemons that starts does not use up the store's reads.
+var errHeld = errors.New("manifest is held already")
+
 // result of a fetch.
 type result struct {
 	// generation of the source; 0 if it has no manifest.
@@ -29,6 +34,8 @@
 	if f.From == manifest.Store {
 		return s.fetchStore(ctx, f.Since)
 	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
 	r, err := s.fetchPeer(ctx, f.From.Peer, f.Since)
 	if errors.Is(err, errNoObject) {
 		// The peer's delta leads from another manifest than the one held.
@@ -62,7 +69,7 @@
 // read again.
 func (s *Syncer) fetchStore(ctx context.Context, since uint64) (result, error) {
 	s.cfg.Metrics.Inc(metrics.ManifestStorePolls)
-	item, err := s.cfg.Store.Head(ctx)
+	item, err := s.head(ctx)
 	if errors.Is(err, platform.ErrNotFound) {
 		return result{}, nil
 	}
@@ -73,14 +80,39 @@
 	if item.Generation <= max(since, s.generation()) {
 		return r, nil
 	}
-	get := func(hash string) ([]byte, error) { return s.cfg.Store.Object(ctx, hash) }
+	ctx, cancel := context.WithTimeout(ctx, s.storeTimeout())
+	defer cancel()
+	get := func(hash string) ([]byte, error) {
+		if s.generation() >= item.Generation {
+			return nil, errHeld
+		}
+		return s.cfg.Store.Object(ctx, hash)
+	}
 	// A joiner of its own: the store may be slow, and fetches from peers must not
 	// wait for it.
 	a := assembler{joiner: doc.NewJoiner(parallelObjects)}
 	r.held, err = a.join(s.held.Load(), r.generation, item.Root, get)
+	if errors.Is(err, errHeld) {
+		return r, nil
+	}
 	return r, s.rejected(err)
 }
 
+// head reads the item of the accepted manifest.
+func (s *Syncer) head(ctx context.Context) (platform.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	return s.cfg.Store.Head(ctx)
+}
+
+// storeTimeout bounds the reads of a manifest's objects.
+func (s *Syncer) storeTimeout() time.Duration {
+	if s.held.Load() == nil {
+		return firstStoreTimeout
+	}
+	return fetchTimeout
+}
+
 // generation returns the generation held.
 func (s *Syncer) generation() uint64 {
 	if h := s.held.Load(); h != nil {
--- a/internal/manifestsync/syncer.go
+++ b/internal/manifestsync/syncer.go
@@ -24,6 +24,11 @@
 // room for a second source within the 5 s in which a manifest is in force.
 const fetchTimeout = 2 * time.Second
 
+// firstStoreTimeout replaces fetchTimeout for the objects of the first manifest.
+// 6,800 pools take 6,865 reads, which last 3.4 s at the store's two thousand reads
+// a second.
+const firstStoreTimeout = 60 * time.Second
+
 // inboxLength is the number of events that wait for the control goroutine.
 const inboxLength = 64
 
@@ -113,9 +118,7 @@
 
 // run makes one fetch and passes its result to the control goroutine.
 func (s *Syncer) run(ctx context.Context, f manifest.Fetch) {
-	limited, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	r, err := s.fetch(limited, f)
+	r, err := s.fetch(ctx, f)
 	select {
 	case s.inbox <- func(ctx context.Context) { s.finish(ctx, f, r, err) }:
 	case <-ctx.Done():
--- a/internal/manifestsync/syncer_test.go
+++ b/internal/manifestsync/syncer_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/beryltrestle/beryltrestle/internal/capacitytest"
 	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
 	"github.com/beryltrestle/beryltrestle/internal/manifestsync"
@@ -379,3 +380,53 @@
 		c.await(2, bound)
 	})
 }
+
+// slowStore takes 10 ms to read an object.
+type slowStore struct {
+	*store
+	reads *atomic.Int64
+}
+
+func (s slowStore) Object(ctx context.Context, hash string) ([]byte, error) {
+	s.reads.Add(1)
+	select {
+	case <-time.After(10 * time.Millisecond):
+		return s.store.Object(ctx, hash)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Guards against daemons that never get the first manifest, after all were
+// stopped, because the reads of its thousands of objects take longer than the
+// timeout of a fetch.
+func TestFirstManifestOfThousandsOfPoolsComesFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		c.doc = capacitytest.Resize(c.doc, capacitytest.Size{Hosts: 14, Pools: 4000})
+		c.store.accept(1, c.doc)
+		d := c.launch(0, slowStore{c.store, &atomic.Int64{}})
+		c.daemons = append(c.daemons, d)
+		c.await(1, 10*time.Second)
+	})
+}
+
+// Guards against a daemon that goes on reading thousands of objects from the store
+// after a peer has delivered the manifest: a zone of daemons that starts would use
+// up the store's reads.
+func TestReadsFromTheStoreEndWhenAPeerHasTheManifest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		c.doc = capacitytest.Resize(c.doc, capacitytest.Size{Hosts: 14, Pools: 4000})
+		c.store.accept(1, c.doc)
+		c.daemons = append(c.daemons, c.launch(0, c.store))
+		c.await(1, bound)
+		reads := &atomic.Int64{}
+		d := c.launch(1, slowStore{c.store, reads})
+		c.daemons = append(c.daemons, d)
+		c.await(1, bound)
+		time.Sleep(bound)
+		synctest.Wait()
+		c.Expect(reads.Load()).To(BeNumerically("<", 1000))
+	})
+}
