Test that long work leaves the slots of a steady short load

Reverting the replicas' limit on a scratch copy failed no test. The new test fails then: long work is granted at once instead of after the age bound.

--- a/coord/admission/goals_test.go
+++ b/coord/admission/goals_test.go
@@ -192,6 +192,35 @@
 	g.Expect(grants[0].Endpoint).To(Equal("primary"))
 }
 
+// Guards against long work that takes the slots which a steady load of short work
+// needs, and against long work that such a load stops for ever.
+func TestLongWorkGetsTheSlotsThatShortWorkLeaves(t *testing.T) {
+	g := NewWithT(t)
+	s := NewScheduler(Config{})
+	s.SetEndpoints(simStart, simEndpoints(3, 0)[1:])
+	now, id, longAt := simStart, uint64(0), time.Duration(0)
+	const step = 20 * time.Millisecond
+	for range 400 {
+		now = now.Add(step)
+		for range 5 {
+			id++
+			s.Offer(now, Work{ID: id, Session: time.Duration(id).String(), ReadOnly: true, Arrived: now})
+		}
+		if now.Equal(simStart.Add(6 * time.Second)) {
+			s.Offer(now, Work{ID: 1 << 40, Fingerprint: 9, Long: true, ReadOnly: true, Arrived: now})
+		}
+		grants, _ := s.Next(now)
+		for _, grant := range grants {
+			s.Release(now.Add(step-1), grant, step-1, false)
+			if grant.Work.Long {
+				longAt = now.Sub(simStart.Add(6 * time.Second))
+			}
+		}
+	}
+	g.Expect(longAt).To(BeNumerically(">", defaultAgeBound))
+	g.Expect(longAt).To(BeNumerically("<=", defaultAgeBound+defaultAgedShare*step))
+}
+
 // Guards against a session with much waiting work that holds up the others.
 func TestSessionsShareFairly(t *testing.T) {
 	g := NewWithT(t)
