--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -209,3 +209,18 @@
 		statement.ClassifySQL("/* kind=lookup */ SELECT id, due, fitter FROM visits WHERE customer = $1 AND due > '2026-01-01' ORDER BY due LIMIT 20")
 	}
 }
+
+// Guards against a panic or an endless loop on text that a caller chose, and
+// against a comment that changes what a statement is.
+func FuzzClassifySQL(f *testing.F) {
+	for _, seed := range []string{"select 1e-5, $1, .5", "/*/", "$a$x$a$", "U&\"x", "e'\\", "\"", "0x1e+5", "1e", "$"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, sql string) {
+		plain, commented := statement.ClassifySQL(sql), statement.ClassifySQL("/* a /* b */ */ "+sql)
+		if plain.ReadOnly != commented.ReadOnly || plain.Fingerprint != commented.Fingerprint {
+			t.Fatalf("%+v, with a comment %+v", plain, commented)
+		}
+		_, _ = statement.Classify([]byte(sql))
+	})
+}
