--- a/coord/claim/state.go
+++ b/coord/claim/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"reflect"
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
@@ -80,12 +79,11 @@
 // while nothing happens: the lease's start, and the time and log positions of
 // endpoints.
 func (s State) Similar(o State) bool {
-	if !maps.EqualFunc(s.Endpoints, o.Endpoints, EndpointState.similar) {
-		return false
-	}
-	s.Endpoints, o.Endpoints = nil, nil
-	s.LeaseStart, o.LeaseStart = time.Time{}, time.Time{}
-	return reflect.DeepEqual(s, o)
+	// Field by field, because reflection takes most of the time of a step.
+	return s.Phase == o.Phase && s.Owned == o.Owned && s.Changing == o.Changing &&
+		s.Term == o.Term && s.Primary == o.Primary && s.Owner == o.Owner &&
+		s.Marker == o.Marker && s.PromotionPoint == o.PromotionPoint && s.ConfirmAfter.Equal(o.ConfirmAfter) &&
+		maps.EqualFunc(s.Endpoints, o.Endpoints, EndpointState.similar)
 }
 
 // Equal reports whether two snapshots are the same.
