Follow changes of a pool's endpoints; eject slow replicas; check batches

An owner kept the endpoints of the manifest at which its term began; pools, polls and majorities now follow the manifest. Applies that add or remove more than one endpoint of a pool at once are refused, since majorities of the two lists might not overlap. Reads avoid replicas that are slow or fail (coord/ routing.Health). Staleness counts from the start of a poll. A batch that uses a prepared statement which it does not parse is refused by the owner.

--- a/internal/manifeststore/apply.go
+++ b/internal/manifeststore/apply.go
@@ -17,7 +17,8 @@
 
 // Apply accepts the document as the generation after base; base 0 means that no
 // manifest was accepted yet. It returns
-//   - findings.List if the document is not valid;
+//   - findings.List if the document is not valid, or not a safe change of the one
+//     in force;
 //   - *ConflictError if another manifest than base's is accepted;
 //   - *UnknownOutcomeError if the apply may or may not have taken effect;
 //   - another error if the apply did not take effect.
@@ -41,6 +42,9 @@
 	if current.Item.Generation != base {
 		return Result{}, a.conflict(ctx, current)
 	}
+	if list := manifest.CheckTransition(current.Document, doc); len(list) > 0 {
+		return Result{}, list
+	}
 	if err := a.writeObjects(ctx); err != nil {
 		return Result{}, errors.Wrap(err, "write manifest objects")
 	}
--- a/internal/owner/config.go
+++ b/internal/owner/config.go
@@ -54,6 +54,10 @@
 	// maxAttempts bounds how often the owner itself repeats a request that did
 	// not run.
 	maxAttempts = 3
+	// maxUsual bounds the statements whose mean run time is kept.
+	maxUsual = 4096
+	// usualWeight is the divisor that the newest run has in the mean run time.
+	usualWeight = 8
 	// expireInterval is how often outcomes and floors are cleaned up.
 	expireInterval = time.Second
 )
--- a/internal/owner/floors.go
+++ b/internal/owner/floors.go
@@ -39,12 +39,13 @@
 	if !ok || applied.Less(g.floors.Floor(session)) {
 		return false
 	}
-	return g.staleness.Age(time.Now(), applied) <= maxStaleness
+	return g.staleness.Age(time.Now(), applied) <= maxStaleness && g.health.Admit(addr)
 }
 
-// sawPosition records what an answer told of the endpoint that gave it. An
-// endpoint that applied a position has received it, and so has the primary.
-func (g *group) sawPosition(term uint64, addr string, pos logpos.Position) {
+// sawPosition records what the answer to a batch, sent at the given time, told of
+// the endpoint that gave it. An endpoint that applied a position has received it,
+// and so has the primary.
+func (g *group) sawPosition(term uint64, addr string, pos logpos.Position, sent time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if term != g.term || pos.Term != term {
@@ -57,7 +58,7 @@
 	if addr != g.view.Primary {
 		g.tracker.Observe(g.view.Primary, term, pos, time.Time{})
 	} else {
-		g.staleness.Sample(time.Now(), pos)
+		g.staleness.Sample(sent, pos)
 	}
 	if before.Less(g.tracker.Received()) {
 		g.broadcast()
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,10 @@
 	confirming int
 	// inFlight counts requests that were admitted and have not ended.
 	inFlight int
+	// health ejects endpoints whose reads are slow or fail, compared with usual,
+	// the mean run time of each statement.
+	health *routing.Health
+	usual  map[uint64]time.Duration
 
 	// The fields below belong to one term.
 	term      uint64
@@ -67,6 +72,8 @@
 		pollers: make(map[string]*poller),
 		applied: make(map[string]logpos.Position),
 		floors:  floors.New(logpos.Position{}),
+		health:  routing.NewHealth(),
+		usual:   make(map[uint64]time.Duration),
 	}
 	g.timer = time.AfterFunc(time.Hour, g.pump)
 	return g
@@ -85,7 +92,11 @@
 	if v.Owned && v.Term != g.term {
 		g.beginTerm(v)
 	}
-	g.observeView(now, v)
+	if v.Owned {
+		g.syncEndpoints(v)
+	}
+	g.observeView(v)
+	g.health.Update(now)
 	g.breakUnreachable(v)
 	g.sched.SetEndpoints(now, g.schedEndpoints(v))
 	if !v.Owned && !v.Changing {
@@ -127,28 +138,55 @@
 	g.staleness = routing.NewStaleness()
 	g.applied = make(map[string]logpos.Position)
 	g.primaryEnd = v.Marker
-	for _, p := range g.pollers {
-		p.stop()
+	g.tracker = nil
+	for addr := range g.pools {
+		g.dropEndpoint(addr)
 	}
-	for _, p := range g.pools {
-		p.close()
+}
+
+func (g *group) dropEndpoint(addr string) {
+	g.pollers[addr].stop()
+	g.pools[addr].close()
+	delete(g.pollers, addr)
+	delete(g.pools, addr)
+	delete(g.applied, addr)
+}
+
+// syncEndpoints makes pools, pollers and the tracker fit the endpoints of the
+// view, which change with the term and with the manifest.
+func (g *group) syncEndpoints(v control.GroupView) {
+	names := make([]string, len(v.Pool.Endpoints))
+	changed := g.tracker == nil || len(names) != len(g.pools)
+	for i, ep := range v.Pool.Endpoints {
+		names[i] = ep.Address
+		if g.pools[ep.Address] == nil {
+			g.addEndpoint(v, ep)
+			changed = true
+		}
 	}
-	g.pollers = make(map[string]*poller)
-	g.pools = make(map[string]*connPool)
-	var names []string
-	for _, ep := range v.Pool.Endpoints {
-		names = append(names, ep.Address)
+	if !changed {
+		return
 	}
-	g.tracker = confirm.New(v.Term, names)
-	for _, ep := range v.Pool.Endpoints {
-		g.pools[ep.Address] = newConnPool(v.Pool, ep, v.Term, g.cfg.Metrics)
-		g.pollers[ep.Address] = startPoller(g, ep.Address, v.Term)
-		go g.pools[ep.Address].warm(context.Background(), ep.Slots)
+	for addr := range g.pools {
+		if !slices.Contains(names, addr) {
+			g.dropEndpoint(addr)
+		}
 	}
+	// A majority of the new list is needed from now on. What the old tracker had
+	// seen is polled again.
+	g.tracker = confirm.New(g.term, names)
+	g.health.SetEndpoints(time.Now(), names)
+}
+
+func (g *group) addEndpoint(v control.GroupView, ep manifest.Endpoint) {
+	pool := newConnPool(v.Pool, ep, g.term, g.cfg.Metrics)
+	g.pools[ep.Address] = pool
+	g.pollers[ep.Address] = startPoller(g, ep.Address, g.term)
+	go pool.warm(context.Background(), ep.Slots)
 }
 
 // observeView feeds the status polls of the control goroutine to the machines.
-func (g *group) observeView(now time.Time, v control.GroupView) {
+func (g *group) observeView(v control.GroupView) {
 	if g.tracker == nil || v.Term != g.term {
 		return
 	}
@@ -156,11 +194,11 @@
 		if ep.At.IsZero() || !ep.Reachable {
 			continue
 		}
-		g.observe(now, addr, ep)
+		g.observe(addr, ep)
 	}
 }
 
-func (g *group) observe(now time.Time, addr string, ep control.EndpointView) {
+func (g *group) observe(addr string, ep control.EndpointView) {
 	g.tracker.Observe(addr, ep.Term, ep.Received, ep.At)
 	if ep.Term != g.term || ep.AppointedTerm != g.term {
 		return
@@ -168,7 +206,8 @@
 	g.applied[addr] = logpos.Max(g.applied[addr], ep.Applied)
 	if addr == g.view.Primary {
 		g.primaryEnd = logpos.Max(g.primaryEnd, ep.Received)
-		g.staleness.Sample(now, ep.Received)
+		// The poll's start makes replicas look older, never fresher, than they are.
+		g.staleness.Sample(ep.At, ep.Received)
 	}
 }
 
@@ -254,9 +293,27 @@
 		return
 	}
 	g.sched.Release(time.Now(), gr, ran, failed)
+	if gr.Work.ReadOnly {
+		g.health.Observe(gr.Endpoint, ran, g.learn(gr.Work.Fingerprint, ran, failed), failed)
+	}
 	g.pumpLocked()
 }
 
+// learn returns the usual run time of the statement, 0 if it is not known, and
+// takes the new one into account.
+func (g *group) learn(fingerprint uint64, ran time.Duration, failed bool) time.Duration {
+	usual := g.usual[fingerprint]
+	if failed || ran <= 0 || usual == 0 && len(g.usual) >= maxUsual {
+		return usual
+	}
+	if usual == 0 {
+		g.usual[fingerprint] = ran
+		return 0
+	}
+	g.usual[fingerprint] = usual + (ran-usual)/usualWeight
+	return usual
+}
+
 // end counts an admitted request as finished.
 func (g *group) end() {
 	g.mu.Lock()
--- a/internal/owner/keyed.go
+++ b/internal/owner/keyed.go
@@ -36,7 +36,7 @@
 		r.reportError(c.address)
 		return r.connectionLost(ctx, conf)
 	}
-	r.g.sawPosition(term, c.address, res.position)
+	r.g.sawPosition(term, c.address, res.position, started)
 	pool.put(c)
 	if res.sqlstate == stateUniqueViolation && r.out.size == 0 {
 		return &attempt{refusal: notRun(metrics.RetryKeyRace, stateSerialization, "another request with the same key was running"), again: metrics.RetryKeyRace}
--- a/internal/owner/poller.go
+++ b/internal/owner/poller.go
@@ -95,7 +95,7 @@
 	}
 	before := g.tracker.Received()
 	seen := g.tracker.TermSeen()
-	g.observe(time.Now(), addr, ep)
+	g.observe(addr, ep)
 	_, superseded := g.tracker.Superseded()
 	moved := before.Less(g.tracker.Received())
 	if moved || superseded || g.tracker.TermSeen().After(seen) {
--- a/internal/owner/request.go
+++ b/internal/owner/request.go
@@ -78,6 +78,10 @@
 		msg := "session state cannot be kept through the proxy: " + info.SessionState
 		return refused(notRun(metrics.RefusedSessionState, stateFeatureUnsupported, msg))
 	}
+	if len(info.Unresolved) > 0 {
+		// The connection may hold another caller's statement of that name.
+		return refused(notRun(metrics.RefusedProtocol, "26000", "the batch uses a prepared statement that it does not parse"))
+	}
 	r.info = info
 	r.g.mu.Lock()
 	rules := r.g.rules
@@ -240,7 +244,7 @@
 	stop()
 	r.g.release(grant, time.Since(started), err != nil)
 	if err == nil {
-		r.g.sawPosition(conf.term, c.address, res.position)
+		r.g.sawPosition(conf.term, c.address, res.position, started)
 	}
 	return res, err
 }
