Apply the View that holds requests back before a drain; do not repeat unknown functions

The drain now applies the View itself; Views are applied in order. Cause 2: a query whose function may write was repeated on the primary after its connection broke. Such a statement now counts as a write there; the list of harmless functions moves from the entry to internal/statement.

--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	sqlstmt "github.com/beryltrestle/beryltrestle/internal/statement"
 )
 
 // class is what the entry has to know of a statement.
@@ -216,17 +217,6 @@
 // writingWords keep a query from being taken for a read.
 var writingWords = []string{"insert", "update", "delete", "merge", "into", "share", "nextval", "setval"}
 
-// harmlessCalls are the functions, and keywords before a parenthesis, that have
-// no effect. Any other function may write, so its query is not repeated.
-var harmlessCalls = []string{
-	"abs", "all", "and", "any", "array_agg", "as", "avg", "by", "cast", "ceil", "coalesce", "concat", "count",
-	"current_setting", "date_trunc", "distinct", "exists", "extract", "filter", "floor", "from", "generate_series",
-	"greatest", "group", "having", "in", "json_agg", "jsonb_agg", "lateral", "least", "left", "length", "lower",
-	"max", "min", "not", "now", "nullif", "on", "or", "over", "pg_sleep", "rank", "repeat", "replace", "right", "round",
-	"row_number", "select", "string_agg", "substring", "sum", "then", "to_char", "trim", "union", "unnest", "upper",
-	"values", "version", "when", "where", "else",
-}
-
 // classifyQuery tells queries without effect from others.
 func classifyQuery(tokens []token) verdict {
 	if hasSequence(tokens, "into", "temp") || hasSequence(tokens, "into", "temporary") {
@@ -236,7 +226,7 @@
 		if t.kind != tokenWord {
 			continue
 		}
-		if slices.Contains(writingWords, t.text) || isCall(tokens, i) && !slices.Contains(harmlessCalls, t.text) {
+		if slices.Contains(writingWords, t.text) || isCall(tokens, i) && !sqlstmt.Harmless(t.text) {
 			return verdict{class: classOther}
 		}
 	}
--- a/internal/owner/admit.go
+++ b/internal/owner/admit.go
@@ -96,17 +96,20 @@
 // confirmationFor is the first check of the read lease, made after the request
 // was received and before anything is read. It also records the end of the
 // primary's log, which is before any commit of the request.
-func (g *group) confirmationFor(r *request, term uint64) (confirmation, *refusal) {
+//
+// A statement on the primary whose function may write counts as a write.
+func (g *group) confirmationFor(r *request, term uint64, addr string) (confirmation, *refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if term != g.term || !g.leaseValid(time.Now()) {
 		return confirmation{}, notRun(metrics.RefusedLeaseExpired, stateCannotConnect, "the read lease has expired")
 	}
+	mayWrite := r.info.CallsUnknown && addr == g.view.Primary
 	return confirmation{
 		term:  term,
 		write: outcomes.Write{Lower: g.primaryEnd},
 		mode:  r.mode(),
-		reads: r.info.ReadOnly && !r.info.Begins && !r.info.Ends,
+		reads: r.info.ReadOnly && !r.info.Begins && !r.info.Ends && !mayWrite,
 	}, nil
 }
 
--- a/internal/owner/drain.go
+++ b/internal/owner/drain.go
@@ -21,6 +21,9 @@
 // DrainPool returns when no request of the pool is in flight, or ctx ends. The
 // control view holds new requests back meanwhile.
 func (o *Owner) DrainPool(ctx context.Context, pool string) {
+	// Without the View that holds requests back, some could start after the last
+	// one in flight has ended.
+	o.applyView()
 	_ = waitUntil(ctx, func() bool { return o.openTransactions(pool) == 0 && o.inFlight(pool) == 0 })
 }
 
--- a/internal/owner/keyed.go
+++ b/internal/owner/keyed.go
@@ -22,7 +22,7 @@
 // runKeyed runs a write that carries a request key at most once. A key that is
 // recorded already returns the first result.
 func (r *request) runKeyed(ctx context.Context, grant grantOf, pool *connPool, c *conn, term uint64) *attempt {
-	conf, ref := r.g.confirmationFor(r, term)
+	conf, ref := r.g.confirmationFor(r, term, c.address)
 	if ref != nil {
 		pool.put(c)
 		r.g.release(grant, 0, false)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -19,6 +19,9 @@
 type Owner struct {
 	cfg Config
 
+	// applyMu keeps an older View from being applied after a newer one.
+	applyMu sync.Mutex
+
 	mu     sync.Mutex
 	groups map[string]*group
 	txs    map[outcomes.ID]*transaction
@@ -45,7 +48,7 @@
 	defer tick.Stop()
 	for {
 		changed := o.cfg.Controller.Changed()
-		o.applyView(o.cfg.Controller.View())
+		o.applyView()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -56,7 +59,11 @@
 	}
 }
 
-func (o *Owner) applyView(v *control.View) {
+// applyView brings all groups to the current View.
+func (o *Owner) applyView() {
+	o.applyMu.Lock()
+	defer o.applyMu.Unlock()
+	v := o.cfg.Controller.View()
 	if v == nil {
 		return
 	}
--- a/internal/owner/request.go
+++ b/internal/owner/request.go
@@ -198,7 +198,7 @@
 
 // runOnce runs the batch on a connection and waits for its confirmation.
 func (r *request) runOnce(ctx context.Context, grant admission.Grant, pool *connPool, c *conn, term uint64) *attempt {
-	conf, ref := r.g.confirmationFor(r, term)
+	conf, ref := r.g.confirmationFor(r, term, c.address)
 	if ref != nil {
 		pool.put(c)
 		r.g.release(grant, 0, false)
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -95,7 +95,7 @@
 		return refused(ref)
 	}
 	defer r.g.end()
-	conf, ref := r.g.confirmationFor(r, t.term)
+	conf, ref := r.g.confirmationFor(r, t.term, t.conn.address)
 	if ref != nil {
 		r.g.release(grant, 0, false)
 		r.o.dropTransaction(t, false)
--- a/internal/statement/batch.go
+++ b/internal/statement/batch.go
@@ -145,6 +145,7 @@
 
 // merge adds the Info of a further text.
 func (i *Info) merge(o Info) {
+	i.CallsUnknown = i.CallsUnknown || o.CallsUnknown
 	i.Begins = i.Begins || o.Begins
 	i.Ends = i.Ends || o.Ends
 	i.Fingerprint = combine(i.Fingerprint, o.Fingerprint)
--- a/internal/statement/info.go
+++ b/internal/statement/info.go
@@ -10,6 +10,9 @@
 	// ReadOnly is true if there is at least one statement, and each one is known
 	// not to write.
 	ReadOnly bool
+	// CallsUnknown is true if a statement calls a function that may write. On a
+	// replica such a function fails if it does; on a primary it takes effect.
+	CallsUnknown bool
 	// Begins is true if a statement begins a transaction block.
 	Begins bool
 	// Ends is true if a statement ends a transaction block.
--- a/internal/statement/sql.go
+++ b/internal/statement/sql.go
@@ -44,5 +44,6 @@
 	if i.SessionState == "" {
 		i.SessionState = sessionState(tokens)
 	}
+	i.CallsUnknown = i.CallsUnknown || callsUnknown(tokens)
 	return readOnly(tokens)
 }
