Keep the deltas of 512 generations instead of 64

After regions were out of contact for an hour, each daemon was sent the whole manifest. Measured with go test ./internal/manifestsync -bench DeltaOfAnHour -benchtime 1x: the answer after 287 changes has 12,316,725 bytes before and 1,030,603 bytes after the change, with 6,800 pools.

--- a/internal/manifestsync/capacity_test.go
+++ b/internal/manifestsync/capacity_test.go
@@ -55,7 +55,7 @@
 // one pool differs.
 func (f *fixture) prepare() {
 	f.number++
-	f.doc.Pools[1].User = fmt.Sprint("user-", f.number)
+	f.doc.Pools[f.number*7919%uint64(len(f.doc.Pools))].User = fmt.Sprint("user-", f.number)
 	history := []manifest.Acceptance{{Generation: f.number - 1}}
 	root, objects := manifest.SplitAfter(f.doc, history)
 	f.peer.resp = &peerv1.FetchManifestResponse{Generation: f.number, Root: root, Objects: make(map[string][]byte)}
@@ -185,3 +185,24 @@
 		})
 	}
 }
+
+// Measures what a daemon is sent that missed the changes of an hour, at 6,900
+// changes a day, as after a loss of contact between regions.
+func BenchmarkDeltaOfAnHour(b *testing.B) {
+	const changes = 6900 / 24
+	for _, s := range capacitytest.Sizes {
+		b.Run(s.String(), func(b *testing.B) {
+			for b.Loop() {
+				f := newFixture(b, s)
+				for range changes {
+					f.accept(b)
+				}
+				resp, err := f.syncer.FetchManifest(context.Background(), &peerv1.FetchManifestRequest{SinceGeneration: 1})
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(proto.Size(resp)), "B/answer")
+			}
+		})
+	}
+}
--- a/internal/manifestsync/held.go
+++ b/internal/manifestsync/held.go
@@ -7,8 +7,10 @@
 )
 
 // maxSteps is the number of generations for which a delta can be served. At
-// 6,900 changes a day it covers the last quarter of an hour.
-const maxSteps = 64
+// 6,900 changes a day it covers an hour and three quarters, so that regions that
+// were out of contact for an hour send each other deltas. A step takes about 300
+// bytes.
+const maxSteps = 512
 
 // held is a manifest with its objects. It is immutable.
 type held struct {
