--- a/internal/owner/capacity_test.go
+++ b/internal/owner/capacity_test.go
@@ -19,10 +19,18 @@
 				views[name] = control.GroupView{Pool: manifest.Pool{Name: name}}
 			}
 			v := &control.View{Groups: control.NewGroups(views)}
-			o := New(Config{})
+			o := New(Config{Controller: fixedView{v}})
 			for b.Loop() {
-				o.applyView(v)
+				o.applyView()
 			}
 		})
 	}
 }
+
+// fixedView is a controller whose View never changes.
+type fixedView struct{ v *control.View }
+
+func (f fixedView) View() *control.View             { return f.v }
+func (f fixedView) Changed() <-chan struct{}        { return nil }
+func (f fixedView) ReportEndpointError(_, _ string) {}
+func (f fixedView) ReportTerm(_ string, _ uint64)   {}
