Give each local host peers to start from

Cause: with the store and the host list down a restarted daemon knew no peer and waited for a heartbeat, so that all hosts could be without a manifest after a rolling restart (1 of 3 runs of TestGracefulShutdownWhileStoreIsDown). Real hosts have peers in their settings.

--- a/internal/localdeploy/config.go
+++ b/internal/localdeploy/config.go
@@ -43,6 +43,9 @@
 	Writes  []manifest.WriteKind
 }
 
+// bootstrapPeers is the number of peers in each host's settings.
+const bootstrapPeers = 3
+
 // startTimeout bounds the time until every pool has an owner.
 const startTimeout = 15 * time.Second
 
--- a/internal/localdeploy/deployment.go
+++ b/internal/localdeploy/deployment.go
@@ -62,6 +62,9 @@
 		}
 		d.Hosts = append(d.Hosts, h)
 	}
+	for _, h := range d.Hosts {
+		h.settings.Peers = d.peersOf(h)
+	}
 	d.Manifest = d.document()
 	d.Platform.SetHosts(d.hostList())
 	if _, err := d.Store().Apply(ctx, d.Manifest, 0, "localdeploy"); err != nil {
@@ -75,6 +78,18 @@
 	return d.waitOwners(ctx)
 }
 
+// peersOf returns the peers that a host starts from while the host list is not
+// available.
+func (d *Deployment) peersOf(h *Host) []string {
+	var out []string
+	for _, other := range d.Hosts {
+		if other != h && len(out) < bootstrapPeers {
+			out = append(out, other.PeerAddress())
+		}
+	}
+	return out
+}
+
 func (d *Deployment) waitOwners(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
