--- a/internal/owner/keyed.go
+++ b/internal/owner/keyed.go
@@ -22,7 +22,7 @@
 // runKeyed runs a write that carries a request key at most once. A key that is
 // recorded already returns the first result.
 func (r *request) runKeyed(ctx context.Context, grant grantOf, pool *connPool, c *conn, term uint64) *attempt {
-	conf, ref := r.g.confirmationFor(r, term)
+	conf, ref := r.g.confirmationFor(r, term, c.address)
 	if ref != nil {
 		pool.put(c)
 		r.g.release(grant, 0, false)
@@ -36,7 +36,7 @@
 		r.reportError(c.address)
 		return r.connectionLost(ctx, conf)
 	}
-	r.g.sawPosition(term, c.address, res.position)
+	r.g.sawPosition(term, c.address, res.position, started)
 	pool.put(c)
 	if res.sqlstate == stateUniqueViolation && r.out.size == 0 {
 		return &attempt{refusal: notRun(metrics.RetryKeyRace, stateSerialization, "another request with the same key was running"), again: metrics.RetryKeyRace}
