Bound state per peer address and tidy answers that break early

An error may replace a long message of which nothing was written yet, so that the connection lives on. After an error before Flush everything up to Sync is dropped, Query included.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -127,7 +127,7 @@
 }
 
 // canFail reports whether an error can be written after what was written.
-func (a *answer) canFail() bool { return a.passing == 0 }
+func (a *answer) canFail() bool { return a.passing == 0 || !a.started }
 
 // fail appends an error, after the last whole message. What is held back of a
 // message is dropped.
@@ -137,6 +137,7 @@
 		a.changes = nil
 	}
 	a.held = nil
+	a.passing = 0
 	a.out = encode(a.out, r.response())
 	a.failed = true
 }
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -279,7 +279,7 @@
 
 // skip drops a batch after an error, up to Sync.
 func (c *caller) skip(b *batch) error {
-	if b.kind() == typeFlush {
+	if b.kind() != typeSync {
 		return nil
 	}
 	c.skipping = false
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -71,6 +71,9 @@
 	if r.c.transaction != nil {
 		return r.lost(r.rolledBack())
 	}
+	if late {
+		refused.message = "the owner did not answer in time; the outcome of the request is not known"
+	}
 	if late || !r.check.repeatable() {
 		return r.lost(refused)
 	}
--- a/internal/entry/protocol_test.go
+++ b/internal/entry/protocol_test.go
@@ -108,6 +108,7 @@
 			c.Send(&pgproto3.Sync{})
 		}, 'Z', "2DCZ"},
 		{"error before flush", func() { c.Send(&pgproto3.Parse{Query: "syntax error"}); c.Send(&pgproto3.Flush{}) }, 'E', "E"},
+		{"skipped query", func() { c.Send(&pgproto3.Query{String: "select 1"}) }, 0, ""},
 		{"skipped up to sync", func() { bind(""); c.Send(&pgproto3.Sync{}) }, 'Z', "Z"},
 		{"set", func() {
 			c.Send(&pgproto3.Parse{Query: "SET application_name = 'x'"})
@@ -125,6 +126,9 @@
 	for _, s := range steps {
 		s.send()
 		c.g.Expect(c.Flush()).To(Succeed())
+		if s.end == 0 {
+			continue // Nothing is answered.
+		}
 		c.g.Expect(c.types(s.end)).To(Equal(s.want), s.name)
 	}
 }
--- a/internal/entry/unit_test.go
+++ b/internal/entry/unit_test.go
@@ -146,3 +146,19 @@
 }
 
 func (noOwner) Changed() <-chan struct{} { return nil }
+
+// Guards against a connection that is closed although the caller has got nothing
+// of the message in whose middle the answer broke.
+func TestErrorReplacesAnswerThatWasNotWritten(t *testing.T) {
+	g := NewWithT(t)
+	raw := encode(nil, &pgproto3.DataRow{Values: [][]byte{make([]byte, 2*maxHeldMessage)}})
+	var got bytes.Buffer
+	a := &answer{w: &got, batch: &prepared{}}
+	_, err := a.Write(raw[:flushSize/2])
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(a.canFail()).To(BeTrue())
+	refused := unknown(stateOutcomeUnknown, "unknown.owner_lost", "lost")
+	a.fail(refused)
+	g.Expect(a.flush()).To(Succeed())
+	g.Expect(got.Bytes()).To(Equal(encode(nil, refused.response())))
+}
--- a/internal/peer/calls.go
+++ b/internal/peer/calls.go
@@ -11,6 +11,10 @@
 	"github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1/peerv1connect"
 )
 
+// maxAddresses bounds what is kept per address; hosts are replaced all the time,
+// and their addresses need not come back.
+const maxAddresses = 10_000
+
 // Calls makes unary calls to other daemons. A call whose ctx has no deadline
 // ends after 1 s. Every error of a call says only that no answer arrived.
 type Calls struct {
@@ -88,6 +92,9 @@
 	defer c.mu.Unlock()
 	client, ok := c.clients[key]
 	if !ok {
+		if len(c.clients) >= maxAddresses {
+			clear(c.clients)
+		}
 		transport := c.transport
 		if key.background {
 			transport = c.background
--- a/internal/peer/streams.go
+++ b/internal/peer/streams.go
@@ -144,6 +144,9 @@
 	}
 	d := s.delays[st.address]
 	if d == nil {
+		if len(s.delays) >= maxAddresses {
+			clear(s.delays)
+		}
 		d = &dialDelay{}
 		s.delays[st.address] = d
 	}
