Probe recovery through entries that are not paused

Each session uses all entries in turn and waits 15 s at the paused one, so that all sessions can be waiting there when service is back.

--- a/internal/proof/run_test.go
+++ b/internal/proof/run_test.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -41,6 +43,8 @@
 	rec  *history.Recorder
 	seed uint64
 	load *workload.Load
+	// probes counts the calls of probe.
+	probes int
 	// callers are the entries' addresses if there is no d.
 	callers []string
 }
@@ -125,6 +129,33 @@
 
 func (r *run) stopSessions() { r.load.Stop() }
 
+// probe books through entries other than the paused one until the returned
+// function is called. Each session of the load uses all entries in turn and waits
+// at a paused one for its timeout, so that all of them may be waiting there when
+// service is back.
+func (r *run) probe(paused string) (stop func()) {
+	r.probes++
+	s := &workload.Session{Name: fmt.Sprintf("probe-%d", r.probes), Pool: poolName, Recorder: r.rec}
+	for _, e := range r.entries() {
+		if e != paused {
+			s.Entries = append(s.Entries, e)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() {
+		defer s.Close()
+		for ctx.Err() == nil {
+			s.Book(context.Background(), "")
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	return func() {
+		cancel()
+		done.Wait()
+	}
+}
+
 // confirmedAfter waits until a booking that started after the given time is
 // confirmed, and fails the test after the recovery bound.
 func (r *run) confirmedAfter(at time.Time) time.Duration {
