Keep the whole answer of a write until it is confirmed; split large files of the owner

Cause: an answer to a write above 256 KB was dropped when it could not be streamed, and the write was reported as not run although it had run; the entry then ran it again (TestLargeAnswerOfWrite: unique violation before, pass after).

--- a/internal/owner/keyed.go
+++ b/internal/owner/keyed.go
@@ -28,6 +28,7 @@
 		r.g.release(grant, 0, false)
 		return &attempt{refusal: ref, again: metrics.RetryLease}
 	}
+	r.out.keepAll = true
 	started := time.Now()
 	res, err := r.keyedTransaction(c)
 	r.g.release(grant, time.Since(started), err != nil)
@@ -37,6 +38,9 @@
 		return r.connectionLost(ctx, conf)
 	}
 	r.g.sawPosition(term, c.address, res.position, started)
+	if res.sqlstate == stateReadOnly {
+		return r.writeRejected(pool, c, true)
+	}
 	pool.put(c)
 	if res.sqlstate == stateUniqueViolation && r.out.size == 0 {
 		return &attempt{refusal: notRun(metrics.RetryKeyRace, stateSerialization, "another request with the same key was running"), again: metrics.RetryKeyRace}
--- a/internal/owner/output.go
+++ b/internal/owner/output.go
@@ -8,6 +8,9 @@
 	w     peer.AnswerWriter
 	parts [][]byte
 	size  int
+	// keepAll keeps answers of any size until they are confirmed. The answer to a
+	// write must not be dropped, since the write has run.
+	keepAll bool
 	// allow is asked once before streaming begins; false drops the rest.
 	allow func() bool
 	// streaming is true once answer bytes were sent before the batch's end.
@@ -29,7 +32,7 @@
 	}
 	b.parts = append(b.parts, msg)
 	b.size += len(msg)
-	if b.size <= streamThreshold {
+	if b.size <= streamThreshold || b.keepAll {
 		return
 	}
 	if !b.streaming && !b.allow() {
--- a/internal/owner/request.go
+++ b/internal/owner/request.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/admission"
-	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/outcomes"
 	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
@@ -33,15 +32,6 @@
 	primaryOnly bool
 }
 
-// attempt is the result of running a request once.
-type attempt struct {
-	// refusal is set if the batch was not answered.
-	refusal *refusal
-	// again is set if the batch did not run and may be repeated at once.
-	again  metrics.Name
-	status byte
-}
-
 func (r *request) run(ctx context.Context) *peerv1.Answer {
 	a := r.prepare()
 	if a == nil {
@@ -95,8 +85,6 @@
 	return nil
 }
 
-func refused(r *refusal) *attempt { return &attempt{refusal: r} }
-
 // repeat runs the request until it has an outcome. Only a request that did not
 // run is repeated.
 func (r *request) repeat(ctx context.Context) *attempt {
@@ -195,156 +183,3 @@
 		},
 	}
 }
-
-// runOnce runs the batch on a connection and waits for its confirmation.
-func (r *request) runOnce(ctx context.Context, grant admission.Grant, pool *connPool, c *conn, term uint64) *attempt {
-	conf, ref := r.g.confirmationFor(r, term, c.address)
-	if ref != nil {
-		pool.put(c)
-		r.g.release(grant, 0, false)
-		return &attempt{refusal: ref, again: metrics.RetryLease}
-	}
-	onPrimary := r.g.isPrimary(c.address, term)
-	res, err := r.runBatch(ctx, grant, c, conf)
-	if err != nil {
-		pool.discard(c)
-		r.reportError(c.address)
-		return r.connectionLost(ctx, conf)
-	}
-	if res.sqlstate == stateReadOnly && res.status == 'I' && !r.info.Begins && !r.info.Ends {
-		return r.writeRejected(pool, c, onPrimary)
-	}
-	r.afterRun(res, pool, c, term)
-	conf.write.Upper = res.position
-	conf.write.UpperKnown = !res.position.IsZero()
-	conf.done = time.Now()
-	return r.settle(ctx, conf, res, c.address, onPrimary)
-}
-
-// writeRejected repeats a batch that an endpoint rejected since it accepts no
-// writes: a replica, or a primary whose term was advanced meanwhile. The batch
-// is one implicit transaction, so nothing of it took effect.
-func (r *request) writeRejected(pool *connPool, c *conn, onPrimary bool) *attempt {
-	if !onPrimary {
-		pool.put(c)
-		r.primaryOnly = true
-		return &attempt{refusal: notRun(metrics.RetryReplicaReject, stateReadOnly, "the statement writes"), again: metrics.RetryReplicaReject}
-	}
-	pool.discard(c)
-	r.reportError(c.address)
-	return &attempt{refusal: notRun(metrics.RetryPrimaryChanged, stateReadOnly, "the endpoint accepts no writes"), again: metrics.RetryPrimaryChanged}
-}
-
-// runBatch runs the batch and frees the slot.
-func (r *request) runBatch(ctx context.Context, grant admission.Grant, c *conn, conf confirmation) (batchResult, error) {
-	r.out.allow = func() bool { return conf.reads && r.mayStream(ctx, c, conf) }
-	stop := r.cancelWith(ctx, c)
-	started := time.Now()
-	res, err := c.run(r.req.GetBatch(), r.out.add)
-	stop()
-	r.g.release(grant, time.Since(started), err != nil)
-	if err == nil {
-		r.g.sawPosition(conf.term, c.address, res.position, started)
-	}
-	return res, err
-}
-
-// cancelWith cancels the batch on the endpoint if the caller goes away. A write
-// outside a transaction is left to end, since its outcome may be asked for. The
-// returned function ends the watch.
-func (r *request) cancelWith(ctx context.Context, c *conn) func() {
-	if !r.info.ReadOnly && len(r.req.GetTransactionId()) == 0 {
-		return func() {}
-	}
-	stop := context.AfterFunc(ctx, func() { c.cancel(context.WithoutCancel(ctx)) })
-	return func() {
-		if !stop() {
-			c.canceled = true
-		}
-	}
-}
-
-// mayStream confirms what the first part of a large answer has seen.
-func (r *request) mayStream(ctx context.Context, c *conn, conf confirmation) bool {
-	pollCtx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	st, err := r.o.cfg.Groups.Status(pollCtx, c.address)
-	if err != nil {
-		return false
-	}
-	conf.write.Upper = st.Applied
-	return r.g.await(ctx, conf) == nil
-}
-
-// afterRun returns the connection, or keeps it for the transaction that the
-// batch has begun.
-func (r *request) afterRun(res batchResult, pool *connPool, c *conn, term uint64) {
-	if res.status == 'I' {
-		pool.put(c)
-		return
-	}
-	r.o.keepTransaction(&transaction{
-		id:      r.id,
-		g:       r.g,
-		pool:    pool,
-		conn:    c,
-		term:    term,
-		session: r.req.GetSession(),
-		wrote:   !r.info.ReadOnly,
-	})
-}
-
-// settle waits for the confirmation, raises the session's floor and counts.
-func (r *request) settle(ctx context.Context, conf confirmation, res batchResult, addr string, onPrimary bool) *attempt {
-	if r.out.dropped {
-		return refused(notRun(metrics.RefusedLeaseExpired, stateCannotConnect, "the read lease expired while a large answer was read"))
-	}
-	if conf.reads && !onPrimary && !r.g.coversFloor(conf.term, r.req.GetSession(), res.position) {
-		return &attempt{refusal: notRun(metrics.RetryReadRepeated, stateSerialization, "the replica was behind the session"), again: metrics.RetryReadRepeated}
-	}
-	if conf.reads && r.read.AllowUnconfirmed {
-		conf.write.Upper = logpos.Position{}
-	}
-	if ref := r.g.await(ctx, conf); ref != nil {
-		if conf.reads && !r.out.streaming {
-			return &attempt{refusal: ref, again: metrics.RetryReadRepeated}
-		}
-		return refused(ref)
-	}
-	r.g.raiseFloor(conf.term, r.req.GetSession(), res.position)
-	r.count(conf, onPrimary)
-	return &attempt{status: res.status}
-}
-
-func (r *request) count(conf confirmation, onPrimary bool) {
-	name := metrics.Writes
-	if conf.reads {
-		name = metrics.ReadsReplica
-		if onPrimary {
-			name = metrics.ReadsPrimary
-			if r.read.MaxStalenessMs > 0 && len(r.req.GetTransactionId()) == 0 {
-				r.o.cfg.Metrics.Inc(metrics.ReadsPrimaryEligible)
-			}
-		}
-	}
-	r.o.cfg.Metrics.Inc(name)
-}
-
-// connectionLost decides the outcome of a batch whose answer was cut off.
-func (r *request) connectionLost(ctx context.Context, conf confirmation) *attempt {
-	if conf.reads && !r.out.streaming {
-		return &attempt{
-			refusal: notRun(metrics.RefusedConnect, stateConnectionFailure, "the connection to the endpoint broke"),
-			again:   metrics.RetryReadRepeated,
-		}
-	}
-	if conf.reads {
-		return refused(unknown(metrics.UnknownEndpointLost, "the connection to the endpoint broke in the middle of the answer"))
-	}
-	conf.write.UpperKnown = false
-	return refused(r.g.awaitTerm(ctx, conf))
-}
-
-func (r *request) reportError(addr string) {
-	r.o.cfg.Controller.ReportEndpointError(r.req.GetPool(), addr)
-}
