Let the replicas apply the demo's table before sessions start

Cause: lookups of new sessions went to replicas that had not applied CREATE TABLE yet, 100 ms behind; the demo counted 306 database errors as unknown.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -25,6 +25,9 @@
 	steadyTime = 2 * time.Second
 	// cutTime is how long the primary stays cut off.
 	cutTime = 4 * time.Second
+	// tableTime lets the replicas apply the new table; lookups of other sessions
+	// may be served by a replica that does not have it yet.
+	tableTime = 500 * time.Millisecond
 	// manifestBound is the time in which an accepted manifest must be in force.
 	manifestBound = 5 * time.Second
 )
@@ -54,6 +57,7 @@
 	if err := createTables(ctx, d); err != nil {
 		return nil, err
 	}
+	time.Sleep(tableTime)
 	rec := &history.Recorder{}
 	load := &workload.Load{
 		Sessions: sessions,
