Use the library's retry budget and read eligibility; drop an alias and a dead counter

The entry had a token bucket beside coord/admission.Budget, and the owner repeated the rule of coord/routing.Eligible. Both now call the library. The type alias grantOf is replaced by its type, and callers.malformed, which nothing counted, is gone. Behaviour is unchanged: tests of entry, owner, metrics, localdeploy and TestReadYourWritesWithReplicasFarBehind pass.

--- a/internal/entry/budget.go
+++ b/internal/entry/budget.go
@@ -1,6 +1,10 @@
 package entry
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/beryltrestle/beryltrestle/coord/admission"
+)
 
 // Limits of retries, so that retries don't multiply the load of an owner that
 // is short of capacity.
@@ -15,26 +19,24 @@
 // retryBudget is a token bucket that is filled by requests.
 type retryBudget struct {
 	mu     sync.Mutex
-	tokens float64
+	budget *admission.Budget
 }
 
 // newRetryBudget returns a full budget.
-func newRetryBudget() *retryBudget { return &retryBudget{tokens: retryBurst} }
+func newRetryBudget() *retryBudget {
+	return &retryBudget{budget: admission.NewBudget(retryShare, retryBurst)}
+}
 
 // earn adds the share of one request.
 func (b *retryBudget) earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+retryShare, retryBurst)
+	b.budget.Request()
 }
 
 // spend takes one retry; false if none is left.
 func (b *retryBudget) spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+	return b.budget.Retry()
 }
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -55,7 +55,6 @@
 	Transactions         Name = "transactions"
 	AnswersDiscarded     Name = "answers.unknown_id"
 	CallersOpen          Name = "callers.open"
-	CallersMalformed     Name = "callers.malformed"
 	CallersGone          Name = "callers.gone"
 	Requests             Name = "requests"
 	AnswersKept          Name = "answers.kept_delivered"
--- a/internal/owner/floors.go
+++ b/internal/owner/floors.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/coord/routing"
 )
 
 // prune drops the floors that every endpoint serving reads has passed.
@@ -32,14 +33,13 @@
 	if addr == g.view.Primary {
 		return true
 	}
-	if g.cfg.PrimaryOnly || maxStaleness <= 0 || g.staleness == nil {
-		return false
-	}
 	applied, ok := g.applied[addr]
-	if !ok || applied.Less(g.floors.Floor(session)) {
+	if !ok || g.cfg.PrimaryOnly || g.staleness == nil {
 		return false
 	}
-	return g.staleness.Age(time.Now(), applied) <= maxStaleness && g.health.Admit(addr)
+	read := routing.Read{Floor: g.floors.Floor(session), MaxStaleness: maxStaleness}
+	replica := routing.Candidate{Accepting: true, Applied: applied}
+	return routing.Eligible(time.Now(), read, replica, g.staleness) && g.health.Admit(addr)
 }
 
 // sawPosition records what the answer to a batch, sent at the given time, told of
--- a/internal/owner/keyed.go
+++ b/internal/owner/keyed.go
@@ -11,9 +11,6 @@
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
-// grantOf keeps signatures short.
-type grantOf = admission.Grant
-
 // createRequestsTable makes the table of request keys. A key is written in the
 // transaction of its request, so that both commit or neither does.
 const createRequestsTable = "CREATE TABLE IF NOT EXISTS beryltrestle_requests " +
@@ -21,7 +18,7 @@
 
 // runKeyed runs a write that carries a request key at most once. A key that is
 // recorded already returns the first result.
-func (r *request) runKeyed(ctx context.Context, grant grantOf, pool *connPool, c *conn, term uint64) *attempt {
+func (r *request) runKeyed(ctx context.Context, grant admission.Grant, pool *connPool, c *conn, term uint64) *attempt {
 	conf, ref := r.g.confirmationFor(r, term, c.address)
 	if ref != nil {
 		pool.put(c)
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/beryltrestle/beryltrestle/coord/admission"
 	"github.com/beryltrestle/beryltrestle/coord/outcomes"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
@@ -110,7 +111,7 @@
 // they hold connections and locks.
 const transactionPriority = 10
 
-func (r *request) runInTransaction(ctx context.Context, t *transaction, grant grantOf, conf confirmation) *attempt {
+func (r *request) runInTransaction(ctx context.Context, t *transaction, grant admission.Grant, conf confirmation) *attempt {
 	addr := t.conn.address
 	res, err := r.runBatch(ctx, grant, t.conn, conf)
 	if err != nil {
@@ -138,11 +139,11 @@
 // hold locks runs without one: all slots may be taken by statements that wait
 // for those locks, and none of them would ever end. So does every statement
 // while the group is drained, when no slots are given.
-func (r *request) admitInTransaction(ctx context.Context, t *transaction) (grantOf, *refusal) {
+func (r *request) admitInTransaction(ctx context.Context, t *transaction) (admission.Grant, *refusal) {
 	holdsLocks := t.wrote || r.info.Ends
 	t.wrote = t.wrote || !r.info.ReadOnly
 	if r.g.enterWithoutSlot(holdsLocks) {
-		return grantOf{}, nil
+		return admission.Grant{}, nil
 	}
 	work := r.work(t.conn.address)
 	work.Priority = transactionPriority
