--- /dev/null
+++ b/coord/rows/table.go
@@ -0,0 +1,104 @@
+package rows
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Table is the mirror of one table. It is not safe for concurrent use.
+type Table struct {
+	rows    map[string]Row
+	through uint64
+}
+
+// NewTable returns an empty mirror.
+func NewTable() *Table { return &Table{rows: make(map[string]Row)} }
+
+// Through returns the version up to which the mirror holds every change.
+func (t *Table) Through() uint64 { return t.through }
+
+// Apply merges changes that are complete after the version from and up to the
+// version through. It returns the rows that changed. Changes that start past
+// what the mirror holds are merged too, but do not advance Through, since the
+// gap may hide other changes.
+func (t *Table) Apply(changes []Row, from, through uint64) []Row {
+	var changed []Row
+	for _, r := range changes {
+		if t.merge(r) {
+			changed = append(changed, r)
+		}
+	}
+	if from <= t.through && through > t.through {
+		t.through = through
+	}
+	return changed
+}
+
+// Replace merges a whole listing as of the version. Rows that the listing does
+// not hold and that are not newer than it count as deleted. It returns the rows
+// that changed.
+func (t *Table) Replace(listing []Row, version uint64) []Row {
+	if version < t.through {
+		return nil
+	}
+	listed := make(map[string]bool, len(listing))
+	for _, r := range listing {
+		listed[r.Key] = true
+	}
+	var changed []Row
+	for key, r := range t.rows {
+		if listed[key] || r.Deleted || r.Version > version {
+			continue
+		}
+		gone := Row{Key: key, Version: version, Deleted: true}
+		t.rows[key] = gone
+		changed = append(changed, gone)
+	}
+	for _, r := range listing {
+		if t.merge(r) {
+			changed = append(changed, r)
+		}
+	}
+	t.through = version
+	return changed
+}
+
+// merge takes the row if it is newer than the one held.
+func (t *Table) merge(r Row) bool {
+	if held, ok := t.rows[r.Key]; ok && held.Version >= r.Version {
+		return false
+	}
+	t.rows[r.Key] = r
+	return true
+}
+
+// Get returns the row, unless it does not exist.
+func (t *Table) Get(key string) (Row, bool) {
+	r, ok := t.rows[key]
+	return r, ok && !r.Deleted
+}
+
+// Live returns the existing rows, ordered by key.
+func (t *Table) Live() []Row {
+	live := make([]Row, 0, len(t.rows))
+	for _, r := range t.rows {
+		if !r.Deleted {
+			live = append(live, r)
+		}
+	}
+	slices.SortFunc(live, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	return live
+}
+
+// Since returns all versions after the given one, deleted rows included, ordered
+// by version.
+func (t *Table) Since(version uint64) []Row {
+	var newer []Row
+	for _, r := range t.rows {
+		if r.Version > version {
+			newer = append(newer, r)
+		}
+	}
+	slices.SortFunc(newer, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
+	return newer
+}
--- /dev/null
+++ b/coord/rows/table_test.go
@@ -0,0 +1,57 @@
+package rows_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/coord/rows"
+)
+
+func row(key string, version uint64, value string) rows.Row {
+	return rows.Row{Key: key, Version: version, Value: []byte(value)}
+}
+
+// Guards against a host that goes back to an older configuration because a peer
+// with an older mirror answers last.
+func TestOlderVersionNeverReplacesNewer(t *testing.T) {
+	g := NewWithT(t)
+	m := rows.NewTable()
+	m.Apply([]rows.Row{row("config", 7, "new")}, 0, 7)
+	g.Expect(m.Apply([]rows.Row{row("config", 5, "old")}, 0, 5)).To(BeEmpty())
+	g.Expect(m.Replace([]rows.Row{row("config", 5, "old")}, 5)).To(BeEmpty())
+	held, ok := m.Get("config")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(string(held.Value)).To(Equal("new"))
+	g.Expect(m.Through()).To(Equal(uint64(7)))
+}
+
+// Guards against endpoints that left while the history was lost and would be
+// used for ever.
+func TestListingDeletesWhatItDoesNotHold(t *testing.T) {
+	g := NewWithT(t)
+	m := rows.NewTable()
+	m.Apply([]rows.Row{row("a", 1, "x"), row("b", 2, "x")}, 0, 2)
+	m.Apply([]rows.Row{row("c", 9, "x")}, 8, 9)
+	changed := m.Replace([]rows.Row{row("a", 1, "x")}, 6)
+	g.Expect(changed).To(HaveLen(1))
+	g.Expect(changed[0].Deleted).To(BeTrue())
+	_, ok := m.Get("b")
+	g.Expect(ok).To(BeFalse())
+	_, ok = m.Get("c")
+	g.Expect(ok).To(BeTrue(), "a row newer than the listing stays")
+}
+
+// Guards against a change that is missed for good because a later one arrived
+// first.
+func TestGapDoesNotAdvanceThrough(t *testing.T) {
+	g := NewWithT(t)
+	m := rows.NewTable()
+	m.Apply(nil, 0, 3)
+	m.Apply([]rows.Row{row("a", 9, "x")}, 8, 9)
+	g.Expect(m.Through()).To(Equal(uint64(3)))
+	g.Expect(m.Since(3)).To(HaveLen(1))
+	m.Apply([]rows.Row{row("b", 5, "x")}, 3, 9)
+	g.Expect(m.Through()).To(Equal(uint64(9)))
+	g.Expect(m.Live()).To(HaveLen(2))
+}
--- /dev/null
+++ b/coord/session/session_test.go
@@ -0,0 +1,68 @@
+package session_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/coord/session"
+)
+
+// Guards against a statement that runs with the values of another session.
+func TestForeignValuesAreCleared(t *testing.T) {
+	g := NewWithT(t)
+	r := session.NewReplica()
+	a, b := session.New(), session.New()
+	a.Set("zone", "1")
+	a.Set("tz", "utc")
+	b.Set("zone", "2")
+	g.Expect(r.Adopt(a, false)).To(HaveLen(2))
+	g.Expect(r.Same(a)).To(BeTrue())
+	replay := r.Adopt(b, false)
+	g.Expect(replay[0].Op).To(Equal(session.OpReset))
+	g.Expect(replay[1:]).To(Equal([]session.Statement{{Op: session.OpSet, Name: "zone", Args: "2"}}))
+	g.Expect(r.Same(b)).To(BeTrue())
+	g.Expect(r.Adopt(b, false)).To(BeEmpty())
+}
+
+// Guards against two sessions that use one name for different statements.
+func TestPreparedNamesOfSessionsDoNotCollide(t *testing.T) {
+	g := NewWithT(t)
+	r := session.NewReplica()
+	a, b := session.New(), session.New()
+	a.Prepare("s1", "READ q1", false)
+	b.Prepare("s1", "READ q2", false)
+	pa, _ := a.Prepared("s1")
+	pb, _ := b.Prepared("s1")
+	g.Expect(pa.Alias()).NotTo(Equal(pb.Alias()))
+	g.Expect(r.Need(pa)).To(HaveLen(1))
+	g.Expect(r.Need(pa)).To(BeEmpty())
+	g.Expect(r.Need(pb)).To(HaveLen(1))
+	r.Forget(pb)
+	g.Expect(r.Need(pb)).To(HaveLen(1))
+}
+
+// Guards against a reset that forgets prepared statements which the record still
+// lists.
+func TestResetForgetsPreparedStatements(t *testing.T) {
+	g := NewWithT(t)
+	r := session.NewReplica()
+	a, b := session.New(), session.New()
+	a.Set("zone", "1")
+	p := session.Prepared{Definition: "READ q1"}
+	r.Adopt(a, false)
+	r.Need(p)
+	r.Adopt(b, false)
+	g.Expect(r.Need(p)).To(HaveLen(1))
+}
+
+// Guards against a transaction within a transaction.
+func TestTransactionsDoNotNest(t *testing.T) {
+	g := NewWithT(t)
+	s := session.New()
+	g.Expect(s.Begin(false, time.Unix(1, 0))).To(BeTrue())
+	g.Expect(s.Begin(true, time.Unix(2, 0))).To(BeFalse())
+	s.End()
+	g.Expect(s.Transaction()).To(BeNil())
+}
--- /dev/null
+++ b/coord/succession/decide.go
@@ -0,0 +1,90 @@
+package succession
+
+import "time"
+
+const (
+	// ConfirmUnreachable is how long a primary must have been unreachable before it
+	// is replaced. It is above the time of one failed probe, so that a single lost
+	// connection does not cost a change of primary.
+	ConfirmUnreachable = 250 * time.Millisecond
+	// ConfirmLost is how long no endpoint may have claimed to lead before one is
+	// chosen. Primaries are found within one round of status requests.
+	ConfirmLost = 400 * time.Millisecond
+	// RankDelay is the time that each rank waits for the hosts before it. It is
+	// above the time that a host needs until its claim is known to the others.
+	RankDelay = 700 * time.Millisecond
+	// StalledFence is the age of a claim that has led to no primary, after which
+	// another host may take over. A change of primary takes the platform's promotion
+	// time and a few round trips.
+	StalledFence = 2500 * time.Millisecond
+	// Cooldown is the pause after an attempt that was given up.
+	Cooldown = 800 * time.Millisecond
+)
+
+// Reason says why a primary is replaced.
+type Reason string
+
+// Reasons of a replacement. ReasonNone means that nothing is to be done.
+const (
+	ReasonNone        Reason = ""
+	ReasonDraining    Reason = "draining"
+	ReasonUnreachable Reason = "unreachable"
+	ReasonLost        Reason = "lost"
+	ReasonStalled     Reason = "stalled"
+)
+
+// Planned reports whether the old primary still serves, so that the change may
+// wait for its work and its log.
+func (r Reason) Planned() bool { return r == ReasonDraining }
+
+// View is what a host has seen of one group. Zero times mean that the condition
+// does not hold.
+type View struct {
+	Now time.Time
+	// DrainingSince is when the primary began to leave.
+	DrainingSince time.Time
+	// UnreachableSince is when the first of an unbroken series of probes of the
+	// primary failed.
+	UnreachableSince time.Time
+	// LostSince is when no endpoint was known to lead any more.
+	LostSince time.Time
+	// FencedAt is when a change of the present primary began, whoever began it.
+	FencedAt time.Time
+	// GaveUpAt is when this host last gave up a change.
+	GaveUpAt time.Time
+	// Rank is the number of live hosts that go before this one.
+	Rank int
+	// Successors is the number of endpoints that could lead.
+	Successors int
+}
+
+// Decide returns why this host should replace the primary now.
+func Decide(v View) Reason {
+	if v.Successors == 0 || since(v.Now, v.GaveUpAt) < Cooldown && !v.GaveUpAt.IsZero() {
+		return ReasonNone
+	}
+	turn := time.Duration(v.Rank) * RankDelay
+	if !v.FencedAt.IsZero() {
+		if since(v.Now, v.FencedAt) >= StalledFence+turn {
+			return ReasonStalled
+		}
+		return ReasonNone
+	}
+	switch {
+	case holds(v.Now, v.UnreachableSince, ConfirmUnreachable+turn):
+		return ReasonUnreachable
+	case holds(v.Now, v.LostSince, ConfirmLost+turn):
+		return ReasonLost
+	case holds(v.Now, v.DrainingSince, turn):
+		return ReasonDraining
+	}
+	return ReasonNone
+}
+
+// holds reports whether a condition has held for the time.
+func holds(now, since time.Time, least time.Duration) bool {
+	return !since.IsZero() && now.Sub(since) >= least
+}
+
+// since returns the age of a time.
+func since(now, at time.Time) time.Duration { return now.Sub(at) }
--- /dev/null
+++ b/coord/succession/succession_test.go
@@ -0,0 +1,70 @@
+package succession_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/coord/succession"
+)
+
+var now = time.Unix(1000, 0)
+
+func ago(d time.Duration) time.Time { return now.Add(-d) }
+
+// Guards against a change of primary for one lost connection, and against two
+// hosts that begin it at once.
+func TestDecide(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		view succession.View
+		want succession.Reason
+	}{
+		{"nothing wrong", succession.View{Successors: 2}, succession.ReasonNone},
+		{"one failed probe", succession.View{Successors: 2, UnreachableSince: ago(100 * time.Millisecond)}, succession.ReasonNone},
+		{"unreachable", succession.View{Successors: 2, UnreachableSince: ago(300 * time.Millisecond)}, succession.ReasonUnreachable},
+		{"another host's turn", succession.View{Successors: 2, Rank: 1, UnreachableSince: ago(300 * time.Millisecond)}, succession.ReasonNone},
+		{"the first host is silent", succession.View{Successors: 2, Rank: 1, UnreachableSince: ago(time.Second)}, succession.ReasonUnreachable},
+		{"nobody could lead", succession.View{UnreachableSince: ago(time.Minute)}, succession.ReasonNone},
+		{"a change is under way", succession.View{Successors: 2, FencedAt: ago(time.Second), UnreachableSince: ago(2 * time.Second)}, succession.ReasonNone},
+		{"a change has stalled", succession.View{Successors: 2, FencedAt: ago(3 * time.Second)}, succession.ReasonStalled},
+		{"given up just now", succession.View{Successors: 2, GaveUpAt: ago(100 * time.Millisecond), LostSince: ago(time.Second)}, succession.ReasonNone},
+		{"draining", succession.View{Successors: 1, DrainingSince: ago(time.Millisecond)}, succession.ReasonDraining},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.view.Now = now
+			NewWithT(t).Expect(succession.Decide(c.view)).To(Equal(c.want))
+		})
+	}
+}
+
+// Guards against acknowledged commits that are lost although a replica holds
+// them, and against a successor that leaves at once.
+func TestChooseTheFurthestLog(t *testing.T) {
+	g := NewWithT(t)
+	at := func(n uint64) logpos.Position { return logpos.Position{Term: 3, Offset: n} }
+	best, ok := succession.Choose([]succession.Candidate{
+		{ID: "a", Received: at(5)}, {ID: "b", Received: at(9)}, {ID: "c", Received: at(9), Draining: true},
+	}, true)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(best.ID).To(Equal("b"))
+	leaving := []succession.Candidate{{ID: "a", Received: at(5)}, {ID: "c", Received: at(9), Draining: true}}
+	best, _ = succession.Choose(leaving, true)
+	g.Expect(best.ID).To(Equal("c"))
+	best, _ = succession.Choose(leaving, false)
+	g.Expect(best.ID).To(Equal("a"))
+	_, ok = succession.Choose(nil, true)
+	g.Expect(ok).To(BeFalse())
+}
+
+// Guards against a promotion that loses a commit which only an unreachable
+// replica has confirmed.
+func TestEnoughAnswersForSynchronousCommits(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(succession.Enough(1, 2, 0)).To(BeTrue())
+	g.Expect(succession.Enough(1, 2, 1)).To(BeFalse())
+	g.Expect(succession.Enough(2, 2, 1)).To(BeTrue())
+	g.Expect(succession.Enough(0, 2, 0)).To(BeFalse())
+}
--- a/internal/daemoncmd/main.go
+++ b/internal/daemoncmd/main.go
@@ -18,6 +18,7 @@
 	"github.com/beryltrestle/beryltrestle/internal/daemon"
 	"github.com/beryltrestle/beryltrestle/internal/findings"
 	"github.com/beryltrestle/beryltrestle/internal/settings"
+	"github.com/beryltrestle/beryltrestle/platform"
 )
 
 // Exit codes of the daemon.
@@ -29,6 +30,12 @@
 
 // command is the daemon's command line.
 type command struct {
+	Serve    serveCommand `cmd:"" default:"withargs" help:"Serve PostgreSQL callers."`
+	Platform struct{}     `cmd:"" help:"Serve on the co-operative's platform, with its settings file."`
+}
+
+// serveCommand has the flags of the daemon before PostgreSQL endpoints.
+type serveCommand struct {
 	Settings string `required:"" placeholder:"FILE" help:"Settings file (JSON)."`
 	Check    bool   `help:"Check the settings and exit."`
 }
@@ -44,7 +51,7 @@
 		fmt.Fprintln(stderr, err)
 		return exitFailed
 	}
-	_, err = parser.Parse(args)
+	parsed, err := parser.Parse(args)
 	if code >= 0 {
 		return code
 	}
@@ -52,11 +59,14 @@
 		fmt.Fprintln(stderr, "beryltrestled:", err)
 		return exitFindings
 	}
-	s, err := settings.Load(c.Settings)
+	if parsed.Command() == "platform" {
+		return platform.Main(stdout, stderr)
+	}
+	s, err := settings.Load(c.Serve.Settings)
 	if err != nil {
 		return reportSettings(stderr, err)
 	}
-	if c.Check {
+	if c.Serve.Check {
 		fmt.Fprintln(stdout, "settings are valid")
 		return exitDone
 	}
--- /dev/null
+++ b/internal/fleet/convert.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/coord/rows"
+	"github.com/beryltrestle/beryltrestle/internal/gateway"
+	fleetv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/fleet/v1"
+)
+
+// encodeNews turns news into its message.
+func encodeNews(n gateway.News) *fleetv1.News {
+	out := &fleetv1.News{
+		Host: n.Host, Incarnation: n.Incarnation, Leaving: n.Leaving,
+		Through: make(map[string]uint64, len(n.Through)),
+	}
+	for table, through := range n.Through {
+		out.Through[string(table)] = through
+	}
+	for _, g := range n.Groups {
+		out.Groups = append(out.Groups, &fleetv1.GroupNews{
+			Group: g.Group, Term: g.Term, Primary: g.Primary, AgeUs: g.Age.Microseconds(),
+			Position: &fleetv1.Position{Term: g.Position.Term, Offset: g.Position.Offset},
+		})
+	}
+	for _, t := range n.Tables {
+		out.Tables = append(out.Tables, encodeTable(t))
+	}
+	return out
+}
+
+// encodeTable turns the changes of a table into their message.
+func encodeTable(t gateway.TableNews) *fleetv1.TableNews {
+	out := &fleetv1.TableNews{Table: string(t.Table), From: t.From, Through: t.Through}
+	for _, r := range t.Rows {
+		out.Rows = append(out.Rows, &fleetv1.Row{Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted})
+	}
+	return out
+}
+
+// decodeNews reads the message of news.
+func decodeNews(m *fleetv1.News) gateway.News {
+	out := gateway.News{
+		Host: m.GetHost(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(),
+		Through: make(map[gateway.TableName]uint64, len(m.GetThrough())),
+	}
+	for table, through := range m.GetThrough() {
+		out.Through[gateway.TableName(table)] = through
+	}
+	for _, g := range m.GetGroups() {
+		out.Groups = append(out.Groups, gateway.GroupNews{
+			Group: g.GetGroup(), Term: g.GetTerm(), Primary: g.GetPrimary(),
+			Position: logpos.Position{Term: g.GetPosition().GetTerm(), Offset: g.GetPosition().GetOffset()},
+			Age:      time.Duration(g.GetAgeUs()) * time.Microsecond,
+		})
+	}
+	for _, t := range m.GetTables() {
+		out.Tables = append(out.Tables, decodeTable(t))
+	}
+	return out
+}
+
+// decodeTable reads the message of a table's changes.
+func decodeTable(m *fleetv1.TableNews) gateway.TableNews {
+	out := gateway.TableNews{Table: gateway.TableName(m.GetTable()), From: m.GetFrom(), Through: m.GetThrough()}
+	for _, r := range m.GetRows() {
+		out.Rows = append(out.Rows, rows.Row{Key: r.GetKey(), Version: r.GetVersion(), Value: r.GetValue(), Deleted: r.GetDeleted()})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,40 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/beryltrestle/beryltrestle/internal/gateway"
+	fleetv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/fleet/v1"
+	"github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/fleet/v1/fleetv1connect"
+)
+
+// Server answers the calls of other hosts.
+type Server struct {
+	Gateway *gateway.Gateway
+}
+
+// Handler returns the HTTP handler with its path.
+func (s *Server) Handler() (string, http.Handler) {
+	return fleetv1connect.NewFleetServiceHandler(s)
+}
+
+// Exchange implements fleetv1connect.FleetServiceHandler.
+func (s *Server) Exchange(_ context.Context, r *connect.Request[fleetv1.ExchangeRequest]) (*connect.Response[fleetv1.ExchangeResponse], error) {
+	own := s.Gateway.Receive(decodeNews(r.Msg.GetNews()))
+	return connect.NewResponse(&fleetv1.ExchangeResponse{News: encodeNews(own)}), nil
+}
+
+// Fence implements fleetv1connect.FleetServiceHandler.
+func (s *Server) Fence(_ context.Context, r *connect.Request[fleetv1.FenceRequest]) (*connect.Response[fleetv1.FenceResponse], error) {
+	reply := s.Gateway.Fence(gateway.FenceRequest{
+		Group: r.Msg.GetGroup(), Term: r.Msg.GetTerm(), Ask: r.Msg.GetAsk(), Withdraw: r.Msg.GetWithdraw(),
+		Grace: time.Duration(r.Msg.GetGraceUs()) * time.Microsecond,
+	})
+	return connect.NewResponse(&fleetv1.FenceResponse{
+		Term: reply.Term, AnsweredAgoUs: reply.AnsweredAgo.Microseconds(),
+	}), nil
+}
--- /dev/null
+++ b/internal/gateway/catalog.go
@@ -0,0 +1,47 @@
+package gateway
+
+import "time"
+
+// Consistency is what a database's reads must see.
+type Consistency uint8
+
+// Kinds of consistency.
+const (
+	// ConsistencyPrimary reads see every acknowledged commit.
+	ConsistencyPrimary Consistency = iota
+	// ConsistencyBounded reads see every commit older than the bound.
+	ConsistencyBounded
+	// ConsistencySession reads also see the session's own commits.
+	ConsistencySession
+)
+
+// Database is one database that callers may name.
+type Database struct {
+	Name        string
+	Group       string
+	Consistency Consistency
+	// MaxStaleness bounds the age of data for the kinds that may use replicas.
+	MaxStaleness time.Duration
+	// Timeout limits one statement.
+	Timeout time.Duration
+	// Priority orders waiting statements; 0 is the highest.
+	Priority int
+}
+
+// Group is the configuration of one database group.
+type Group struct {
+	Name string
+	// MaxConnections limits the connections of all hosts to one endpoint.
+	MaxConnections int
+	// SyncReplicas is how many replicas confirm a commit.
+	SyncReplicas int
+}
+
+// Catalog is one version of the configuration. It is immutable.
+type Catalog struct {
+	Version   uint64
+	Databases map[string]Database
+	Groups    map[string]Group
+	// IdleTransaction is how long a transaction may rest.
+	IdleTransaction time.Duration
+}
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/rows"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
+)
+
+const (
+	// tickInterval is how often conditions that depend on time are checked.
+	tickInterval = 50 * time.Millisecond
+	// stallAfter is the gap between two ticks after which the host counts as having
+	// been paused: what it believes may be out of date.
+	stallAfter = 300 * time.Millisecond
+)
+
+// control holds what the host believes about the other hosts, the configuration
+// and the groups. One goroutine runs all of its methods, except those that say
+// otherwise; calls carries work to it.
+type control struct {
+	gw    *Gateway
+	calls chan func()
+
+	incarnation uint64
+	tables      map[TableName]*rows.Table
+	members     map[string]*member
+	// own is the version of this host's row; 0 if it is not written.
+	own     uint64
+	leaving bool
+	// listed is true once the endpoints' table has been read.
+	listed   bool
+	watches  map[string]*watch
+	lastTick time.Time
+	lastNews time.Time
+}
+
+// newControl returns the control state of a host that knows nothing.
+func newControl(gw *Gateway) *control {
+	c := &control{
+		gw: gw, calls: make(chan func(), 256), incarnation: rand.Uint64() >> 1,
+		tables: make(map[TableName]*rows.Table), members: make(map[string]*member),
+		watches: make(map[string]*watch),
+	}
+	for _, name := range Tables {
+		c.tables[name] = rows.NewTable()
+	}
+	return c
+}
+
+// run works until the context ends.
+func (c *control) run(ctx context.Context) {
+	for _, name := range Tables {
+		go c.follow(ctx, name)
+	}
+	go c.register(ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case f := <-c.calls:
+			f()
+		case <-ticker.C:
+			c.tick(boottime.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// do runs f on the control goroutine. It may be called from any other goroutine,
+// and does not wait. It returns false if the gateway has ended.
+func (c *control) do(f func()) bool {
+	select {
+	case c.calls <- f:
+		return true
+	case <-c.gw.ctx.Done():
+		return false
+	}
+}
+
+// ask runs f on the control goroutine and waits for it.
+func (c *control) ask(f func()) bool {
+	done := make(chan struct{})
+	if !c.do(func() { f(); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-c.gw.ctx.Done():
+		return false
+	}
+}
+
+// tick checks conditions that depend on time.
+func (c *control) tick(now time.Time) {
+	if !c.lastTick.IsZero() && now.Sub(c.lastTick) > stallAfter {
+		c.resumed(now)
+	}
+	c.lastTick = now
+	c.exchangeNews(now)
+	for name, g := range *c.gw.groupsNow.Load() {
+		c.watchGroup(now, name, g)
+	}
+}
+
+// resumed distrusts what the host believed before it was paused.
+func (c *control) resumed(now time.Time) {
+	c.gw.events.log.Warn().Dur("paused_ms", now.Sub(c.lastTick)).Msg("host was paused")
+	c.lastNews = time.Time{}
+	for _, g := range *c.gw.groupsNow.Load() {
+		go c.survey(g)
+	}
+}
+
+// leave announces that the host stops.
+func (c *control) leave() {
+	c.ask(func() {
+		c.leaving = true
+		c.lastNews = time.Time{}
+	})
+	go c.unregister()
+}
--- /dev/null
+++ b/internal/gateway/directory.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"maps"
+
+	"github.com/beryltrestle/beryltrestle/coord/rows"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
+)
+
+// catalogChanged puts a newer configuration into force.
+func (c *control) catalogChanged(changed []rows.Row) {
+	for _, r := range changed {
+		if r.Deleted {
+			continue
+		}
+		catalog, ok, err := c.gw.cfg.Decoder.Catalog(r)
+		if err != nil {
+			c.gw.events.log.Error().Err(err).Uint64("row_version", r.Version).Msg("configuration cannot be read; the old one stays")
+			continue
+		}
+		held := c.gw.catalog()
+		if !ok || catalog.Version <= held.Version {
+			continue
+		}
+		c.gw.catalogNow.Store(catalog)
+		c.gw.events.log.Info().Uint64("version", catalog.Version).Uint64("before", held.Version).
+			Int("databases", len(catalog.Databases)).Msg("configuration in force")
+		c.endpointsChanged()
+	}
+}
+
+// endpointsChanged brings the groups in line with the directory.
+func (c *control) endpointsChanged() {
+	catalog := c.gw.catalog()
+	listed := make(map[string]map[string]Endpoint)
+	for _, r := range c.tables[TableEndpoints].Live() {
+		e, err := c.gw.cfg.Decoder.Endpoint(r)
+		if err != nil {
+			c.gw.events.log.Warn().Str("endpoint", r.Key).Err(err).Msg("endpoint's entry cannot be read")
+			continue
+		}
+		if _, ok := catalog.Groups[e.Group]; !ok {
+			continue
+		}
+		if listed[e.Group] == nil {
+			listed[e.Group] = make(map[string]Endpoint)
+		}
+		listed[e.Group][e.ID] = e
+	}
+	groups := maps.Clone(*c.gw.groupsNow.Load())
+	var created []string
+	for name, config := range catalog.Groups {
+		g, ok := groups[name]
+		if !ok {
+			g = newGroup(name, c.gw.pool)
+			groups[name] = g
+			c.watches[name] = newWatch()
+			created = append(created, name)
+		}
+		c.updateGroup(g, config, listed[name])
+	}
+	c.gw.groupsNow.Store(&groups)
+	for _, name := range created {
+		if r, ok := c.tables[TableState].Get(claimPrefix + name); ok {
+			c.claimChanged(name, r)
+		}
+	}
+}
+
+// updateGroup adds, changes and removes the group's targets.
+func (c *control) updateGroup(g *group, config Group, listed map[string]Endpoint) {
+	var survey, retired []*target
+	now := boottime.Now()
+	g.mu.Lock()
+	g.config = config
+	limit := c.share(config)
+	for id, e := range listed {
+		t, ok := g.targets[id]
+		switch {
+		case !ok || t.Born != e.Born || t.Address != e.Address:
+			if ok {
+				t.gone = true
+				retired = append(retired, t)
+			}
+			t = newTarget(g, e, limit)
+			g.targets[id] = t
+			survey = append(survey, t)
+			c.gw.events.log.Info().Str("group", g.name).Str("endpoint", id).Str("zone", e.AvailabilityZone).Bool("primary", e.Primary).Msg("endpoint listed")
+		case t.Endpoint != e:
+			if t.Primary != e.Primary {
+				survey = append(survey, t)
+			}
+			if e.Draining && !t.Draining {
+				c.gw.events.log.Info().Str("group", g.name).Str("endpoint", id).Msg("endpoint drains")
+			}
+			t.Endpoint = e
+			t.limit = limit
+		default:
+			t.limit = max(t.limit, min(limit, t.limit+1))
+		}
+		if !t.Draining {
+			t.drainingSince = now
+		}
+	}
+	for id, t := range g.targets {
+		if _, ok := listed[id]; ok {
+			continue
+		}
+		t.gone = true
+		delete(g.targets, id)
+		retired = append(retired, t)
+		c.gw.events.log.Info().Str("group", g.name).Str("endpoint", id).Msg("endpoint no longer listed")
+	}
+	for _, t := range retired {
+		t.failWaiting(errEndpointDown)
+		t.closeIdle()
+	}
+	g.notify()
+	g.mu.Unlock()
+	for _, t := range survey {
+		go c.status(t)
+	}
+}
+
+// closeIdle closes the connections that are not in use. The group's mutex must be
+// held.
+func (t *target) closeIdle() {
+	for _, idle := range t.idle {
+		delete(t.conns, idle)
+		idle.Close()
+	}
+	t.idle = nil
+}
+
+const (
+	// connectionReserve is the number of connections to an endpoint that are left for
+	// status requests and for hosts that join.
+	connectionReserve = 4
+	// minConnections lets a transaction and a single statement run at once.
+	minConnections = 2
+)
+
+// share returns this host's share of an endpoint's connections.
+func (c *control) share(config Group) int {
+	hosts := 1
+	for _, m := range c.members {
+		if !m.leaving {
+			hosts++
+		}
+	}
+	return max((config.MaxConnections-connectionReserve)/hosts, minConnections)
+}
--- /dev/null
+++ b/internal/gateway/events.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// lines a second; the rest is only counted.
+	requestLines = 50
+)
+
+// events writes the log lines of decisions. Lines about requests are limited, so
+// that an overload does not turn into work for the log.
+type events struct {
+	log     zerolog.Logger
+	request zerolog.Logger
+}
+
+// newEvents returns the log lines of a gateway.
+func newEvents(log zerolog.Logger) *events {
+	limited := log.Sample(&zerolog.BurstSampler{Burst: requestLines, Period: time.Second})
+	return &events{log: log, request: limited}
+}
+
+// refused records an answer that is not a success.
+func (e *events) refused(id, database string, r *Reply) {
+	e.request.Info().Str("request", id).Str("database", database).
+		Uint8("code", uint8(r.Code)).Str("raw", r.RawCode).Str("detail", r.Detail).Msg("request not served")
+}
+
+// retry records an attempt that settled nothing.
+func (e *events) retry(database string, t *target, a attempt) {
+	e.request.Info().Str("database", database).Str("endpoint", t.ID).Bool("sent", a.sent).
+		Uint8("code", uint8(a.reply.Code)).Stringer("after", a.at.after).AnErr("error", a.err).Msg("attempt failed")
+}
+
+// session records the unexpected end of a session.
+func (e *events) session(database string, err error) {
+	e.request.Debug().Str("database", database).Err(err).Msg("session ended")
+}
--- /dev/null
+++ b/internal/gateway/group.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/coord/routing"
+)
+
+// group is one database group as this host sees it. The mutex guards all fields
+// and those of the group's targets.
+type group struct {
+	name string
+	pool *pool
+
+	mu      sync.Mutex
+	config  Group
+	targets map[string]*target
+	// term and primary are the newest leadership that this host knows of; primary
+	// is empty if the term's primary is lost.
+	term    uint64
+	primary string
+	// start is the first position seen in the term. It covers every commit of
+	// earlier terms that was kept.
+	start logpos.Position
+	// fencedTerm is the newest term whose primary must not be used, because it is
+	// being replaced.
+	fencedTerm uint64
+	fencedAt   time.Time
+	staleness  *routing.Staleness
+	// changed is closed and replaced whenever waiting sessions should look again.
+	changed chan struct{}
+}
+
+// newGroup returns a group whose primary is not known.
+func newGroup(name string, p *pool) *group {
+	return &group{
+		name: name, pool: p, targets: make(map[string]*target),
+		staleness: routing.NewStaleness(), changed: make(chan struct{}),
+	}
+}
+
+// notify wakes the sessions that wait for a change.
+func (g *group) notify() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// leader returns the target that may be used as primary, or nil.
+func (g *group) leader() *target {
+	if g.term <= g.fencedTerm {
+		return nil
+	}
+	return g.targets[g.primary]
+}
+
+// lead records that the endpoint is the primary of the term. It returns false if
+// a newer term is known.
+func (g *group) lead(term uint64, id string, position logpos.Position) bool {
+	if term < g.term || (term == g.term && g.primary == id) {
+		return false
+	}
+	if term > g.term {
+		g.staleness = routing.NewStaleness()
+		g.start = position
+	}
+	g.term, g.primary = term, id
+	g.notify()
+	return true
+}
+
+// fence stops the use of the primary of the term and of earlier ones. It returns
+// false if a newer term leads already.
+func (g *group) fence(term uint64, now time.Time) bool {
+	if g.term > term {
+		return false
+	}
+	if term > g.fencedTerm || g.fencedTerm == 0 {
+		g.fencedTerm, g.fencedAt = term, now
+		g.notify()
+	}
+	return true
+}
+
+// unfence allows the use of the primary of the term again.
+func (g *group) unfence(term uint64) {
+	if g.fencedTerm != term || term == 0 {
+		return
+	}
+	g.fencedTerm = term - 1
+	g.notify()
+}
+
+// sample records that the primary's log ended at the position at the time or
+// later.
+func (g *group) sample(at time.Time, p logpos.Position) {
+	if p.Term != g.term {
+		return
+	}
+	if g.start.Term != g.term {
+		g.start = p
+	}
+	g.staleness.Sample(at, p)
+}
--- /dev/null
+++ b/internal/gateway/hosts.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/coord/rows"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
+)
+
+const (
+	// writeTimeout bounds one write to the store.
+	writeTimeout = 1500 * time.Millisecond
+	// unregisterTimeout bounds the removal of the host's row when it stops.
+	unregisterTimeout = time.Second
+)
+
+// register writes this host's row until the store has accepted it. It runs on a
+// goroutine of its own.
+func (c *control) register(ctx context.Context) {
+	record := encodeRecord(hostRecord{
+		Name: c.gw.cfg.Host, Address: c.gw.cfg.Address,
+		Incarnation: c.incarnation, AvailabilityZone: c.gw.cfg.AvailabilityZone,
+	})
+	key := hostPrefix + c.gw.cfg.Host
+	var expected uint64
+	for ctx.Err() == nil {
+		version, err := c.write(ctx, key, expected, record)
+		if err == nil {
+			c.ask(func() { c.own = version })
+			return
+		}
+		// The row of an earlier run, or of a write whose answer was lost, is replaced
+		// under its version.
+		sleep(ctx, lastPause/4)
+		if listing, _, err := c.gw.cfg.Store.List(ctx, TableState); err == nil {
+			expected = versionOf(listing, key)
+		}
+	}
+}
+
+// versionOf returns the version of a row in a listing, 0 if it is missing.
+func versionOf(listing []rows.Row, key string) uint64 {
+	for _, r := range listing {
+		if r.Key == key {
+			return r.Version
+		}
+	}
+	return 0
+}
+
+// write writes a row of TableState once.
+func (c *control) write(ctx context.Context, key string, expected uint64, value []byte) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	version, err := c.gw.cfg.Store.Write(ctx, TableState, key, expected, value)
+	if err != nil && !errors.Is(err, ErrConflict) {
+		c.gw.events.log.Warn().Str("row", key).Err(err).Msg("write to the store failed")
+	}
+	return version, err
+}
+
+// unregister removes the host's row, so that others do not wait for it.
+func (c *control) unregister() {
+	var own uint64
+	c.ask(func() { own = c.own })
+	if own == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.gw.ctx, unregisterTimeout)
+	defer cancel()
+	if err := c.gw.cfg.Store.Delete(ctx, TableState, hostPrefix+c.gw.cfg.Host, own); err != nil {
+		c.gw.events.log.Warn().Err(err).Msg("host's row was not removed")
+	}
+}
+
+// stateChanged acts on rows of hosts and claims.
+func (c *control) stateChanged(changed []rows.Row) {
+	membership := false
+	for _, r := range changed {
+		if name, ok := groupOfClaim(r.Key); ok {
+			c.claimChanged(name, r)
+			continue
+		}
+		membership = c.hostChanged(r) || membership
+	}
+	if membership {
+		c.endpointsChanged()
+	}
+}
+
+// hostChanged takes the row of another host. It returns true if the set of hosts
+// changed.
+func (c *control) hostChanged(r rows.Row) bool {
+	name, ok := trimHost(r.Key)
+	if !ok || name == c.gw.cfg.Host {
+		return false
+	}
+	if r.Deleted {
+		_, known := c.members[name]
+		delete(c.members, name)
+		return known
+	}
+	record, err := decodeRecord[hostRecord](r)
+	if err != nil {
+		c.gw.events.log.Warn().Err(err).Msg("host's row cannot be read")
+		return false
+	}
+	m, known := c.members[name]
+	if known && m.Incarnation == record.Incarnation {
+		return false
+	}
+	c.members[name] = &member{hostRecord: record, known: boottime.Now(), through: make(map[TableName]uint64)}
+	c.gw.events.log.Info().Str("member", name).Uint64("incarnation", record.Incarnation).Msg("host joined")
+	return !known
+}
+
+// trimHost returns the host that the key names.
+func trimHost(key string) (string, bool) {
+	if len(key) <= len(hostPrefix) || key[:len(hostPrefix)] != hostPrefix {
+		return "", false
+	}
+	return key[len(hostPrefix):], true
+}
--- /dev/null
+++ b/internal/gateway/messages.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/coord/rows"
+)
+
+// GroupNews is what a host knows about one group.
+type GroupNews struct {
+	Group   string
+	Term    uint64
+	Primary string
+	// Position is where the primary's log ended Age ago.
+	Position logpos.Position
+	Age      time.Duration
+}
+
+// TableNews holds the changes of a table after one version and up to another.
+type TableNews struct {
+	Table   TableName
+	From    uint64
+	Through uint64
+	Rows    []rows.Row
+}
+
+// News is exchanged between hosts.
+type News struct {
+	Host        string
+	Incarnation uint64
+	Leaving     bool
+	Groups      []GroupNews
+	// Through holds the version that the sender's mirror of each table reaches to.
+	Through map[TableName]uint64
+	Tables  []TableNews
+}
+
+// FenceRequest asks a host to stop using the primary of a term.
+type FenceRequest struct {
+	Group string
+	Term  uint64
+	// Ask only asks for evidence, without fencing.
+	Ask bool
+	// Withdraw allows the use of the primary again.
+	Withdraw bool
+	// Grace is how long work that is in flight may go on. Open transactions are
+	// rolled back after it.
+	Grace time.Duration
+}
+
+// FenceReply answers a FenceRequest.
+type FenceReply struct {
+	// Term is the newest term that the host knows to have a primary.
+	Term uint64
+	// AnsweredAgo is how long ago the primary last answered the host; negative if it
+	// never did.
+	AnsweredAgo time.Duration
+}
+
+// Peers calls other hosts.
+type Peers interface {
+	// Exchange sends news and returns the other host's.
+	Exchange(ctx context.Context, address string, n News) (News, error)
+	Fence(ctx context.Context, address string, r FenceRequest) (FenceReply, error)
+}
--- /dev/null
+++ b/internal/gateway/pool.go
@@ -0,0 +1,265 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection. An endpoint that is reachable
+	// answers the handshake in milliseconds, behind at most a full queue.
+	dialTimeout = 600 * time.Millisecond
+	// tooManyBackoff is the pause after an endpoint refused a connection over its
+	// limit.
+	tooManyBackoff = 300 * time.Millisecond
+)
+
+// Reasons for which no connection was had; the work did not run.
+var (
+	errNoConnection = errors.New("no connection became free in time")
+	errEndpointDown = errors.New("the endpoint cannot be reached")
+)
+
+// pool opens connections and hands them to sessions.
+type pool struct {
+	dialer  Dialer
+	metrics *metrics.Registry
+	// zone is this host's availability zone; zoneDistance is added to the expected
+	// time of endpoints in others.
+	zone         string
+	zoneDistance time.Duration
+	// onDial is told of each new connection's status.
+	onStatus func(t *target, s Status, sent time.Time)
+	parse    StatusParser
+	// onFailure is told of failed dials and lost connections.
+	onFailure func(t *target)
+}
+
+// StatusParser reads the rows of a status answer.
+type StatusParser func(rows []string) (Status, error)
+
+// checkout returns a connection of the target that the session may use until
+// release. No error other than the context's, errNoConnection and errEndpointDown
+// is returned, and none of them has run anything.
+func (p *pool) checkout(ctx context.Context, t *target, s *session.State, priority int) (*conn, error) {
+	g := t.group
+	g.mu.Lock()
+	if c := t.takeIdle(s); c != nil {
+		g.mu.Unlock()
+		return c, nil
+	}
+	if t.open() < t.limit {
+		t.opening++
+		g.mu.Unlock()
+		return p.open(ctx, t)
+	}
+	w := t.waiting.push(priority)
+	g.mu.Unlock()
+	return p.await(ctx, t, w)
+}
+
+// await waits for a connection in the target's queue.
+func (p *pool) await(ctx context.Context, t *target, w *waiter) (*conn, error) {
+	select {
+	case got := <-w.ready:
+		return p.granted(ctx, t, got)
+	case <-ctx.Done():
+	}
+	t.group.mu.Lock()
+	removed := t.waiting.remove(w)
+	t.group.mu.Unlock()
+	if removed {
+		return nil, errNoConnection
+	}
+	got := <-w.ready
+	if got.conn != nil {
+		p.release(got.conn)
+	}
+	if got.open {
+		p.openingEnded(t)
+	}
+	return nil, errNoConnection
+}
+
+// granted turns a grant into a connection.
+func (p *pool) granted(ctx context.Context, t *target, got grant) (*conn, error) {
+	switch {
+	case got.err != nil:
+		return nil, got.err
+	case got.open:
+		return p.open(ctx, t)
+	}
+	return got.conn, nil
+}
+
+// takeIdle removes an idle connection, preferring one that holds the session's
+// values. The group's mutex must be held.
+func (t *target) takeIdle(s *session.State) *conn {
+	for len(t.idle) > 0 {
+		at := len(t.idle) - 1
+		for i, c := range t.idle {
+			if s != nil && c.state.Same(s) {
+				at = i
+			}
+		}
+		c := t.idle[at]
+		t.idle = append(t.idle[:at], t.idle[at+1:]...)
+		if c.Alive() {
+			return c
+		}
+		delete(t.conns, c)
+		c.Close()
+	}
+	return nil
+}
+
+// open opens a connection for which the target's counter was raised.
+func (p *pool) open(ctx context.Context, t *target) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := p.dialer.Dial(ctx, t.Endpoint)
+	if err != nil {
+		p.dialFailed(t, err)
+		return nil, errors.WithSecondaryError(errEndpointDown, err)
+	}
+	p.metrics.Inc(metrics.ConnsOpened)
+	c := &conn{EndpointConn: raw, target: t, state: session.NewReplica()}
+	t.group.mu.Lock()
+	t.opening--
+	t.conns[c] = true
+	gone := t.gone
+	t.group.mu.Unlock()
+	if gone {
+		c.broken = true
+		p.release(c)
+		return nil, errEndpointDown
+	}
+	return c, nil
+}
+
+// dialFailed records why no connection could be opened.
+func (p *pool) dialFailed(t *target, err error) {
+	now := boottime.Now()
+	var refused *DialError
+	isRefusal := errors.As(err, &refused)
+	g := t.group
+	g.mu.Lock()
+	t.opening--
+	switch {
+	case isRefusal && refused.Code == CodeTooMany:
+		t.answered = now
+		if len(t.conns) == 0 {
+			t.downUntil = now.Add(tooManyBackoff)
+		}
+		t.limit = max(1, len(t.conns))
+	default:
+		t.failed(now)
+		t.failWaiting(errEndpointDown)
+	}
+	g.mu.Unlock()
+	if !isRefusal || refused.Code != CodeTooMany {
+		p.onFailure(t)
+	}
+}
+
+// failWaiting ends all waits, as the endpoint cannot be reached. The group's mutex
+// must be held.
+func (t *target) failWaiting(err error) {
+	for w := t.waiting.pop(); w != nil; w = t.waiting.pop() {
+		w.ready <- grant{err: err}
+	}
+}
+
+// openingEnded gives up the right to open a connection.
+func (p *pool) openingEnded(t *target) {
+	t.group.mu.Lock()
+	defer t.group.mu.Unlock()
+	t.opening--
+	t.passOn()
+}
+
+// release returns a connection after its work.
+func (p *pool) release(c *conn) {
+	t := c.target
+	g := t.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.since, c.primaryUse = time.Time{}, false
+	if c.broken || t.gone || len(t.conns) > t.limit {
+		delete(t.conns, c)
+		c.Close()
+		t.passOn()
+		return
+	}
+	if w := t.waiting.pop(); w != nil {
+		w.ready <- grant{conn: c}
+		return
+	}
+	t.idle = append(t.idle, c)
+}
+
+// passOn lets the next waiter open a connection, if there is room for one. The
+// group's mutex must be held.
+func (t *target) passOn() {
+	if t.open() >= t.limit {
+		return
+	}
+	if w := t.waiting.pop(); w != nil {
+		t.opening++
+		w.ready <- grant{open: true}
+	}
+}
+
+// begin marks a statement as sent on the connection.
+func (p *pool) begin(c *conn, primary bool) time.Time {
+	now := boottime.Now()
+	g := c.target.group
+	g.mu.Lock()
+	c.since = now
+	c.primaryUse = primary
+	c.target.inFlight++
+	g.mu.Unlock()
+	return now
+}
+
+// end records the answer to the statement that began, or its loss.
+func (p *pool) end(c *conn, began time.Time, reply *Reply, err error, after logpos.Position) {
+	now := boottime.Now()
+	t := c.target
+	g := t.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.since = time.Time{}
+	t.inFlight--
+	if err != nil {
+		return
+	}
+	t.succeeded(now, now.Sub(began))
+	if reply.Position.Term > g.term {
+		p.onFailure(t)
+	}
+	if t.ID == g.primary {
+		g.sample(began, reply.Position)
+		return
+	}
+	if reply.Code == CodeLagging {
+		t.lag.Refused(now, after, g.staleness)
+		return
+	}
+	t.lag.Observe(now, reply.Position, g.staleness)
+}
+
+// hold marks a connection as held by an open transaction.
+func (p *pool) hold(c *conn, primary bool) {
+	g := c.target.group
+	g.mu.Lock()
+	c.primaryUse = primary
+	g.mu.Unlock()
+}
--- /dev/null
+++ b/internal/gateway/replace.go
@@ -0,0 +1,362 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/coord/succession"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
+)
+
+const (
+	// evidenceTimeout bounds the question to the other hosts whether the primary
+	// still answers them.
+	evidenceTimeout = 200 * time.Millisecond
+	// fenceTimeout is how long the other hosts have to stop using the primary, above
+	// the grace that they give to work in flight.
+	fenceTimeout = 300 * time.Millisecond
+	// plannedGrace is how long transactions on a leaving primary may go on while new
+	// work already waits. It is above the time of most transactions.
+	plannedGrace = 400 * time.Millisecond
+	// catchUpTimeout bounds the wait for the successor to receive the rest of the
+	// log.
+	catchUpTimeout = 1200 * time.Millisecond
+	// claimFresh is how long a claim allows a promotion after it was written.
+	// Another host waits longer than this before it takes a claim over.
+	claimFresh = 1200 * time.Millisecond
+	// promoteTimeout bounds one promotion call; confirmTimeout the wait until the
+	// successor reports that it leads.
+	promoteTimeout = time.Second
+	confirmTimeout = 3 * time.Second
+	confirmPoll    = 25 * time.Millisecond
+)
+
+// Reasons for which a change of primary was given up.
+var (
+	errPrimaryAnswers = errors.New("the primary still answers another host")
+	errClaimLost      = errors.New("another host holds the claim")
+	errNoSuccessor    = errors.New("no endpoint can succeed")
+	errNotLeading     = errors.New("the successor does not lead")
+	errNewerTerm      = errors.New("a newer term leads already")
+)
+
+// change is one change of a group's primary by this host.
+type change struct {
+	c      *control
+	g      *group
+	reason succession.Reason
+	// term and old are the leadership that is replaced.
+	term uint64
+	old  *target
+	// claim is this host's claim, written at claimedAt under the version.
+	claim     claimRecord
+	version   uint64
+	claimedAt time.Time
+	fenced    bool
+}
+
+// replace replaces the group's primary. It runs on a goroutine of its own.
+func (c *control) replace(g *group, reason succession.Reason) {
+	ch := &change{c: c, g: g, reason: reason}
+	g.mu.Lock()
+	ch.term = g.term
+	ch.old = g.targets[g.primary]
+	g.mu.Unlock()
+	began := boottime.Now()
+	err := ch.run(c.gw.ctx)
+	line := c.gw.events.log.Info()
+	if err != nil {
+		line = c.gw.events.log.Warn().Err(err)
+	}
+	line.Str("group", g.name).Str("reason", string(reason)).Uint64("term", ch.term).
+		Dur("took_ms", boottime.Now().Sub(began)).Uint64("fence", ch.claim.Fence).Msg("change of primary ended")
+	c.do(func() {
+		w := c.watches[g.name]
+		w.changing = false
+		w.unreachable, w.unreachableSince = "", time.Time{}
+		c.lastNews = time.Time{}
+		if err != nil {
+			w.gaveUpAt = boottime.Now()
+		}
+	})
+}
+
+// run performs the steps in order. Until the old primary is fenced, nothing has
+// happened; after that the change is completed by this host or by another.
+func (ch *change) run(ctx context.Context) error {
+	if err := ch.checkEvidence(ctx); err != nil {
+		return err
+	}
+	if err := ch.acquire(ctx); err != nil {
+		return err
+	}
+	ch.fenceAll(ctx)
+	ch.demote(ctx)
+	return ch.promote(ctx)
+}
+
+// checkEvidence gives up if another host has heard from the primary since this
+// host lost it.
+func (ch *change) checkEvidence(ctx context.Context) error {
+	if ch.reason != succession.ReasonUnreachable {
+		return nil
+	}
+	for _, r := range ch.askAll(ctx, FenceRequest{Group: ch.g.name, Term: ch.term, Ask: true}, evidenceTimeout) {
+		if r.Term > ch.term {
+			return errNewerTerm
+		}
+		if r.AnsweredAgo >= 0 && r.AnsweredAgo < succession.ConfirmUnreachable {
+			return errPrimaryAnswers
+		}
+	}
+	return nil
+}
+
+// askAll sends the request to every other host and returns the answers that came
+// in time, by host.
+func (ch *change) askAll(ctx context.Context, r FenceRequest, timeout time.Duration) map[string]FenceReply {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	addresses := make(map[string]string)
+	ch.c.ask(func() {
+		for name, m := range ch.c.members {
+			addresses[name] = m.Address
+		}
+	})
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	replies := make(map[string]FenceReply)
+	for name, address := range addresses {
+		wg.Go(func() {
+			reply, err := ch.c.gw.cfg.Peers.Fence(ctx, address, r)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			replies[name] = reply
+		})
+	}
+	wg.Wait()
+	return replies
+}
+
+// acquire writes this host's claim. The write is conditional on the claim that
+// was read, so that of two hosts one fails; a claim whose answer was lost is read
+// back.
+func (ch *change) acquire(ctx context.Context) error {
+	key := claimPrefix + ch.g.name
+	held, version, err := ch.readClaim(ctx, key)
+	if err != nil {
+		return err
+	}
+	if held.Term > ch.term {
+		return errNewerTerm
+	}
+	ch.claim = claimRecord{Holder: ch.c.gw.cfg.Host, Incarnation: ch.c.incarnation, Fence: held.Fence, Term: ch.term}
+	if held.Holder != ch.claim.Holder || held.Incarnation != ch.claim.Incarnation {
+		ch.claim.Fence++
+	}
+	ch.claimedAt = boottime.Now()
+	ch.version, err = ch.c.write(ctx, key, version, encodeRecord(ch.claim))
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, ErrConflict) || errors.Is(err, ErrStoreRefused) {
+		return errors.CombineErrors(errClaimLost, err)
+	}
+	found, version, err := ch.readClaim(ctx, key)
+	if err != nil || found != ch.claim {
+		return errors.CombineErrors(errClaimLost, err)
+	}
+	ch.version = version
+	return nil
+}
+
+// readClaim reads the group's claim from the store.
+func (ch *change) readClaim(ctx context.Context, key string) (claimRecord, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	listing, _, err := ch.c.gw.cfg.Store.List(ctx, TableState)
+	if err != nil {
+		return claimRecord{}, 0, err
+	}
+	for _, r := range listing {
+		if r.Key != key {
+			continue
+		}
+		claim, err := decodeRecord[claimRecord](r)
+		if err != nil {
+			// A claim that cannot be read is replaced under its version.
+			return claimRecord{}, r.Version, nil
+		}
+		return claim, r.Version, nil
+	}
+	return claimRecord{}, 0, nil
+}
+
+// fenceAll stops the use of the old primary on every host. A host that does not
+// answer is given the time after which it distrusts what it knows.
+func (ch *change) fenceAll(ctx context.Context) {
+	grace := time.Duration(0)
+	if ch.reason.Planned() {
+		grace = plannedGrace
+	}
+	request := FenceRequest{Group: ch.g.name, Term: ch.term, Grace: grace}
+	began := boottime.Now()
+	own := make(chan struct{})
+	go func() {
+		ch.c.gw.Fence(request)
+		close(own)
+	}()
+	replies := ch.askAll(ctx, request, fenceTimeout+grace)
+	<-own
+	silent := ch.silent(replies)
+	ch.fenced = true
+	ch.c.gw.events.log.Info().Str("group", ch.g.name).Int("hosts", len(replies)).Strs("silent", silent).Msg("old primary fenced")
+	if len(silent) > 0 {
+		sleep(ctx, memberSuspectAfter-boottime.Now().Sub(began))
+	}
+}
+
+// silent returns the hosts that did not answer although they were heard of
+// recently.
+func (ch *change) silent(replies map[string]FenceReply) []string {
+	var out []string
+	ch.c.ask(func() {
+		now := boottime.Now()
+		for name, m := range ch.c.members {
+			if _, ok := replies[name]; !ok && m.live(now) {
+				out = append(out, name)
+			}
+		}
+	})
+	return out
+}
+
+// demote makes the old primary a replica, if it can be reached. It then neither
+// commits nor serves as primary to hosts that have not heard of the change.
+func (ch *change) demote(ctx context.Context) {
+	if ch.old == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	st := session.Statement{Op: session.OpDemote, Args: strconv.FormatUint(ch.term+1, 10)}
+	s, err := ch.c.gw.pool.command(ctx, ch.old, st)
+	ch.c.gw.events.log.Info().Str("group", ch.g.name).Str("endpoint", ch.old.ID).Bool("primary", s.Primary).
+		Uint64("term", s.Term).Stringer("received", s.Received).AnErr("error", err).Msg("old primary demoted")
+}
+
+// promote chooses a successor and orders its promotion until one leads.
+func (ch *change) promote(ctx context.Context) error {
+	target, err := ch.successor(ctx)
+	if err != nil {
+		return err
+	}
+	if boottime.Now().Sub(ch.claimedAt) > claimFresh {
+		if err := ch.renew(ctx); err != nil {
+			return err
+		}
+	}
+	g := ch.g
+	began := boottime.Now()
+	call, cancel := context.WithTimeout(ctx, promoteTimeout)
+	err = ch.c.gw.cfg.Promoter.Promote(call, g.name, target.ID, ch.claim.Holder, ch.claim.Fence)
+	cancel()
+	ch.c.gw.events.log.Info().Str("group", g.name).Str("endpoint", target.ID).Uint64("fence", ch.claim.Fence).
+		Dur("took_ms", boottime.Now().Sub(began)).AnErr("error", err).Msg("promotion ordered")
+	if errors.Is(err, ErrPromotionRefused) {
+		return err
+	}
+	return ch.confirm(ctx, target)
+}
+
+// renew writes the claim again under its version, which fails if another host has
+// taken it over.
+func (ch *change) renew(ctx context.Context) error {
+	at := boottime.Now()
+	version, err := ch.c.write(ctx, claimPrefix+ch.g.name, ch.version, encodeRecord(ch.claim))
+	if err != nil {
+		return errors.CombineErrors(errClaimLost, err)
+	}
+	ch.version, ch.claimedAt = version, at
+	return nil
+}
+
+// successor waits for the endpoint that should lead. A leaving primary has told
+// where its log ends, and the successor should reach there.
+func (ch *change) successor(ctx context.Context) (*target, error) {
+	deadline := time.Now().Add(catchUpTimeout)
+	for {
+		found := ch.c.survey(ch.g)
+		target, end, err := ch.choose(found)
+		if err != nil {
+			return nil, err
+		}
+		status, known := found[target.ID]
+		behind := known && status.Received.Less(end)
+		if !behind || time.Now().After(deadline) {
+			return target, nil
+		}
+		sleep(ctx, confirmPoll)
+	}
+}
+
+// choose picks the successor among the endpoints that answered, and returns where
+// the log ends as far as is known.
+func (ch *change) choose(found map[string]Status) (*target, logpos.Position, error) {
+	g := ch.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.term > ch.term {
+		return nil, logpos.Position{}, errNewerTerm
+	}
+	var end logpos.Position
+	var candidates []succession.Candidate
+	replicas := 0
+	for id, t := range g.targets {
+		if t != ch.old {
+			replicas++
+		}
+		s, ok := found[id]
+		if !ok {
+			continue
+		}
+		end = logpos.Max(end, s.Received)
+		if t == ch.old {
+			continue
+		}
+		candidates = append(candidates, succession.Candidate{
+			ID: id, Received: s.Received, Draining: t.Draining, Near: t.AvailabilityZone == g.pool.zone,
+		})
+	}
+	if !succession.Enough(len(candidates), replicas, g.config.SyncReplicas) {
+		return nil, end, errNoSuccessor
+	}
+	best, ok := succession.Choose(candidates, g.config.SyncReplicas > 0)
+	if !ok {
+		return nil, end, errNoSuccessor
+	}
+	return g.targets[best.ID], end, nil
+}
+
+// confirm waits until the successor leads, and tells the other hosts.
+func (ch *change) confirm(ctx context.Context, t *target) error {
+	deadline := time.Now().Add(confirmTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		s, err := ch.c.status(t)
+		if err == nil && s.Primary && s.Term > ch.term {
+			ch.c.do(func() { ch.c.lastNews = time.Time{} })
+			return nil
+		}
+		sleep(ctx, confirmPoll)
+	}
+	return errNotLeading
+}
--- /dev/null
+++ b/internal/gateway/reply.go
@@ -0,0 +1,31 @@
+package gateway
+
+import "github.com/beryltrestle/beryltrestle/coord/logpos"
+
+// Reply is the answer to one statement.
+type Reply struct {
+	Rows []string
+	// Signature proves that an endpoint ran the statement; it is empty for
+	// statements that the proxy answers itself.
+	Signature string
+	Code      Code
+	// RawCode is the endpoint's own code, if Code is CodeOther.
+	RawCode string
+	Detail  string
+	State   TxState
+	// Position is the end of the endpoint's log; zero if the proxy answered.
+	Position logpos.Position
+}
+
+// OK reports whether the statement succeeded.
+func (r *Reply) OK() bool { return r.Code == CodeNone }
+
+// TxState is the state of the session's transaction after a statement.
+type TxState uint8
+
+// States of a transaction.
+const (
+	TxIdle TxState = iota
+	TxOpen
+	TxFailed
+)
--- /dev/null
+++ b/internal/gateway/single.go
@@ -0,0 +1,225 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+const (
+	// maxAttempts bounds how often one statement is sent; each attempt after the
+	// first is charged to the retry budget.
+	maxAttempts = 4
+	// readPatience is the part of the remaining time that a read waits for one
+	// endpoint before it is sent to another: an answer may have been lost.
+	readPatience = 0.5
+	// minPatience is the least time that a read waits for an answer, above the run
+	// time of nearly all statements.
+	minPatience = 250 * time.Millisecond
+	// busyPause is the pause before a statement returns to an endpoint that shed
+	// it; it is the order of magnitude of a statement's run.
+	busyPause = 15 * time.Millisecond
+	// recheck bounds the wait for a change of the group's view, so that endpoints
+	// whose backoff has ended are tried again.
+	recheck = 50 * time.Millisecond
+)
+
+// attempt is the result of sending a statement once.
+type attempt struct {
+	reply Reply
+	// sent is false if nothing of the statement reached an endpoint.
+	sent bool
+	err  error
+	at   choice
+}
+
+// notRun reports whether the statement surely left no effect.
+func (a *attempt) notRun() bool { return !a.sent || (a.err == nil && a.reply.Code.NotRun()) }
+
+// runSingle runs a statement outside a transaction. Writes are sent again only if
+// they surely did not run.
+func (s *sessionServer) runSingle(st session.Statement, arrived time.Time) Reply {
+	ctx, cancel := s.callerContext(arrived)
+	defer cancel()
+	g := s.gateway.group(s.db.Group)
+	if g == nil {
+		return s.refuse(CodeBusy, metrics.RefusedNoPrimary)
+	}
+	n := newNeed(s.db, s.state.Floor, arrived, st.Writes)
+	var last attempt
+	for tries := 0; ; tries++ {
+		if tries > 0 && !s.mayRetry(ctx, tries) {
+			return s.giveUp(st, last)
+		}
+		at, ok := s.pick(ctx, g, n)
+		if !ok {
+			return s.giveUp(st, last)
+		}
+		a := s.try(ctx, st, at, n.primary)
+		if done, reply := s.conclude(st, a); done {
+			return reply
+		}
+		last = a
+		s.beforeRetry(ctx, n, a)
+	}
+}
+
+// mayRetry asks the budget for another attempt.
+func (s *sessionServer) mayRetry(ctx context.Context, tries int) bool {
+	if tries >= maxAttempts || ctx.Err() != nil {
+		return false
+	}
+	return s.gateway.retry()
+}
+
+// pick waits until an endpoint can serve the work.
+func (s *sessionServer) pick(ctx context.Context, g *group, n need) (choice, bool) {
+	for {
+		g.mu.Lock()
+		at := g.choose(s.gateway.now(), n)
+		changed := g.changed
+		g.mu.Unlock()
+		if at.target != nil {
+			return at, true
+		}
+		clear(n.avoid)
+		timer := time.NewTimer(recheck)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return choice{}, false
+		}
+		timer.Stop()
+	}
+}
+
+// try sends the statement to the endpoint once.
+func (s *sessionServer) try(ctx context.Context, st session.Statement, at choice, primary bool) attempt {
+	c, err := s.gateway.pool.checkout(ctx, at.target, s.state, s.db.Priority)
+	if err != nil {
+		return attempt{err: err, at: at}
+	}
+	replay := c.state.Adopt(s.state, false)
+	request := s.request(st, at, c, &replay)
+	began := s.gateway.pool.begin(c, primary)
+	reply, err := c.call(s.patience(ctx, st), replay, request)
+	if st.Op == session.OpExecute && err == nil && reply.Code == CodeNoStatement {
+		p, _ := s.state.Prepared(st.Name)
+		c.state.Forget(p)
+	}
+	s.gateway.pool.end(c, began, &reply, err, at.after)
+	if err != nil {
+		s.gateway.lost(c, err)
+	}
+	s.gateway.pool.release(c)
+	return attempt{reply: reply, sent: true, err: err, at: at}
+}
+
+// request addresses the statement to the endpoint; the statement's preparation is
+// added to the replay if the connection lacks it.
+func (s *sessionServer) request(st session.Statement, at choice, c *conn, replay *[]session.Statement) Request {
+	r := Request{Statement: st, After: at.after}
+	if st.Op == session.OpExecute {
+		p, _ := s.state.Prepared(st.Name)
+		r.Alias = p.Alias()
+		*replay = append(*replay, c.state.Need(p)...)
+	}
+	return r
+}
+
+// patience returns until when the answer is awaited.
+func (s *sessionServer) patience(ctx context.Context, st session.Statement) time.Time {
+	end, _ := ctx.Deadline()
+	if st.Writes {
+		return end
+	}
+	left := time.Until(end)
+	wait := max(time.Duration(float64(left)*readPatience), minPatience)
+	return time.Now().Add(min(wait, left))
+}
+
+// conclude decides whether the attempt settles the statement.
+func (s *sessionServer) conclude(st session.Statement, a attempt) (bool, Reply) {
+	switch {
+	case a.err != nil && !a.sent:
+		return false, Reply{}
+	case a.err != nil && !st.Writes:
+		return false, Reply{}
+	case a.err != nil:
+		return true, s.unknown(a.err)
+	case a.reply.OK() && st.Writes:
+		s.state.Committed(a.reply.Position)
+		return true, a.reply
+	case a.reply.Code.NotRun():
+		return false, Reply{}
+	case a.reply.Code == CodeFailed && !st.Writes:
+		return false, Reply{}
+	}
+	return true, a.reply
+}
+
+// unknown answers a write whose answer was lost.
+func (s *sessionServer) unknown(err error) Reply {
+	if isTimeout(err) {
+		return s.refuse(CodeTimeout, metrics.UnknownTimeout)
+	}
+	return s.refuse(CodeInDoubt, metrics.UnknownEndpointLost)
+}
+
+// beforeRetry keeps the next attempt away from an endpoint that could not serve
+// the statement.
+func (s *sessionServer) beforeRetry(ctx context.Context, n need, a attempt) {
+	t := a.at.target
+	n.avoid[t.ID] = true
+	switch {
+	case a.err == nil && a.reply.Code == CodeReadOnly:
+		s.gateway.notPrimary(t)
+		sleep(ctx, recheck)
+	case n.primary && (a.err != nil || a.reply.Code == CodeBusy):
+		sleep(ctx, busyPause)
+	}
+	s.gateway.events.retry(s.db.Name, t, a)
+}
+
+// giveUp answers a statement that no further attempt is made for.
+func (s *sessionServer) giveUp(st session.Statement, last attempt) Reply {
+	switch {
+	case last.sent && last.err == nil:
+		return last.reply
+	case last.sent && isTimeout(last.err):
+		return s.refuse(CodeTimeout, metrics.UnknownTimeout)
+	case last.sent:
+		return s.refuse(CodeFailed, metrics.RefusedReadLost)
+	case errors.Is(last.err, errNoConnection):
+		return s.refuse(CodeBusy, metrics.RefusedExpectedWait)
+	}
+	return s.refuse(CodeBusy, metrics.RefusedNoPrimary)
+}
+
+// refuse counts and returns an error.
+func (s *sessionServer) refuse(code Code, reason metrics.Name) Reply {
+	s.gateway.metrics.Inc(reason)
+	return s.failed(code, s.gateway.hint(reason))
+}
+
+// sleep waits, unless the context ends before.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// isTimeout reports whether the answer did not come in time.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/internal/gateway/target.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/routing"
+)
+
+const (
+	// latencyShare is the weight of the newest answer in the mean service time.
+	latencyShare = 0.1
+	// initialLatency stands for the service time before the first answer. It is the
+	// order of magnitude of the users' statements.
+	initialLatency = 20 * time.Millisecond
+	// firstBackoff and maxBackoff bound the pause before an unreachable endpoint is
+	// tried again.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = time.Second
+)
+
+// target is an endpoint with its connections and what traffic has shown of it.
+// All fields are guarded by the mutex of its group.
+type target struct {
+	Endpoint
+	group *group
+	// gone targets are no longer in the directory.
+	gone bool
+	// drainingSince is when this host learned that the endpoint drains.
+	drainingSince time.Time
+
+	idle []*conn
+	// conns holds every open connection.
+	conns map[*conn]bool
+	// opening counts connections that are being opened.
+	opening int
+	// limit is this host's share of the endpoint's connections.
+	limit   int
+	waiting waitQueue
+
+	inFlight int
+	latency  time.Duration
+	lag      routing.Lag
+	// answered is when the last answer came in.
+	answered time.Time
+	// failures counts failed dials and lost connections since the last answer.
+	failures  int
+	downUntil time.Time
+}
+
+// newTarget returns the target of an endpoint without connections.
+func newTarget(g *group, e Endpoint, limit int) *target {
+	return &target{Endpoint: e, group: g, limit: limit, conns: make(map[*conn]bool), latency: initialLatency}
+}
+
+// open returns the number of connections that exist or are being opened.
+func (t *target) open() int { return len(t.conns) + t.opening }
+
+// usable reports whether new work may be sent to the endpoint.
+func (t *target) usable(now time.Time) bool { return !t.gone && !now.Before(t.downUntil) }
+
+// expectedWait estimates how long new work takes here, its own run included.
+func (t *target) expectedWait() time.Duration {
+	slots := max(t.Slots, 1)
+	queued := t.inFlight + t.waiting.len()
+	return t.latency + t.latency*time.Duration(queued)/time.Duration(slots)
+}
+
+// succeeded records an answer.
+func (t *target) succeeded(now time.Time, took time.Duration) {
+	t.answered = now
+	t.failures = 0
+	t.downUntil = time.Time{}
+	t.latency += time.Duration(latencyShare * float64(took-t.latency))
+}
+
+// failed records a failed dial or a lost connection.
+func (t *target) failed(now time.Time) {
+	t.failures++
+	pause := min(firstBackoff<<min(t.failures-1, 10), maxBackoff)
+	t.downUntil = now.Add(pause)
+}
+
+// oldestInFlight returns when the oldest unanswered statement was sent.
+func (t *target) oldestInFlight() time.Time {
+	var oldest time.Time
+	for c := range t.conns {
+		if !c.since.IsZero() && (oldest.IsZero() || c.since.Before(oldest)) {
+			oldest = c.since
+		}
+	}
+	return oldest
+}
--- /dev/null
+++ b/internal/gateway/transaction.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+// rollbackTimeout bounds the rollback of an abandoned transaction; a connection
+// that does not answer by then is closed, which rolls back as well.
+const rollbackTimeout = 300 * time.Millisecond
+
+// runInTransaction runs a statement of the open transaction.
+func (s *sessionServer) runInTransaction(st session.Statement, arrived time.Time) Reply {
+	ctx, cancel := s.callerContext(arrived)
+	defer cancel()
+	if s.pinned != nil {
+		return s.runPinned(ctx, st)
+	}
+	return s.runFirst(ctx, st)
+}
+
+// runFirst chooses the transaction's endpoint and runs its first statement there.
+// Nothing has run before, so that it may start over elsewhere.
+func (s *sessionServer) runFirst(ctx context.Context, st session.Statement) Reply {
+	g := s.gateway.group(s.db.Group)
+	if g == nil {
+		return s.refuse(CodeBusy, metrics.RefusedNoPrimary)
+	}
+	tx := s.state.Transaction()
+	n := newNeed(s.db, s.state.Floor, tx.Began, !tx.ReadOnly)
+	var last attempt
+	for tries := 0; ; tries++ {
+		if tries > 0 && !s.mayRetry(ctx, tries) {
+			return s.giveUpFirst(last)
+		}
+		at, ok := s.pick(ctx, g, n)
+		if !ok {
+			return s.giveUpFirst(last)
+		}
+		a := s.open(ctx, at, n.primary)
+		if a.err == nil && a.reply.OK() {
+			reply := s.runPinned(ctx, st)
+			if reply.OK() || !s.mayStartOver(st, &reply) {
+				return reply
+			}
+			a = attempt{reply: reply, sent: true, at: at}
+		}
+		last = a
+		s.beforeRetry(ctx, n, a)
+	}
+}
+
+// mayStartOver undoes a transaction whose first statement did not run, so that it
+// may begin again at another endpoint.
+func (s *sessionServer) mayStartOver(st session.Statement, reply *Reply) bool {
+	if !reply.Code.NotRun() || reply.Code == CodeAborted || st.Op == session.OpCommit {
+		return false
+	}
+	if s.pinned != nil {
+		s.gateway.rollbackOn(s.pinned)
+		s.pinned = nil
+	}
+	s.state.Transaction().Failed = false
+	return true
+}
+
+// open begins the transaction on a connection of the endpoint.
+func (s *sessionServer) open(ctx context.Context, at choice, primary bool) attempt {
+	c, err := s.gateway.pool.checkout(ctx, at.target, s.state, s.db.Priority)
+	if err != nil {
+		return attempt{err: err, at: at}
+	}
+	op := session.OpBegin
+	if s.state.Transaction().ReadOnly {
+		op = session.OpBeginRead
+	}
+	replay := c.state.Adopt(s.state, false)
+	began := s.gateway.pool.begin(c, primary)
+	end, _ := ctx.Deadline()
+	reply, err := c.call(end, replay, Request{Statement: session.Statement{Op: op}, After: at.after})
+	s.gateway.pool.end(c, began, &reply, err, at.after)
+	if err != nil || !reply.OK() {
+		if err != nil {
+			s.gateway.lost(c, err)
+		}
+		s.gateway.pool.release(c)
+		// No statement of the caller has been sent.
+		return attempt{reply: reply, err: err, at: at}
+	}
+	s.gateway.pool.hold(c, primary)
+	s.pinned = c
+	return attempt{reply: reply, sent: true, at: at}
+}
+
+// giveUpFirst answers the first statement of a transaction that could not begin.
+func (s *sessionServer) giveUpFirst(last attempt) Reply {
+	if last.sent && last.err == nil {
+		return s.failed(last.reply.Code, last.reply.Detail)
+	}
+	return s.refuse(CodeBusy, metrics.RefusedNoPrimary)
+}
+
+// runPinned runs a statement on the transaction's connection. A transaction whose
+// connection is lost before its commit was sent is surely rolled back.
+func (s *sessionServer) runPinned(ctx context.Context, st session.Statement) Reply {
+	c := s.pinned
+	tx := s.state.Transaction()
+	replay := c.state.Adopt(s.state, true)
+	request := s.request(st, choice{target: c.target}, c, &replay)
+	began := s.gateway.pool.begin(c, !tx.ReadOnly)
+	end, _ := ctx.Deadline()
+	reply, err := c.call(end, replay, request)
+	s.gateway.pool.end(c, began, &reply, err, request.After)
+	if err != nil {
+		s.pinned = nil
+		s.gateway.lost(c, err)
+		s.gateway.pool.release(c)
+		return s.refuse(CodeAborted, metrics.RefusedTransactionLost)
+	}
+	s.gateway.pool.hold(c, !tx.ReadOnly)
+	tx.Wrote = tx.Wrote || st.Writes
+	tx.Failed = reply.State == TxFailed
+	if reply.State == TxIdle {
+		// The endpoint has ended the transaction by itself.
+		s.gateway.pool.release(c)
+		s.pinned = nil
+		tx.Failed = true
+		reply.State = TxFailed
+	}
+	return reply
+}
+
+// commit ends the transaction at its endpoint.
+func (s *sessionServer) commit(st session.Statement, arrived time.Time) Reply {
+	tx := s.state.Transaction()
+	if tx == nil {
+		return s.reply(CodeMalformed, "no transaction is open")
+	}
+	if s.pinned == nil && tx.Failed {
+		s.state.End()
+		return s.reply(CodeAborted, "the transaction was rolled back")
+	}
+	ctx, cancel := s.callerContext(arrived)
+	defer cancel()
+	if s.pinned == nil {
+		return s.commitEmpty(ctx, st)
+	}
+	return s.commitPinned(ctx, st)
+}
+
+// commitEmpty commits a transaction without statements, for the endpoint's
+// signature.
+func (s *sessionServer) commitEmpty(ctx context.Context, st session.Statement) Reply {
+	g := s.gateway.group(s.db.Group)
+	tx := s.state.Transaction()
+	n := newNeed(s.db, s.state.Floor, tx.Began, !tx.ReadOnly)
+	if g != nil {
+		if at, ok := s.pick(ctx, g, n); ok {
+			if a := s.open(ctx, at, n.primary); a.err == nil && a.reply.OK() {
+				return s.commitPinned(ctx, st)
+			}
+		}
+	}
+	s.state.End()
+	return s.refuse(CodeBusy, metrics.RefusedNoPrimary)
+}
+
+// commitPinned sends the commit. Only a commit of writes can be in doubt.
+func (s *sessionServer) commitPinned(ctx context.Context, st session.Statement) Reply {
+	c := s.pinned
+	tx := s.state.Transaction()
+	wrote := tx.Wrote
+	s.pinned = nil
+	s.state.End()
+	replay := c.state.Adopt(s.state, true)
+	began := s.gateway.pool.begin(c, !tx.ReadOnly)
+	end, _ := ctx.Deadline()
+	reply, err := c.call(end, replay, Request{Statement: st})
+	s.gateway.pool.end(c, began, &reply, err, Request{}.After)
+	if err != nil {
+		s.gateway.lost(c, err)
+		s.gateway.pool.release(c)
+		if !wrote {
+			return s.refuse(CodeAborted, metrics.RefusedTransactionLost)
+		}
+		return s.unknown(err)
+	}
+	if reply.State != TxIdle {
+		s.gateway.rollbackOn(c)
+		reply.State = TxIdle
+		return reply
+	}
+	if reply.OK() && wrote {
+		s.state.Committed(reply.Position)
+	}
+	s.gateway.pool.release(c)
+	return reply
+}
+
+// rollbackOn ends what is open on the connection and returns it to the pool.
+func (gw *Gateway) rollbackOn(c *conn) {
+	if !c.broken {
+		began := gw.pool.begin(c, false)
+		reply, err := c.call(time.Now().Add(rollbackTimeout), nil, Request{Statement: session.Statement{Op: session.OpRollback}})
+		gw.pool.end(c, began, &reply, err, Request{}.After)
+		if err != nil || reply.State != TxIdle {
+			c.broken = true
+		}
+	}
+	gw.pool.release(c)
+}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -27,6 +27,10 @@
 	UnknownCanceled         Name = "unknown.canceled"
 	RefusedTooManyCallers   Name = "refused.too_many_callers"
 	RefusedCanceled         Name = "refused.canceled"
+	RefusedNoPrimary        Name = "refused.no_primary"
+	RefusedIdleTransaction  Name = "refused.idle_transaction"
+	RefusedReadLost         Name = "refused.read_lost"
+	UnknownTimeout          Name = "unknown.timeout"
 )
 
 // Retries, each of a request that was not run.
