Order claims by their version, withdraw them, and replace a primary whose entry is gone

Change: a fence carries its claim's version and may be withdrawn before a promotion is ordered; an unlisted primary is replaced as one that drains; a fresh claim of another host is not taken over; rows of hosts that have been silent for 8 s are removed.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -60,7 +60,7 @@
 // Fence implements gateway.Peers.
 func (c *Client) Fence(ctx context.Context, address string, r gateway.FenceRequest) (gateway.FenceReply, error) {
 	response, err := c.client(address).Fence(ctx, connect.NewRequest(&fleetv1.FenceRequest{
-		Group: r.Group, Term: r.Term, Ask: r.Ask, GraceUs: r.Grace.Microseconds(),
+		Group: r.Group, Fence: encodeFence(r.Fence), Ask: r.Ask, GraceUs: r.Grace.Microseconds(),
 	}))
 	if err != nil {
 		return gateway.FenceReply{}, err
--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -20,7 +20,7 @@
 	}
 	for _, g := range n.Groups {
 		out.Groups = append(out.Groups, &fleetv1.GroupNews{
-			Group: g.Group, Term: g.Term, Primary: g.Primary, FencedTerm: g.FencedTerm, AgeUs: g.Age.Microseconds(),
+			Group: g.Group, Term: g.Term, Primary: g.Primary, Fence: encodeFence(g.Fence), AgeUs: g.Age.Microseconds(),
 			Position: &fleetv1.Position{Term: g.Position.Term, Offset: g.Position.Offset},
 		})
 	}
@@ -50,7 +50,7 @@
 	}
 	for _, g := range m.GetGroups() {
 		out.Groups = append(out.Groups, gateway.GroupNews{
-			Group: g.GetGroup(), Term: g.GetTerm(), Primary: g.GetPrimary(), FencedTerm: g.GetFencedTerm(),
+			Group: g.GetGroup(), Term: g.GetTerm(), Primary: g.GetPrimary(), Fence: decodeFence(g.GetFence()),
 			Position: logpos.Position{Term: g.GetPosition().GetTerm(), Offset: g.GetPosition().GetOffset()},
 			Age:      time.Duration(g.GetAgeUs()) * time.Microsecond,
 		})
@@ -69,3 +69,13 @@
 	}
 	return out
 }
+
+// encodeFence turns a fence into its message.
+func encodeFence(f gateway.FenceState) *fleetv1.Fence {
+	return &fleetv1.Fence{Term: f.Term, Version: f.Version, Withdrawn: f.Withdrawn}
+}
+
+// decodeFence reads the message of a fence.
+func decodeFence(m *fleetv1.Fence) gateway.FenceState {
+	return gateway.FenceState{Term: m.GetTerm(), Version: m.GetVersion(), Withdrawn: m.GetWithdrawn()}
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -31,7 +31,7 @@
 // Fence implements fleetv1connect.FleetServiceHandler.
 func (s *Server) Fence(_ context.Context, r *connect.Request[fleetv1.FenceRequest]) (*connect.Response[fleetv1.FenceResponse], error) {
 	reply, err := s.Gateway.Fence(gateway.FenceRequest{
-		Group: r.Msg.GetGroup(), Term: r.Msg.GetTerm(), Ask: r.Msg.GetAsk(),
+		Group: r.Msg.GetGroup(), Fence: decodeFence(r.Msg.GetFence()), Ask: r.Msg.GetAsk(),
 		Grace: time.Duration(r.Msg.GetGraceUs()) * time.Microsecond,
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/gateway/cleanup.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// memberGoneAfter is the silence after which a host's row is removed. A host that
+	// was only cut off writes it again. Until then each failover waits for the host's
+	// permission to end.
+	memberGoneAfter = 8 * time.Second
+	// cleanupInterval is how often the first host looks for such rows.
+	cleanupInterval = 2 * time.Second
+)
+
+// cleanup removes the rows of hosts that have been silent for long. The first live
+// host does it.
+func (c *control) cleanup(now time.Time) {
+	if now.Sub(c.lastCleanup) < cleanupInterval || !c.gw.permitted(now) {
+		return
+	}
+	c.lastCleanup = now
+	if c.rankAmong(now, readersGroup) != 0 {
+		return
+	}
+	for name, m := range c.members {
+		silent := now.Sub(m.known) > memberGoneAfter && now.Sub(m.heard) > memberGoneAfter && now.Sub(m.answered) > memberGoneAfter
+		r, ok := c.tables[TableState].Get(hostPrefix + name)
+		if !silent || !ok {
+			continue
+		}
+		c.gw.events.log.Info().Str("member", name).Dur("silent_ms", now.Sub(m.heard)).Msg("removing the row of a silent host")
+		go c.removeRow(r.Key, r.Version)
+	}
+}
+
+// removeRow removes a row that has not changed.
+func (c *control) removeRow(key string, version uint64) {
+	ctx, cancel := context.WithTimeout(c.gw.ctx, writeTimeout)
+	defer cancel()
+	if err := c.gw.cfg.Store.Delete(ctx, TableState, key, version); err != nil {
+		c.gw.events.log.Warn().Str("row", key).Err(err).Msg("row was not removed")
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -42,6 +42,9 @@
 	// claims is the time as of which every claim is known.
 	claims  time.Time
 	reading bool
+	// registering is true while a write of this host's row is under way.
+	registering bool
+	lastCleanup time.Time
 }
 
 // newControl returns the control state of a host that knows nothing.
@@ -61,6 +64,7 @@
 func (c *control) run(ctx context.Context) {
 	go c.follow(ctx, TableCatalog)
 	go c.follow(ctx, TableEndpoints)
+	c.registering = true
 	go c.register(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -110,6 +114,7 @@
 	c.readClaims(now)
 	c.exchangeNews(now)
 	c.permit()
+	c.cleanup(now)
 	if now.Sub(c.lastSweep) >= sweepInterval {
 		c.lastSweep = now
 		c.endpointsChanged()
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -109,7 +109,10 @@
 		if !t.Draining {
 			t.drainingSince = now
 		}
-		t.unlistedAt = time.Time{}
+		if !t.unlistedAt.IsZero() {
+			t.unlistedAt = time.Time{}
+			c.gw.events.log.Info().Str("group", g.name).Str("endpoint", id).Msg("endpoint listed again")
+		}
 	}
 	for id, t := range g.targets {
 		if _, ok := listed[id]; ok {
@@ -119,7 +122,11 @@
 			t.unlistedAt = now
 			c.gw.events.log.Info().Str("group", g.name).Str("endpoint", id).Msg("endpoint no longer listed")
 		}
-		if now.Sub(t.unlistedAt) < unlistedGrace {
+		if !t.leaving(now) {
+			t.drainingSince = now
+			continue
+		}
+		if id == g.primary && now.Sub(t.unlistedAt) < unlistedPrimaryGrace {
 			continue
 		}
 		t.gone = true
@@ -152,6 +159,11 @@
 // its return.
 const unlistedGrace = 2500 * time.Millisecond
 
+// unlistedPrimaryGrace is how long a primary is known after its entry vanished, so
+// that it can be replaced without losing its last commits. It is below the time
+// after which an endpoint that left must get no work.
+const unlistedPrimaryGrace = 6 * time.Second
+
 const (
 	// connectionReserve is the number of connections to an endpoint that are left for
 	// status requests and for hosts that join.
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -25,12 +25,14 @@
 		return reply, nil
 	}
 	g.mu.Lock()
-	fenced := g.fence(r.Term, boottime.Now())
+	g.setFence(r.Fence, boottime.Now())
+	fenced := g.fenced()
 	g.mu.Unlock()
+	gw.events.log.Info().Str("group", r.Group).Uint64("term", r.Fence.Term).Uint64("claim", r.Fence.Version).
+		Bool("withdrawn", r.Fence.Withdrawn).Dur("grace_ms", r.Grace).Bool("fenced", fenced).Msg("claim heard from its holder")
 	if !fenced {
 		return reply, nil
 	}
-	gw.events.log.Info().Str("group", r.Group).Uint64("term", r.Term).Dur("grace_ms", r.Grace).Msg("primary fenced for another host")
 	deadline := time.Now().Add(r.Grace)
 	for g.primaryUses() > 0 && time.Now().Before(deadline) {
 		sleep(gw.ctx, 5*time.Millisecond)
@@ -73,7 +75,7 @@
 
 // eachPrimaryUse calls f for each such connection, unless a newer primary leads.
 func (g *group) eachPrimaryUse(f func(*conn)) {
-	if g.term > g.fencedTerm {
+	if !g.fenced() {
 		return
 	}
 	for _, t := range g.targets {
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -26,11 +26,10 @@
 	start logpos.Position
 	// seenTerm is the newest term that any endpoint has told of.
 	seenTerm uint64
-	// fencedTerm is the newest term whose primary must not be used, because it is
-	// being replaced.
-	fencedTerm uint64
-	fencedAt   time.Time
-	staleness  *routing.Staleness
+	// fence is the newest claim, learned at fencedAt.
+	fence     FenceState
+	fencedAt  time.Time
+	staleness *routing.Staleness
 	// changed is closed and replaced whenever waiting sessions should look again.
 	changed chan struct{}
 }
@@ -51,7 +50,7 @@
 
 // leader returns the target that may be used as primary, or nil.
 func (g *group) leader(now time.Time) *target {
-	if g.term <= g.fencedTerm || !g.pool.permitted(now) {
+	if g.fenced() || !g.pool.permitted(now) {
 		return nil
 	}
 	return g.targets[g.primary]
@@ -80,19 +79,6 @@
 	return true
 }
 
-// fence stops the use of the primary of the term and of earlier ones. It returns
-// false if a newer term leads already.
-func (g *group) fence(term uint64, now time.Time) bool {
-	if g.term > term {
-		return false
-	}
-	if term > g.fencedTerm || g.fencedTerm == 0 {
-		g.fencedTerm, g.fencedAt = term, now
-		g.notify()
-	}
-	return true
-}
-
 // sample records that the primary's log ended at the position at the time or
 // later.
 func (g *group) sample(at time.Time, p logpos.Position) {
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -29,7 +29,7 @@
 	for ctx.Err() == nil {
 		version, err := c.write(ctx, key, expected, record)
 		if err == nil {
-			c.ask(func() { c.own = version })
+			c.ask(func() { c.own, c.registering = version, false })
 			return
 		}
 		// The row of an earlier run, or of a write whose answer was lost, is replaced
@@ -95,7 +95,11 @@
 // changed.
 func (c *control) hostChanged(r rows.Row) bool {
 	name, ok := trimHost(r.Key)
-	if !ok || name == c.gw.cfg.Host {
+	if !ok {
+		return false
+	}
+	if name == c.gw.cfg.Host {
+		c.ownRowChanged(r)
 		return false
 	}
 	if r.Deleted {
@@ -117,6 +121,15 @@
 	return !known
 }
 
+// ownRowChanged writes this host's row again if others have removed it.
+func (c *control) ownRowChanged(r rows.Row) {
+	if !r.Deleted || c.leaving || c.registering || r.Version < c.own {
+		return
+	}
+	c.registering = true
+	go c.register(c.gw.ctx)
+}
+
 // trimHost returns the host that the key names.
 func trimHost(key string) (string, bool) {
 	if len(key) <= len(hostPrefix) || key[:len(hostPrefix)] != hostPrefix {
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -16,8 +16,7 @@
 	// Position is where the primary's log ended Age ago.
 	Position logpos.Position
 	Age      time.Duration
-	// FencedTerm is the newest term whose primary must not be used.
-	FencedTerm uint64
+	Fence    FenceState
 }
 
 // TableNews holds the changes of a table after one version and up to another.
@@ -41,10 +40,10 @@
 	Tables  []TableNews
 }
 
-// FenceRequest asks a host to stop using the primary of a term.
+// FenceRequest tells a host of a claim.
 type FenceRequest struct {
 	Group string
-	Term  uint64
+	Fence FenceState
 	// Ask only asks for evidence, without fencing.
 	Ask bool
 	// Grace is how long work that is in flight may go on. Open transactions are
--- a/internal/gateway/need.go
+++ b/internal/gateway/need.go
@@ -58,7 +58,7 @@
 		return choice{target: leader}
 	}
 	for _, t := range g.targets {
-		if t == leader || t.ID == g.primary || t.Draining || !t.usable(now) || n.avoid[t.ID] {
+		if t == leader || t.ID == g.primary || t.leaving(now) || !t.usable(now) || n.avoid[t.ID] {
 			continue
 		}
 		if !t.lag.Holds(now, after, g.staleness) {
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -134,7 +134,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	position, at := g.staleness.Newest()
-	return GroupNews{Group: name, Term: g.term, Primary: g.primary, Position: position, Age: now.Sub(at), FencedTerm: g.fencedTerm}
+	return GroupNews{Group: name, Term: g.term, Primary: g.primary, Position: position, Age: now.Sub(at), Fence: g.fence}
 }
 
 // heard takes the news of another host, which it sent after the time; zero if that
@@ -172,9 +172,7 @@
 func (c *control) heardOfGroup(g *group, n GroupNews, sent time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if n.FencedTerm > g.fencedTerm {
-		g.fence(n.FencedTerm, boottime.Now())
-	}
+	g.setFence(n.Fence, boottime.Now())
 	if n.Term == 0 {
 		return
 	}
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -35,6 +35,8 @@
 	// Term is the term whose primary is replaced. Once the record is known, no host
 	// uses a primary of this term or an earlier one.
 	Term uint64 `json:"term"`
+	// Withdrawn claims leave the primary of the term in place.
+	Withdrawn bool `json:"withdrawn,omitempty"`
 }
 
 // decodeRecord reads a row of TableState.
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -40,7 +40,7 @@
 
 // Reasons for which a change of primary was given up.
 var (
-	errPrimaryAnswers = errors.New("the primary still answers another host")
+	errPrimaryAnswers = errors.New("the primary still answers")
 	errClaimLost      = errors.New("another host holds the claim")
 	errNoSuccessor    = errors.New("no endpoint can succeed")
 	errNotLeading     = errors.New("the successor does not lead")
@@ -60,6 +60,8 @@
 	claim     claimRecord
 	version   uint64
 	claimedAt time.Time
+	// ordered is true once a promotion may have been ordered.
+	ordered bool
 }
 
 // replace replaces the group's primary. It runs on a goroutine of its own.
@@ -100,17 +102,41 @@
 	if err := ch.acquire(ctx); err != nil {
 		return err
 	}
-	if err := ch.fenceAll(ctx); err != nil {
-		return err
+	err := ch.fenceAll(ctx)
+	if err == nil {
+		ch.demote(ctx)
+		err = ch.promote(ctx)
+	}
+	if err != nil && !ch.ordered {
+		ch.withdraw(ctx)
+	}
+	return err
+}
+
+// withdraw allows the use of the old primary again, as nothing has replaced it. If
+// the claim cannot be written, the hosts stay fenced until the next attempt.
+func (ch *change) withdraw(ctx context.Context) {
+	ch.claim.Withdrawn = true
+	if err := ch.renew(ctx); err != nil {
+		ch.c.gw.events.log.Warn().Str("group", ch.g.name).Err(err).Msg("claim was not withdrawn")
+		return
+	}
+	request := FenceRequest{Group: ch.g.name, Fence: ch.fence()}
+	if _, err := ch.c.gw.Fence(request); err != nil {
+		ch.c.gw.events.log.Warn().Err(err).Msg("own fence was not lifted")
 	}
-	ch.demote(ctx)
-	return ch.promote(ctx)
+	ch.askAll(ctx, request, fenceTimeout)
+}
+
+// fence returns the claim as the other hosts are told of it.
+func (ch *change) fence() FenceState {
+	return FenceState{Term: ch.term, Version: ch.version, Withdrawn: ch.claim.Withdrawn}
 }
 
 // checkEvidence gives up if another host has heard from the primary since this
 // host lost it.
 func (ch *change) checkEvidence(ctx context.Context) error {
-	poll := ch.askAll(ctx, FenceRequest{Group: ch.g.name, Term: ch.term, Ask: true}, evidenceTimeout)
+	poll := ch.askAll(ctx, FenceRequest{Group: ch.g.name, Ask: true}, evidenceTimeout)
 	for _, r := range poll.replies {
 		if r.Term > ch.term {
 			return errNewerTerm
@@ -184,9 +210,12 @@
 	if err != nil {
 		return err
 	}
-	if held.Term > ch.term {
+	if held.Term > ch.term && !held.Withdrawn {
 		return errNewerTerm
 	}
+	if held.Term == ch.term && !held.Withdrawn && version > 0 && ch.reason != succession.ReasonStalled && held.Holder != ch.c.gw.cfg.Host {
+		return errClaimLost
+	}
 	ch.claim = claimRecord{Holder: ch.c.gw.cfg.Host, Incarnation: ch.c.incarnation, Fence: held.Fence, Term: ch.term}
 	if held.Holder != ch.claim.Holder || held.Incarnation != ch.claim.Incarnation {
 		ch.claim.Fence++
@@ -236,7 +265,7 @@
 	if ch.reason.Planned() {
 		grace = plannedGrace
 	}
-	request := FenceRequest{Group: ch.g.name, Term: ch.term, Grace: grace}
+	request := FenceRequest{Group: ch.g.name, Fence: ch.fence(), Grace: grace}
 	began := boottime.Now()
 	own := make(chan struct{})
 	go func() {
@@ -287,12 +316,14 @@
 	}
 	g := ch.g
 	began := boottime.Now()
+	ch.ordered = true
 	call, cancel := context.WithTimeout(ctx, promoteTimeout)
 	err = ch.c.gw.cfg.Promoter.Promote(call, g.name, target.ID, ch.claim.Holder, ch.claim.Fence)
 	cancel()
 	ch.c.gw.events.log.Info().Str("group", g.name).Str("endpoint", target.ID).Uint64("fence", ch.claim.Fence).
 		Dur("took_ms", boottime.Now().Sub(began)).AnErr("error", err).Msg("promotion ordered")
 	if errors.Is(err, ErrPromotionRefused) {
+		ch.ordered = false
 		return err
 	}
 	return ch.confirm(ctx, target)
@@ -350,11 +381,14 @@
 			continue
 		}
 		end = logpos.Max(end, s.Received)
-		if t == ch.old {
+		if t == ch.old && (ch.reason.Planned() || !s.Primary) {
 			continue
 		}
+		if s.Primary && s.Term >= ch.term {
+			return nil, end, errPrimaryAnswers
+		}
 		candidates = append(candidates, succession.Candidate{
-			ID: id, Received: s.Received, Draining: t.Draining, Near: t.AvailabilityZone == g.pool.zone,
+			ID: id, Received: s.Received, Draining: t.leaving(boottime.Now()), Near: t.AvailabilityZone == g.pool.zone,
 		})
 	}
 	if !succession.Enough(len(candidates), replicas, g.config.SyncReplicas) {
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -27,7 +27,7 @@
 	gone bool
 	// unlistedAt is when the entry vanished from the directory; zero if it is listed.
 	unlistedAt time.Time
-	// drainingSince is when this host learned that the endpoint drains.
+	// drainingSince is when this host learned that the endpoint leaves.
 	drainingSince time.Time
 
 	idle []*conn
@@ -57,6 +57,12 @@
 // open returns the number of connections that exist or are being opened.
 func (t *target) open() int { return len(t.conns) + t.opening }
 
+// leaving reports whether the endpoint should get no new work: it drains, or its
+// entry has been missing for so long that it counts as gone.
+func (t *target) leaving(now time.Time) bool {
+	return t.Draining || !t.unlistedAt.IsZero() && now.Sub(t.unlistedAt) >= unlistedGrace
+}
+
 // usable reports whether new work may be sent to the endpoint.
 func (t *target) usable(now time.Time) bool { return !t.gone && !now.Before(t.downUntil) }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -79,7 +79,7 @@
 	} else {
 		w.lostSince = time.Time{}
 		c.checkSilence(now, g, w, leader)
-		if leader.Draining {
+		if leader.leaving(now) {
 			v.DrainingSince = leader.drainingSince
 		}
 	}
@@ -89,13 +89,13 @@
 	if c.listed {
 		v.LostSince = w.lostSince
 	}
-	if g.fencedTerm >= g.term && g.term > 0 {
+	if g.fenced() && g.term > 0 {
 		v.FencedAt = g.fencedAt
 	}
 	v.Rank = c.rank(now, g.name, w)
 	v.Holder = w.claim.Holder == c.gw.cfg.Host && w.claim.Incarnation == c.incarnation
 	for id, t := range g.targets {
-		if id != g.primary && !t.Draining && t.unlistedAt.IsZero() {
+		if id != g.primary && !t.leaving(now) {
 			v.Successors++
 		}
 	}
@@ -174,7 +174,7 @@
 	w.claim, w.claimVersion, w.claimedAt = claim, r.Version, now
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fence(claim.Term, now)
+	g.setFence(FenceState{Term: claim.Term, Version: r.Version, Withdrawn: claim.Withdrawn}, now)
 }
 
 // rank returns the number of live hosts that act before this one. The holder of
--- a/internal/gen/beryltrestle/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/internal/gen/beryltrestle/fleet/v1/fleetv1connect/fleet.connect.go
@@ -44,7 +44,7 @@
 type FleetServiceClient interface {
 	// Exchange sends what the caller knows and returns what the receiver knows.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
-	// Fence asks the receiver to stop using the primary of a term.
+	// Fence tells the receiver of a claim.
 	Fence(context.Context, *connect.Request[v1.FenceRequest]) (*connect.Response[v1.FenceResponse], error)
 }
 
@@ -94,7 +94,7 @@
 type FleetServiceHandler interface {
 	// Exchange sends what the caller knows and returns what the receiver knows.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
-	// Fence asks the receiver to stop using the primary of a term.
+	// Fence tells the receiver of a claim.
 	Fence(context.Context, *connect.Request[v1.FenceRequest]) (*connect.Response[v1.FenceResponse], error)
 }
 
