Read the store from a few hosts; the others hear its tables as news

Each mirror now carries the time as of which it is complete; a host reads a table itself only when that is older than its rank's patience.

--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -12,12 +12,15 @@
 // encodeNews turns news into its message.
 func encodeNews(n gateway.News) *fleetv1.News {
 	out := &fleetv1.News{
-		Host: n.Host, Incarnation: n.Incarnation, Leaving: n.Leaving, ClaimsAgeUs: n.ClaimsAge.Microseconds(),
+		Host: n.Host, Incarnation: n.Incarnation, Leaving: n.Leaving, AgesUs: make(map[string]int64, len(n.Ages)),
 		Through: make(map[string]uint64, len(n.Through)),
 	}
 	for table, through := range n.Through {
 		out.Through[string(table)] = through
 	}
+	for table, age := range n.Ages {
+		out.AgesUs[string(table)] = age.Microseconds()
+	}
 	for _, g := range n.Groups {
 		out.Groups = append(out.Groups, &fleetv1.GroupNews{
 			Group: g.Group, Term: g.Term, Primary: g.Primary, Fence: encodeFence(g.Fence), AgeUs: g.Age.Microseconds(),
@@ -42,12 +45,15 @@
 // decodeNews reads the message of news.
 func decodeNews(m *fleetv1.News) gateway.News {
 	out := gateway.News{
-		Host: m.GetHost(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(), ClaimsAge: time.Duration(m.GetClaimsAgeUs()) * time.Microsecond,
+		Host: m.GetHost(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(), Ages: make(map[gateway.TableName]time.Duration, len(m.GetAgesUs())),
 		Through: make(map[gateway.TableName]uint64, len(m.GetThrough())),
 	}
 	for table, through := range m.GetThrough() {
 		out.Through[gateway.TableName(table)] = through
 	}
+	for table, age := range m.GetAgesUs() {
+		out.Ages[gateway.TableName(table)] = time.Duration(age) * time.Microsecond
+	}
 	for _, g := range m.GetGroups() {
 		out.Groups = append(out.Groups, gateway.GroupNews{
 			Group: g.GetGroup(), Term: g.GetTerm(), Primary: g.GetPrimary(), Fence: decodeFence(g.GetFence()),
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -8,26 +8,14 @@
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
-const (
-	// readPatience0 is the age of the known claims at which the first host reads them
-	// from the store. The others hear them from it, and read them themselves when
-	// they are older by readPatienceStep for each host that goes before.
-	readPatience0    = 400 * time.Millisecond
-	readPatienceStep = 150 * time.Millisecond
-	// readPatienceMax leaves time for a read and its answer before the permission to
-	// use primaries ends.
-	readPatienceMax = 1000 * time.Millisecond
-	// readTimeout bounds a read of the claims.
-	readTimeout = 800 * time.Millisecond
-	// readersGroup is the name by which hosts are ranked as readers.
-	readersGroup = "store-readers"
-)
+// readTimeout bounds a read of the claims.
+const readTimeout = 800 * time.Millisecond
 
 // readClaims reads hosts and claims from the store if what is known of them is too
 // old. Whole listings are read, since a feed may miss changes when the store drops
 // its history.
 func (c *control) readClaims(now time.Time) {
-	if c.reading || now.Sub(c.claims) < c.claimsPatience(now) {
+	if c.reading || now.Sub(c.asOf[TableState]) < claimsPatience.of(c.rankAmong(now, readersGroup)) {
 		return
 	}
 	c.reading = true
@@ -45,22 +33,18 @@
 				return
 			}
 			c.changed(TableState, c.tables[TableState].Replace(listing, version))
-			c.claimsKnown(now)
+			c.complete(TableState, now)
 		})
 	}()
 }
 
-// claimsPatience returns the age of the known claims at which this host reads
-// them.
-func (c *control) claimsPatience(now time.Time) time.Duration {
-	rank := c.rankAmong(now, readersGroup)
-	return min(readPatience0+time.Duration(rank)*readPatienceStep, readPatienceMax)
-}
-
-// claimsKnown records that every claim as of the time is known.
-func (c *control) claimsKnown(asOf time.Time) {
-	if asOf.After(c.claims) {
-		c.claims = asOf
+// complete records that the mirror of the table was complete at the time.
+func (c *control) complete(name TableName, asOf time.Time) {
+	if !asOf.After(c.asOf[name]) {
+		return
+	}
+	c.asOf[name] = asOf
+	if name == TableState {
 		c.permit()
 	}
 }
@@ -71,12 +55,12 @@
 	for _, m := range c.members {
 		answered = append(answered, m.answered)
 	}
-	until := permission.Until(c.claims, answered)
+	until := permission.Until(c.asOf[TableState], answered)
 	before := c.gw.permittedUntil.Swap(until.UnixNano())
 	now := boottime.Now()
 	held, holds := before > now.UnixNano(), until.After(now)
 	if held != holds {
-		c.gw.events.log.Info().Bool("permitted", holds).Dur("claims_age_ms", now.Sub(c.claims)).Msg("permission to use primaries changed")
+		c.gw.events.log.Info().Bool("permitted", holds).Dur("claims_age_ms", now.Sub(c.asOf[TableState])).Msg("permission to use primaries changed")
 	}
 	if holds && !held {
 		c.notifyAll()
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -39,8 +39,9 @@
 	lastNews time.Time
 	// lastSweep is when endpoints that are no longer listed were last looked for.
 	lastSweep time.Time
-	// claims is the time as of which every claim is known.
-	claims  time.Time
+	// asOf is the time as of which the mirror of each table is complete. That of
+	// TableState gives the permission to use primaries.
+	asOf    map[TableName]time.Time
 	reading bool
 	// registering is true while a write of this host's row is under way.
 	registering bool
@@ -52,7 +53,7 @@
 	c := &control{
 		gw: gw, calls: make(chan func(), 256), incarnation: rand.Uint64() >> 1,
 		tables: make(map[TableName]*rows.Table), members: make(map[string]*member),
-		watches: make(map[string]*watch),
+		watches: make(map[string]*watch), asOf: make(map[TableName]time.Time),
 	}
 	for _, name := range Tables {
 		c.tables[name] = rows.NewTable()
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -140,7 +140,10 @@
 	g.notify()
 	g.mu.Unlock()
 	for _, t := range survey {
-		go c.status(t)
+		go func() {
+			// A failure is logged and recorded at the target.
+			_, _ = c.status(t)
+		}()
 	}
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -8,14 +8,18 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/beryltrestle/beryltrestle/coord/rows"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
 const (
-	// feedWait is how long the store holds a call for changes. A connection that
-	// went silent is noticed after this time; peers pass changes on meanwhile.
-	feedWait = 5 * time.Second
-	// feedSlack is the time beyond feedWait after which the call is given up.
-	feedSlack = time.Second
+	// feedWait is how long the store holds a call for changes. An answer shows that
+	// the mirror is complete; it must reach the other hosts within their patience.
+	feedWait = 1200 * time.Millisecond
+	// feedSlack is the time beyond feedWait after which the call is given up, as its
+	// connection may have gone silent.
+	feedSlack = 700 * time.Millisecond
+	// feedPoll is how often a host that does not read looks whether it should.
+	feedPoll = 100 * time.Millisecond
 	// listTimeout bounds a listing.
 	listTimeout = 2 * time.Second
 	// firstPause and lastPause bound the pause after a failed call to the store.
@@ -28,6 +32,10 @@
 	pause := firstPause
 	list := true
 	for ctx.Err() == nil {
+		if !c.shouldRead(name) {
+			sleep(ctx, feedPoll)
+			continue
+		}
 		var err error
 		if list {
 			err = c.list(ctx, name)
@@ -48,15 +56,27 @@
 	}
 }
 
+// shouldRead reports whether this host should read the table now.
+func (c *control) shouldRead(name TableName) bool {
+	read := false
+	c.ask(func() {
+		now := boottime.Now()
+		read = now.Sub(c.asOf[name]) >= feedPatience.of(c.rankAmong(now, readersGroup))
+	})
+	return read
+}
+
 // list reads the whole table.
 func (c *control) list(ctx context.Context, name TableName) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	began := boottime.Now()
 	listing, version, err := c.gw.cfg.Store.List(ctx, name)
 	if err != nil {
 		return err
 	}
 	c.ask(func() {
+		c.complete(name, began)
 		changed := c.tables[name].Replace(listing, version)
 		c.listed = c.listed || name == TableEndpoints
 		c.changed(name, changed)
@@ -69,12 +89,20 @@
 	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
 	defer cancel()
 	var from uint64
-	c.ask(func() { from = c.tables[name].Through() })
+	var began time.Time
+	c.ask(func() { from, began = c.tables[name].Through(), boottime.Now() })
 	changes, through, err := c.gw.cfg.Store.Changes(ctx, name, from, feedWait)
 	if err != nil {
 		return err
 	}
-	c.ask(func() { c.merge(TableNews{Table: name, From: from, Through: through, Rows: changes}) })
+	if len(changes) == 0 && boottime.Now().Sub(began) >= feedWait {
+		// The store has waited in vain, so nothing had changed by then.
+		began = began.Add(feedWait)
+	}
+	c.ask(func() {
+		c.merge(TableNews{Table: name, From: from, Through: through, Rows: changes})
+		c.complete(name, began)
+	})
 	return nil
 }
 
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -33,8 +33,9 @@
 	Incarnation uint64
 	Leaving     bool
 	Groups      []GroupNews
-	// ClaimsAge is how long ago the sender knew every claim; negative if it never did.
-	ClaimsAge time.Duration
+	// Ages holds how long ago the sender's mirror of each table was complete; tables
+	// that never were are missing.
+	Ages map[TableName]time.Duration
 	// Through holds the version that the sender's mirror of each table reaches to.
 	Through map[TableName]uint64
 	Tables  []TableNews
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -42,7 +42,7 @@
 // fanout returns how many hosts are called in a round. While the claims cannot be
 // read from the store, a majority must be heard within the permission's time.
 func (c *control) fanout(now time.Time) int {
-	if now.Sub(c.claims) < readPatienceMax {
+	if now.Sub(c.asOf[TableState]) < readPatienceMax {
 		return newsFanout
 	}
 	rounds := int(permission.Duration/newsInterval) - 2
@@ -110,10 +110,10 @@
 func (c *control) news(now time.Time, through map[TableName]uint64) News {
 	n := News{
 		Host: c.gw.cfg.Host, Incarnation: c.incarnation, Leaving: c.leaving,
-		Through: make(map[TableName]uint64), ClaimsAge: -1,
+		Through: make(map[TableName]uint64), Ages: make(map[TableName]time.Duration),
 	}
-	if !c.claims.IsZero() {
-		n.ClaimsAge = now.Sub(c.claims)
+	for name, at := range c.asOf {
+		n.Ages[name] = now.Sub(at)
 	}
 	for name, t := range c.tables {
 		n.Through[name] = t.Through()
@@ -154,8 +154,10 @@
 	for _, t := range n.Tables {
 		c.merge(t)
 	}
-	if !sent.IsZero() && n.ClaimsAge >= 0 && c.tables[TableState].Through() >= n.Through[TableState] {
-		c.claimsKnown(sent.Add(-n.ClaimsAge))
+	for name, age := range n.Ages {
+		if !sent.IsZero() && c.tables[name] != nil && c.tables[name].Through() >= n.Through[name] {
+			c.complete(name, sent.Add(-age))
+		}
 	}
 	c.permit()
 	for _, gn := range n.Groups {
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -41,9 +41,6 @@
 	at   choice
 }
 
-// notRun reports whether the statement surely left no effect.
-func (a *attempt) notRun() bool { return !a.sent || (a.err == nil && a.reply.Code.NotRun()) }
-
 // runSingle runs a statement outside a transaction. Writes are sent again only if
 // they surely did not run.
 func (s *sessionServer) runSingle(st session.Statement, arrived time.Time) Reply {
