--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -26,6 +26,42 @@
 	broken bool
 }
 
+// run runs the request for the session, after what the connection lacks of the
+// session's state. inTransaction is true if the connection's transaction is the
+// session's.
+func (c *conn) run(deadline time.Time, s *session.State, inTransaction bool, r Request) (Reply, error) {
+	prepared, execute := s.Prepared(r.Name)
+	execute = execute && r.Op == session.OpExecute
+	if execute {
+		r.Alias = prepared.Alias()
+	}
+	if relay, ok := c.EndpointConn.(RelayConn); ok {
+		return c.runRelayed(relay, deadline, s, prepared, execute, r)
+	}
+	replay := c.state.Adopt(s, inTransaction)
+	if execute {
+		replay = append(replay, c.state.Need(prepared)...)
+	}
+	reply, err := c.call(deadline, replay, r)
+	if err == nil && execute && reply.Code == CodeNoStatement {
+		c.state.Forget(prepared)
+	}
+	return reply, err
+}
+
+// runRelayed lets the host that holds the connection run the request.
+func (c *conn) runRelayed(relay RelayConn, deadline time.Time, s *session.State, p session.Prepared, execute bool, r Request) (Reply, error) {
+	work := RelayWork{Values: s.Values(), Request: r, Primary: c.primaryUse}
+	if execute {
+		work.Prepared = &p
+	}
+	reply, err := relay.Run(deadline, work)
+	if err != nil {
+		c.broken = true
+	}
+	return reply, err
+}
+
 // call replays the statements, sends the request, and returns its answer. An
 // error means that the request may have run, unless nothing was sent.
 func (c *conn) call(deadline time.Time, replay []session.Statement, r Request) (Reply, error) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -116,6 +116,7 @@
 	c.exchangeNews(now)
 	c.permit()
 	c.cleanup(now)
+	c.gw.expireLeases(now)
 	if now.Sub(c.lastSweep) >= sweepInterval {
 		c.lastSweep = now
 		c.endpointsChanged()
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -81,7 +81,6 @@
 	now := boottime.Now()
 	g.mu.Lock()
 	g.config = config
-	limit := c.share(config)
 	for id, e := range listed {
 		t, ok := g.targets[id]
 		switch {
@@ -90,7 +89,7 @@
 				t.gone = true
 				retired = append(retired, t)
 			}
-			t = newTarget(g, e, limit)
+			t = newTarget(g, e)
 			g.targets[id] = t
 			survey = append(survey, t)
 			c.gw.events.log.Info().Str("group", g.name).Str("endpoint", id).Str("zone", e.AvailabilityZone).Bool("primary", e.Primary).Msg("endpoint listed")
@@ -102,10 +101,8 @@
 				c.gw.events.log.Info().Str("group", g.name).Str("endpoint", id).Msg("endpoint drains")
 			}
 			t.Endpoint = e
-			t.limit = limit
-		default:
-			t.limit = max(t.limit, min(limit, t.limit+1))
 		}
+		t.hold(c.holding(now, config, e))
 		if !t.Draining {
 			t.drainingSince = now
 		}
@@ -167,21 +164,13 @@
 // after which an endpoint that left must get no work.
 const unlistedPrimaryGrace = 6 * time.Second
 
-const (
-	// connectionReserve is the number of connections to an endpoint that are left for
-	// status requests and for hosts that join.
-	connectionReserve = 4
-	// minConnections lets a transaction and a single statement run at once.
-	minConnections = 2
-)
-
-// share returns this host's share of an endpoint's connections.
-func (c *control) share(config Group) int {
-	hosts := 1
-	for _, m := range c.members {
-		if !m.leaving {
-			hosts++
-		}
+// hold changes how the endpoint is reached. A limit that the endpoint has cut by
+// refusing connections grows again step by step.
+func (t *target) hold(h holding) {
+	if t.relayed != h.relayed {
+		t.closeIdle()
+		t.limit = h.limit
 	}
-	return max((config.MaxConnections-connectionReserve)/hosts, minConnections)
+	t.relayed, t.holders = h.relayed, h.holders
+	t.limit = min(h.limit, t.limit+1)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,7 @@
 	permittedUntil atomic.Int64
 
 	sessions sessionSet
+	leases   leases
 	// drains is true once the host has begun to stop.
 	drains atomic.Bool
 }
@@ -81,11 +82,12 @@
 		events: newEvents(cfg.Log),
 	}
 	gw.sessions.open = make(map[*sessionServer]bool)
+	gw.leases.open = make(map[uint64]*lease)
 	gw.catalogNow.Store(&Catalog{})
 	gw.groupsNow.Store(&map[string]*group{})
 	gw.control = newControl(gw)
 	gw.pool = &pool{
-		dialer: cfg.Dialer, metrics: cfg.Metrics, zone: cfg.AvailabilityZone,
+		dialer: cfg.Dialer, relays: cfg.Peers, metrics: cfg.Metrics, zone: cfg.AvailabilityZone,
 		zoneDistance: cfg.ZoneDistance, parse: cfg.ParseStatus, onFailure: gw.control.suspect, permitted: gw.permitted,
 	}
 	return gw
--- /dev/null
+++ b/internal/gateway/holder.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/placement"
+)
+
+// holder is another host that holds connections to an endpoint.
+type holder struct {
+	Name    string
+	Address string
+}
+
+const (
+	// connectionReserve is the number of connections to an endpoint that are left for
+	// status requests and for hosts that join.
+	connectionReserve = 4
+	// minConnections lets a transaction and a single statement run at once.
+	minConnections = 2
+	// fewHolders is how many hosts hold connections to an endpoint whose limit does
+	// not allow minConnections for every host. Three survive the loss of any two.
+	fewHolders = 3
+	// relayConnections bounds the requests that a host has under way at one endpoint
+	// through its holders.
+	relayConnections = 12
+)
+
+// holding says how a host reaches an endpoint.
+type holding struct {
+	// limit is the number of connections, or of requests through holders.
+	limit   int
+	relayed bool
+	holders []holder
+}
+
+// holding decides whether this host holds connections to the endpoint: all hosts
+// do if the limit allows it, otherwise the few that are ranked first, hosts in the
+// endpoint's availability zone before others.
+func (c *control) holding(now time.Time, config Group, e Endpoint) holding {
+	hosts := c.liveHosts(now)
+	free := config.MaxConnections - connectionReserve
+	if share := free / len(hosts); share >= minConnections {
+		return holding{limit: share}
+	}
+	ranked := c.rankHolders(hosts, e)
+	few := ranked[:min(fewHolders, len(ranked))]
+	out := holding{limit: relayConnections, relayed: true}
+	for _, h := range few {
+		if h.Name == c.gw.cfg.Host {
+			return holding{limit: max(free/len(few), 1)}
+		}
+		out.holders = append(out.holders, holder{Name: h.Name, Address: c.members[h.Name].Address})
+	}
+	return out
+}
+
+// liveHosts returns the hosts that are thought to run, this one included.
+func (c *control) liveHosts(now time.Time) []placement.Host {
+	hosts := []placement.Host{{Name: c.gw.cfg.Host}}
+	for _, m := range c.members {
+		if m.live(now) {
+			hosts = append(hosts, placement.Host{Name: m.Name})
+		}
+	}
+	return hosts
+}
+
+// rankHolders orders the hosts by zone and then by rank.
+func (c *control) rankHolders(hosts []placement.Host, e Endpoint) []placement.Host {
+	ranked := placement.Rank(e.ID, hosts, len(hosts))
+	slices.SortStableFunc(ranked, func(a, b placement.Host) int {
+		return cmp.Compare(c.distance(a.Name, e), c.distance(b.Name, e))
+	})
+	return ranked
+}
+
+// distance is 0 for hosts in the endpoint's availability zone, otherwise 1.
+func (c *control) distance(host string, e Endpoint) int {
+	zone := c.gw.cfg.AvailabilityZone
+	if m := c.members[host]; m != nil {
+		zone = m.AvailabilityZone
+	}
+	if zone == e.AvailabilityZone {
+		return 0
+	}
+	return 1
+}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -66,6 +66,9 @@
 	// Exchange sends news and returns the other host's.
 	Exchange(ctx context.Context, address string, n News) (News, error)
 	Fence(ctx context.Context, address string, r FenceRequest) (FenceReply, error)
+	// Relay returns a connection to the endpoint through the host that holds
+	// connections to it.
+	Relay(address string, e Endpoint) RelayConn
 	// NotRunning reports whether a call's error shows that no process serves the
 	// address, as opposed to one that cannot be reached.
 	NotRunning(err error) bool
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,7 @@
 // pool opens connections and hands them to sessions.
 type pool struct {
 	dialer  Dialer
+	relays  Peers
 	metrics *metrics.Registry
 	// zone is this host's availability zone; zoneDistance is added to the expected
 	// time of endpoints in others.
@@ -124,12 +126,11 @@
 func (p *pool) open(ctx context.Context, t *target) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := p.dialer.Dial(ctx, t.Endpoint)
+	raw, err := p.dial(ctx, t)
 	if err != nil {
 		p.dialFailed(t, err)
 		return nil, errors.WithSecondaryError(errEndpointDown, err)
 	}
-	p.metrics.Inc(metrics.ConnsOpened)
 	c := &conn{EndpointConn: raw, target: t, state: session.NewReplica()}
 	t.group.mu.Lock()
 	t.opening--
@@ -144,6 +145,21 @@
 	return c, nil
 }
 
+// dial opens a connection to the endpoint, or through one of its holders.
+func (p *pool) dial(ctx context.Context, t *target) (EndpointConn, error) {
+	t.group.mu.Lock()
+	e, relayed, holders := t.Endpoint, t.relayed, t.holders
+	t.group.mu.Unlock()
+	if !relayed {
+		p.metrics.Inc(metrics.ConnsOpened)
+		return p.dialer.Dial(ctx, e)
+	}
+	if len(holders) == 0 {
+		return nil, errEndpointDown
+	}
+	return p.relays.Relay(holders[rand.N(len(holders))].Address, e), nil
+}
+
 // dialFailed records why no connection could be opened.
 func (p *pool) dialFailed(t *target, err error) {
 	now := boottime.Now()
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -106,14 +106,8 @@
 	if err != nil {
 		return attempt{err: err, at: at}
 	}
-	replay := c.state.Adopt(s.state, false)
-	request := s.request(st, at, c, &replay)
 	began := s.gateway.pool.begin(c, primary)
-	reply, err := c.call(s.patience(ctx, st), replay, request)
-	if st.Op == session.OpExecute && err == nil && reply.Code == CodeNoStatement {
-		p, _ := s.state.Prepared(st.Name)
-		c.state.Forget(p)
-	}
+	reply, err := c.run(s.patience(ctx, st), s.state, false, Request{Statement: st, After: at.after})
 	s.gateway.pool.end(c, began, &reply, err, at.after)
 	if err != nil {
 		s.gateway.lost(c, err)
@@ -122,19 +116,7 @@
 		err = errDeposed
 	}
 	s.gateway.pool.release(c)
-	return attempt{reply: reply, sent: true, err: err, at: at}
-}
-
-// request addresses the statement to the endpoint; the statement's preparation is
-// added to the replay if the connection lacks it.
-func (s *sessionServer) request(st session.Statement, at choice, c *conn, replay *[]session.Statement) Request {
-	r := Request{Statement: st, After: at.after}
-	if st.Op == session.OpExecute {
-		p, _ := s.state.Prepared(st.Name)
-		r.Alias = p.Alias()
-		*replay = append(*replay, c.state.Need(p)...)
-	}
-	return r
+	return attempt{reply: reply, sent: !errors.Is(err, ErrNotSent), err: err, at: at}
 }
 
 // patience returns until when the answer is awaited.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -43,7 +43,7 @@
 	}
 	began := p.begin(c, false)
 	deadline, _ := ctx.Deadline()
-	reply, err := c.call(deadline, nil, Request{Statement: st})
+	reply, err := c.run(deadline, session.New(), true, Request{Statement: st})
 	p.end(c, began, &reply, err, Request{}.After)
 	p.release(c)
 	if err != nil {
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -30,6 +30,10 @@
 	// drainingSince is when this host learned that the endpoint leaves.
 	drainingSince time.Time
 
+	// relayed targets are reached through one of the holders.
+	relayed bool
+	holders []holder
+
 	idle []*conn
 	// conns holds every open connection.
 	conns map[*conn]bool
@@ -50,8 +54,8 @@
 }
 
 // newTarget returns the target of an endpoint without connections.
-func newTarget(g *group, e Endpoint, limit int) *target {
-	return &target{Endpoint: e, group: g, limit: limit, conns: make(map[*conn]bool), latency: initialLatency}
+func newTarget(g *group, e Endpoint) *target {
+	return &target{Endpoint: e, group: g, limit: minConnections, conns: make(map[*conn]bool), latency: initialLatency}
 }
 
 // open returns the number of connections that exist or are being opened.
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
@@ -77,10 +78,9 @@
 	if s.state.Transaction().ReadOnly {
 		op = session.OpBeginRead
 	}
-	replay := c.state.Adopt(s.state, false)
 	began := s.gateway.pool.begin(c, primary)
 	end, _ := ctx.Deadline()
-	reply, err := c.call(end, replay, Request{Statement: session.Statement{Op: op}, After: at.after})
+	reply, err := c.run(end, s.state, false, Request{Statement: session.Statement{Op: op}, After: at.after})
 	s.gateway.pool.end(c, began, &reply, err, at.after)
 	if err != nil || !reply.OK() {
 		if err != nil {
@@ -111,12 +111,10 @@
 	if !tx.ReadOnly && !c.target.group.leads(s.gateway.now(), c.target) {
 		return s.deposed()
 	}
-	replay := c.state.Adopt(s.state, true)
-	request := s.request(st, choice{target: c.target}, c, &replay)
 	began := s.gateway.pool.begin(c, !tx.ReadOnly)
 	end, _ := ctx.Deadline()
-	reply, err := c.call(end, replay, request)
-	s.gateway.pool.end(c, began, &reply, err, request.After)
+	reply, err := c.run(end, s.state, true, Request{Statement: st})
+	s.gateway.pool.end(c, began, &reply, err, logpos.Position{})
 	if err != nil {
 		s.pinned = nil
 		s.gateway.lost(c, err)
@@ -192,11 +190,10 @@
 	}
 	s.pinned = nil
 	s.state.End()
-	replay := c.state.Adopt(s.state, true)
 	began := s.gateway.pool.begin(c, !tx.ReadOnly)
 	end, _ := ctx.Deadline()
-	reply, err := c.call(end, replay, Request{Statement: st})
-	s.gateway.pool.end(c, began, &reply, err, Request{}.After)
+	reply, err := c.run(end, s.state, true, Request{Statement: st})
+	s.gateway.pool.end(c, began, &reply, err, logpos.Position{})
 	if err != nil {
 		s.gateway.lost(c, err)
 		s.gateway.pool.release(c)
@@ -225,8 +222,9 @@
 func (gw *Gateway) rollbackOn(c *conn) {
 	if !c.broken {
 		began := gw.pool.begin(c, false)
-		reply, err := c.call(time.Now().Add(rollbackTimeout), nil, Request{Statement: session.Statement{Op: session.OpRollback}})
-		gw.pool.end(c, began, &reply, err, Request{}.After)
+		rollback := Request{Statement: session.Statement{Op: session.OpRollback}}
+		reply, err := c.run(time.Now().Add(rollbackTimeout), session.New(), true, rollback)
+		gw.pool.end(c, began, &reply, err, logpos.Position{})
 		if err != nil || reply.State != TxIdle {
 			c.broken = true
 		}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -194,12 +194,7 @@
 // rankAmong returns the number of live hosts that are ranked before this one for
 // the group.
 func (c *control) rankAmong(now time.Time, group string) int {
-	hosts := []placement.Host{{Name: c.gw.cfg.Host}}
-	for _, m := range c.members {
-		if m.live(now) {
-			hosts = append(hosts, placement.Host{Name: m.Name})
-		}
-	}
+	hosts := c.liveHosts(now)
 	ranked := placement.Rank(group, hosts, len(hosts))
 	rank := 0
 	for _, h := range ranked {
--- a/internal/gen/beryltrestle/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/internal/gen/beryltrestle/fleet/v1/fleetv1connect/fleet.connect.go
@@ -38,6 +38,8 @@
 	FleetServiceExchangeProcedure = "/beryltrestle.fleet.v1.FleetService/Exchange"
 	// FleetServiceFenceProcedure is the fully-qualified name of the FleetService's Fence RPC.
 	FleetServiceFenceProcedure = "/beryltrestle.fleet.v1.FleetService/Fence"
+	// FleetServiceRelayProcedure is the fully-qualified name of the FleetService's Relay RPC.
+	FleetServiceRelayProcedure = "/beryltrestle.fleet.v1.FleetService/Relay"
 )
 
 // FleetServiceClient is a client for the beryltrestle.fleet.v1.FleetService service.
@@ -46,6 +48,8 @@
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	// Fence tells the receiver of a claim.
 	Fence(context.Context, *connect.Request[v1.FenceRequest]) (*connect.Response[v1.FenceResponse], error)
+	// Relay runs a request on a connection that the receiver holds.
+	Relay(context.Context, *connect.Request[v1.RelayRequest]) (*connect.Response[v1.RelayResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the beryltrestle.fleet.v1.FleetService service. By
@@ -71,6 +75,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Fence")),
 			connect.WithClientOptions(opts...),
 		),
+		relay: connect.NewClient[v1.RelayRequest, v1.RelayResponse](
+			httpClient,
+			baseURL+FleetServiceRelayProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Relay")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -78,6 +88,7 @@
 type fleetServiceClient struct {
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	fence    *connect.Client[v1.FenceRequest, v1.FenceResponse]
+	relay    *connect.Client[v1.RelayRequest, v1.RelayResponse]
 }
 
 // Exchange calls beryltrestle.fleet.v1.FleetService.Exchange.
@@ -90,12 +101,19 @@
 	return c.fence.CallUnary(ctx, req)
 }
 
+// Relay calls beryltrestle.fleet.v1.FleetService.Relay.
+func (c *fleetServiceClient) Relay(ctx context.Context, req *connect.Request[v1.RelayRequest]) (*connect.Response[v1.RelayResponse], error) {
+	return c.relay.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the beryltrestle.fleet.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Exchange sends what the caller knows and returns what the receiver knows.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	// Fence tells the receiver of a claim.
 	Fence(context.Context, *connect.Request[v1.FenceRequest]) (*connect.Response[v1.FenceResponse], error)
+	// Relay runs a request on a connection that the receiver holds.
+	Relay(context.Context, *connect.Request[v1.RelayRequest]) (*connect.Response[v1.RelayResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -117,12 +135,20 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Fence")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceRelayHandler := connect.NewUnaryHandler(
+		FleetServiceRelayProcedure,
+		svc.Relay,
+		connect.WithSchema(fleetServiceMethods.ByName("Relay")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/beryltrestle.fleet.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceExchangeProcedure:
 			fleetServiceExchangeHandler.ServeHTTP(w, r)
 		case FleetServiceFenceProcedure:
 			fleetServiceFenceHandler.ServeHTTP(w, r)
+		case FleetServiceRelayProcedure:
+			fleetServiceRelayHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -139,3 +165,7 @@
 func (UnimplementedFleetServiceHandler) Fence(context.Context, *connect.Request[v1.FenceRequest]) (*connect.Response[v1.FenceResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("beryltrestle.fleet.v1.FleetService.Fence is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) Relay(context.Context, *connect.Request[v1.RelayRequest]) (*connect.Response[v1.RelayResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("beryltrestle.fleet.v1.FleetService.Relay is not implemented"))
+}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -62,6 +62,7 @@
 	CallersGone          Name = "callers.gone"
 	Requests             Name = "requests"
 	AnswersKept          Name = "answers.kept_delivered"
+	Relayed              Name = "relay.requests"
 	ConnsOpened          Name = "connections.opened"
 	ConnsClosed          Name = "connections.closed"
 )
