Pass news through hubs in large fleets, and tell dead hosts by failed calls

Cause: with 133 hosts and three random exchanges a round, a host heard of another every 5 s, so that most counted as dead: ranks, readers and holders differed from host to host.

--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -12,7 +12,7 @@
 // encodeNews turns news into its message.
 func encodeNews(n gateway.News) *fleetv1.News {
 	out := &fleetv1.News{
-		Host: n.Host, Incarnation: n.Incarnation, Leaving: n.Leaving, AgesUs: make(map[string]int64, len(n.Ages)),
+		Host: n.Host, Incarnation: n.Incarnation, Leaving: n.Leaving, Silent: n.Silent, AgesUs: make(map[string]int64, len(n.Ages)),
 		Through: make(map[string]uint64, len(n.Through)),
 	}
 	for table, through := range n.Through {
@@ -45,7 +45,7 @@
 // decodeNews reads the message of news.
 func decodeNews(m *fleetv1.News) gateway.News {
 	out := gateway.News{
-		Host: m.GetHost(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(), Ages: make(map[gateway.TableName]time.Duration, len(m.GetAgesUs())),
+		Host: m.GetHost(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(), Silent: m.GetSilent(), Ages: make(map[gateway.TableName]time.Duration, len(m.GetAgesUs())),
 		Through: make(map[gateway.TableName]uint64, len(m.GetThrough())),
 	}
 	for table, through := range m.GetThrough() {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -37,6 +37,8 @@
 	watches  map[string]*watch
 	lastTick time.Time
 	lastNews time.Time
+	// round counts the rounds of news.
+	round int
 	// lastSweep is when endpoints that are no longer listed were last looked for.
 	lastSweep time.Time
 	// asOf is the time as of which the mirror of each table is complete. That of
--- a/internal/gateway/holder.go
+++ b/internal/gateway/holder.go
@@ -79,11 +79,7 @@
 
 // distance is 0 for hosts in the endpoint's availability zone, otherwise 1.
 func (c *control) distance(host string, e Endpoint) int {
-	zone := c.gw.cfg.AvailabilityZone
-	if m := c.members[host]; m != nil {
-		zone = m.AvailabilityZone
-	}
-	if zone == e.AvailabilityZone {
+	if c.zoneOf(host) == e.AvailabilityZone {
 		return 0
 	}
 	return 1
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -3,11 +3,13 @@
 import "time"
 
 const (
-	// memberSuspectAfter is the time without contact after which a host no longer
-	// counts as live. Hosts exchange news several times in it.
-	memberSuspectAfter = 1200 * time.Millisecond
 	// memberRetry is the pause before a host that did not answer is called again.
-	memberRetry = 500 * time.Millisecond
+	memberRetry = 400 * time.Millisecond
+	// suspectFailures is how many calls in a row must fail until a host no longer
+	// counts as live; a refused connection counts for all of them.
+	suspectFailures = 2
+	// reportHolds is how long another host's report of a silent host is believed.
+	reportHolds = 3 * time.Second
 )
 
 // member is another host.
@@ -21,6 +23,10 @@
 	// known is when this host learned of the member.
 	known  time.Time
 	failed time.Time
+	// failures counts the calls in a row that failed.
+	failures int
+	// reported is when another host last told that the host does not answer.
+	reported time.Time
 	// called is when the host was last called.
 	called  time.Time
 	leaving bool
@@ -28,8 +34,11 @@
 	through map[TableName]uint64
 }
 
-// live reports whether the host is thought to run. A member counts as live for a
-// while after it became known, as a first contact takes time.
+// live reports whether the host is thought to run: it does until calls to it fail,
+// here or at another host, after it was last heard of.
 func (m *member) live(now time.Time) bool {
-	return !m.leaving && (now.Sub(m.heard) < memberSuspectAfter || now.Sub(m.known) < memberSuspectAfter)
+	if m.leaving || m.failures >= suspectFailures {
+		return false
+	}
+	return m.reported.IsZero() || m.reported.Before(m.heard) || now.Sub(m.reported) > reportHolds
 }
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -36,6 +36,8 @@
 	// Ages holds how long ago the sender's mirror of each table was complete; tables
 	// that never were are missing.
 	Ages map[TableName]time.Duration
+	// Silent lists the hosts that do not answer the sender.
+	Silent []string
 	// Through holds the version that the sender's mirror of each table reaches to.
 	Through map[TableName]uint64
 	Tables  []TableNews
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -3,19 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"github.com/beryltrestle/beryltrestle/coord/permission"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
 const (
-	// newsInterval is how often a host exchanges news; each time with newsFanout
-	// other hosts, so that news reaches all within a few rounds at any number of
-	// hosts.
+	// newsInterval is how often a host exchanges news.
 	newsInterval = 250 * time.Millisecond
-	newsFanout   = 3
 	// newsTimeout bounds one exchange.
 	newsTimeout = 400 * time.Millisecond
 )
@@ -25,12 +20,11 @@
 	if now.Sub(c.lastNews) < newsInterval {
 		return
 	}
-	fanout := c.fanout(now)
-	if c.lastNews.IsZero() {
-		fanout = len(c.members)
-	}
+	everyone := c.lastNews.IsZero()
 	c.lastNews = now
-	for _, m := range c.leastRecent(now, fanout) {
+	c.round++
+	for _, m := range c.partners(now, everyone) {
+		m.called = now
 		go c.exchange(m.Name, m.Address, c.news(now, m.through))
 	}
 	if len(c.members) == 0 && len(c.gw.cfg.Seeds) > 0 {
@@ -39,33 +33,6 @@
 	}
 }
 
-// fanout returns how many hosts are called in a round. While the claims cannot be
-// read from the store, a majority must be heard within the permission's time.
-func (c *control) fanout(now time.Time) int {
-	if now.Sub(c.asOf[TableState]) < readPatienceMax {
-		return newsFanout
-	}
-	rounds := int(permission.Duration/newsInterval) - 2
-	return max(newsFanout, len(c.members)/rounds+1)
-}
-
-// leastRecent returns the hosts whose last answer is oldest, without those that
-// have just failed to answer.
-func (c *control) leastRecent(now time.Time, n int) []*member {
-	var out []*member
-	for _, m := range c.members {
-		if m.failed.IsZero() || now.Sub(m.failed) >= memberRetry {
-			out = append(out, m)
-		}
-	}
-	slices.SortFunc(out, func(a, b *member) int { return a.called.Compare(b.called) })
-	out = out[:min(n, len(out))]
-	for _, m := range out {
-		m.called = now
-	}
-	return out
-}
-
 // unanswered records a call that failed. A refused connection shows that the
 // host's process does not run.
 func (c *control) unanswered(name string, sent time.Time, err error) {
@@ -74,6 +41,10 @@
 		return
 	}
 	m.failed = boottime.Now()
+	m.failures++
+	if c.gw.cfg.Peers.NotRunning(err) {
+		m.failures = max(m.failures, suspectFailures)
+	}
 	if c.gw.cfg.Peers.NotRunning(err) && sent.After(m.answered) {
 		m.answered = sent
 		c.permit()
@@ -112,6 +83,7 @@
 		Host: c.gw.cfg.Host, Incarnation: c.incarnation, Leaving: c.leaving,
 		Through: make(map[TableName]uint64), Ages: make(map[TableName]time.Duration),
 	}
+	n.Silent = c.silent()
 	for name, at := range c.asOf {
 		n.Ages[name] = now.Sub(at)
 	}
@@ -143,7 +115,7 @@
 	now := boottime.Now()
 	if m := c.members[n.Host]; m != nil {
 		if m.Incarnation == n.Incarnation {
-			m.heard, m.failed = now, time.Time{}
+			m.heard, m.failed, m.failures = now, time.Time{}, 0
 			m.leaving = m.leaving || n.Leaving
 			m.through = n.Through
 			if sent.After(m.answered) {
@@ -151,6 +123,11 @@
 			}
 		}
 	}
+	for _, name := range n.Silent {
+		if m := c.members[name]; m != nil {
+			m.reported = now
+		}
+	}
 	for _, t := range n.Tables {
 		c.merge(t)
 	}
