--- /dev/null
+++ b/internal/gateway/fake_endpoint_test.go
@@ -0,0 +1,332 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/gateway"
+)
+
+// commit is one entry of a fake group's log.
+type commit struct {
+	position logpos.Position
+	id, item string
+	data     string
+}
+
+// fakeEndpoint is one endpoint of a fake group, guarded by the group's mutex.
+type fakeEndpoint struct {
+	id      string
+	primary bool
+	term    uint64
+	log     []commit
+	down    bool
+	// deaf replicas receive nothing.
+	deaf bool
+	// loseAnswer drops the connection after the next write has run.
+	loseAnswer bool
+	conns      map[*fakeConn]bool
+}
+
+func (e *fakeEndpoint) position() logpos.Position {
+	if len(e.log) == 0 {
+		return logpos.Position{Term: e.term}
+	}
+	return e.log[len(e.log)-1].position
+}
+
+// fakeGroup is a database group in memory, and the platform that promotes.
+type fakeGroup struct {
+	mu        sync.Mutex
+	name      string
+	endpoints map[string]*fakeEndpoint
+	// cut holds pairs "host endpoint" that cannot reach each other.
+	cut map[string]bool
+	// promotions lists "holder fence endpoint".
+	promotions []string
+	// deposed counts writes that were committed by a primary after a newer one led.
+	deposed int
+}
+
+func newFakeGroup(name string, ids ...string) *fakeGroup {
+	g := &fakeGroup{name: name, endpoints: make(map[string]*fakeEndpoint), cut: make(map[string]bool)}
+	for i, id := range ids {
+		g.endpoints[id] = &fakeEndpoint{id: id, term: 1, primary: i == 0, conns: make(map[*fakeConn]bool)}
+	}
+	return g
+}
+
+// Promote implements gateway.Promoter.
+func (g *fakeGroup) Promote(_ context.Context, _, endpoint, holder string, fence uint64) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.endpoints[endpoint]
+	if e == nil || e.down {
+		return gateway.ErrPromotionRefused
+	}
+	g.promotions = append(g.promotions, fmt.Sprintf("%s %d %s", holder, fence, endpoint))
+	if e.primary {
+		return nil
+	}
+	for _, other := range g.endpoints {
+		e.term = max(e.term, other.term)
+	}
+	e.term++
+	e.primary = true
+	for _, other := range g.endpoints {
+		if other != e && !other.primary && !other.deaf {
+			other.log, other.term = append([]commit(nil), e.log...), e.term
+		}
+	}
+	return nil
+}
+
+// stop ends the endpoint and its connections.
+func (g *fakeGroup) stop(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.endpoints[id]
+	e.down = true
+	for c := range e.conns {
+		c.dead = true
+	}
+}
+
+// setCut cuts or heals the path between a host and an endpoint.
+func (g *fakeGroup) setCut(host, endpoint string, cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut[host+" "+endpoint] = cut
+}
+
+// holds reports whether the write is in the endpoint's log.
+func (g *fakeGroup) holds(endpoint, id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.endpoints[endpoint].log {
+		if c.id == id {
+			return true
+		}
+	}
+	return false
+}
+
+// leader returns the endpoint that leads the newest term.
+func (g *fakeGroup) leader() *fakeEndpoint {
+	var best *fakeEndpoint
+	for _, e := range g.endpoints {
+		if e.primary && (best == nil || e.term > best.term) {
+			best = e
+		}
+	}
+	return best
+}
+
+// fakeDialer opens connections of one host.
+type fakeDialer struct {
+	host  string
+	group *fakeGroup
+}
+
+// Dial implements gateway.Dialer.
+func (d *fakeDialer) Dial(ctx context.Context, e gateway.Endpoint) (gateway.EndpointConn, error) {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	t := d.group.endpoints[e.ID]
+	if t.down || d.group.cut[d.host+" "+e.ID] {
+		return nil, errors.New("unreachable")
+	}
+	c := &fakeConn{host: d.host, group: d.group, endpoint: t, values: map[string]string{}, prepared: map[string]string{}}
+	t.conns[c] = true
+	return c, nil
+}
+
+// fakeConn is a connection to a fake endpoint.
+type fakeConn struct {
+	host     string
+	group    *fakeGroup
+	endpoint *fakeEndpoint
+	dead     bool
+	values   map[string]string
+	prepared map[string]string
+	queue    []gateway.Request
+	// inTx, failed and pending describe the open transaction.
+	inTx, readOnly, failed bool
+	pending                []commit
+}
+
+// Send implements gateway.EndpointConn.
+func (c *fakeConn) Send(_ time.Time, requests ...gateway.Request) error {
+	c.queue = append(c.queue, requests...)
+	return nil
+}
+
+// Receive implements gateway.EndpointConn.
+func (c *fakeConn) Receive(deadline time.Time) (gateway.Reply, error) {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	request := c.queue[0]
+	c.queue = c.queue[1:]
+	if c.group.cut[c.host+" "+c.endpoint.id] {
+		c.group.mu.Unlock()
+		time.Sleep(time.Until(deadline))
+		c.group.mu.Lock()
+		return gateway.Reply{}, timeoutError{}
+	}
+	if c.dead {
+		return gateway.Reply{}, net.ErrClosed
+	}
+	reply := c.answer(request)
+	reply.Position = c.endpoint.position()
+	reply.State = gateway.TxIdle
+	switch {
+	case c.inTx && c.failed:
+		reply.State = gateway.TxFailed
+	case c.inTx:
+		reply.State = gateway.TxOpen
+	}
+	if c.endpoint.loseAnswer && request.Op == session.OpWrite {
+		c.endpoint.loseAnswer, c.dead = false, true
+		return gateway.Reply{}, net.ErrClosed
+	}
+	return reply, nil
+}
+
+// timeoutError stands for an answer that did not come.
+type timeoutError struct{}
+
+func (timeoutError) Error() string { return "timeout" }
+func (timeoutError) Timeout() bool { return true }
+
+// answer runs a request.
+func (c *fakeConn) answer(r gateway.Request) gateway.Reply {
+	if !c.endpoint.position().Covers(r.After) {
+		return gateway.Reply{Code: gateway.CodeLagging}
+	}
+	switch r.Op {
+	case session.OpStatus, session.OpDemote:
+		return c.status(r)
+	case session.OpReset:
+		c.values, c.prepared = map[string]string{}, map[string]string{}
+	case session.OpSet:
+		c.values[r.Name] = r.Args
+	case session.OpPrepare:
+		c.prepared[r.Name] = r.Args
+	case session.OpBegin, session.OpBeginRead:
+		if r.Op == session.OpBegin && !c.endpoint.primary {
+			return gateway.Reply{Code: gateway.CodeReadOnly}
+		}
+		c.inTx, c.failed, c.readOnly, c.pending = true, false, r.Op == session.OpBeginRead, nil
+	case session.OpRollback:
+		c.inTx, c.pending = false, nil
+	case session.OpCommit:
+		return c.commit()
+	case session.OpRead:
+		return c.read(strings.TrimPrefix(r.Text, "READ "))
+	case session.OpWrite:
+		return c.write(r.ID, strings.TrimPrefix(r.Text, "WRITE "))
+	case session.OpExecute:
+		return c.execute(r)
+	}
+	return gateway.Reply{}
+}
+
+// status answers a status request, after a demotion if one is asked for.
+func (c *fakeConn) status(r gateway.Request) gateway.Reply {
+	if term, err := strconv.ParseUint(r.Args, 10, 64); r.Op == session.OpDemote && err == nil && term > c.endpoint.term {
+		c.endpoint.primary = false
+	}
+	return gateway.Reply{Rows: []string{fmt.Sprintf("%t %d %s", c.endpoint.primary, c.endpoint.term, c.endpoint.position())}}
+}
+
+// parseFakeStatus reads the row of status.
+func parseFakeStatus(rows []string) (gateway.Status, error) {
+	var s gateway.Status
+	var position string
+	if _, err := fmt.Sscanf(rows[0], "%t %d %s", &s.Primary, &s.Term, &position); err != nil {
+		return s, err
+	}
+	var err error
+	s.Received, err = logpos.Parse(position)
+	return s, err
+}
+
+// execute runs a prepared statement.
+func (c *fakeConn) execute(r gateway.Request) gateway.Reply {
+	shape, ok := c.prepared[r.Alias]
+	if !ok {
+		return gateway.Reply{Code: gateway.CodeNoStatement}
+	}
+	if strings.HasPrefix(shape, "READ") {
+		return c.read(r.Args)
+	}
+	return c.write(r.ID, r.Args)
+}
+
+// read returns the newest data of the item with the values it ran under.
+func (c *fakeConn) read(item string) gateway.Reply {
+	data := "-"
+	for _, e := range c.endpoint.log {
+		if e.item == item {
+			data = e.data
+		}
+	}
+	return gateway.Reply{Rows: []string{data + " tz=" + c.values["tz"]}, Signature: c.endpoint.id}
+}
+
+// write commits at once, or with its transaction.
+func (c *fakeConn) write(id, text string) gateway.Reply {
+	if !c.endpoint.primary || c.readOnly && c.inTx {
+		c.failed = c.inTx
+		return gateway.Reply{Code: gateway.CodeReadOnly}
+	}
+	item, data, _ := strings.Cut(text, " ")
+	c.pending = append(c.pending, commit{id: id, item: item, data: data})
+	if !c.inTx {
+		return c.commit()
+	}
+	return gateway.Reply{Signature: c.endpoint.id}
+}
+
+// commit appends what is pending to the log and sends it to the replicas.
+func (c *fakeConn) commit() gateway.Reply {
+	pending := c.pending
+	c.inTx, c.pending = false, nil
+	if len(pending) > 0 && !c.endpoint.primary {
+		return gateway.Reply{Code: gateway.CodeReadOnly}
+	}
+	for _, e := range pending {
+		e.position = logpos.Position{Term: c.endpoint.term, Offset: c.endpoint.position().Offset + 1}
+		c.endpoint.log = append(c.endpoint.log, e)
+		if c.group.leader().term > c.endpoint.term {
+			c.group.deposed++
+		}
+		for _, replica := range c.group.endpoints {
+			if !replica.primary && !replica.deaf && replica.term == c.endpoint.term {
+				replica.log = append(replica.log, e)
+			}
+		}
+	}
+	return gateway.Reply{Signature: c.endpoint.id}
+}
+
+// Alive implements gateway.EndpointConn.
+func (c *fakeConn) Alive() bool {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	return !c.dead
+}
+
+// Close implements gateway.EndpointConn.
+func (c *fakeConn) Close() error {
+	c.dead = true
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/fake_fleet_test.go
@@ -0,0 +1,367 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/beryltrestle/beryltrestle/coord/rows"
+	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/gateway"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+// fakeStore is the platform's store in memory.
+type fakeStore struct {
+	mu      sync.Mutex
+	version uint64
+	tables  map[gateway.TableName]map[string]rows.Row
+	// away holds the hosts that the store does not answer.
+	away map[string]bool
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{tables: make(map[gateway.TableName]map[string]rows.Row), away: make(map[string]bool)}
+}
+
+// put writes a row as an operator or an endpoint.
+func (s *fakeStore) put(table gateway.TableName, key string, value any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.set(table, rows.Row{Key: key, Value: body})
+}
+
+func (s *fakeStore) set(table gateway.TableName, r rows.Row) uint64 {
+	s.version++
+	r.Version = s.version
+	if s.tables[table] == nil {
+		s.tables[table] = make(map[string]rows.Row)
+	}
+	s.tables[table][r.Key] = r
+	return r.Version
+}
+
+// remove drops a row as an operator or an endpoint.
+func (s *fakeStore) remove(table gateway.TableName, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(table, rows.Row{Key: key, Deleted: true})
+}
+
+func (s *fakeStore) setAway(host string, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away[host] = away
+}
+
+// storeClient is the store as one host reaches it.
+type storeClient struct {
+	*fakeStore
+	host string
+}
+
+var errAway = errors.New("the store does not answer")
+
+// List implements gateway.Store.
+func (c storeClient) List(_ context.Context, table gateway.TableName) ([]rows.Row, uint64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.away[c.host] {
+		return nil, 0, errAway
+	}
+	var out []rows.Row
+	for _, r := range c.tables[table] {
+		if !r.Deleted {
+			out = append(out, r)
+		}
+	}
+	return out, c.version, nil
+}
+
+// Changes implements gateway.Store.
+func (c storeClient) Changes(ctx context.Context, table gateway.TableName, after uint64, wait time.Duration) ([]rows.Row, uint64, error) {
+	for deadline := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
+		c.mu.Lock()
+		if c.away[c.host] {
+			c.mu.Unlock()
+			return nil, 0, errAway
+		}
+		var out []rows.Row
+		for _, r := range c.tables[table] {
+			if r.Version > after {
+				out = append(out, r)
+			}
+		}
+		version := c.version
+		c.mu.Unlock()
+		if len(out) > 0 || time.Now().After(deadline) || ctx.Err() != nil {
+			return out, version, ctx.Err()
+		}
+	}
+}
+
+// Write implements gateway.Store.
+func (c storeClient) Write(_ context.Context, table gateway.TableName, key string, expected uint64, value []byte) (uint64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.away[c.host] {
+		return 0, gateway.ErrStoreRefused
+	}
+	held := c.tables[table][key]
+	if held.Deleted {
+		held.Version = 0
+	}
+	if held.Version != expected {
+		return 0, gateway.ErrConflict
+	}
+	return c.set(table, rows.Row{Key: key, Value: value}), nil
+}
+
+// Delete implements gateway.Store.
+func (c storeClient) Delete(_ context.Context, table gateway.TableName, key string, expected uint64) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.tables[table][key].Version != expected {
+		return gateway.ErrConflict
+	}
+	c.set(table, rows.Row{Key: key, Deleted: true})
+	return nil
+}
+
+// fakeDecoder reads rows written with fakeStore.put.
+type fakeDecoder struct{}
+
+// Catalog implements gateway.Decoder.
+func (fakeDecoder) Catalog(r rows.Row) (*gateway.Catalog, bool, error) {
+	var c gateway.Catalog
+	err := json.Unmarshal(r.Value, &c)
+	return &c, err == nil, err
+}
+
+// Endpoint implements gateway.Decoder.
+func (fakeDecoder) Endpoint(r rows.Row) (gateway.Endpoint, error) {
+	var e gateway.Endpoint
+	err := json.Unmarshal(r.Value, &e)
+	return e, err
+}
+
+// fakeFleet is a fleet of hosts in one process.
+type fakeFleet struct {
+	mu    sync.Mutex
+	hosts map[string]*gateway.Gateway
+	// side splits the hosts: those of different sides do not reach each other.
+	side  map[string]int
+	store *fakeStore
+	group *fakeGroup
+}
+
+var (
+	errUnreachable = errors.New("unreachable")
+	errNotRunning  = errors.New("not running")
+)
+
+// startFleet starts hosts before a group and waits until they serve.
+func startFleet(t *testing.T, maxConnections int, hosts ...string) *fakeFleet {
+	t.Helper()
+	f := &fakeFleet{
+		hosts: make(map[string]*gateway.Gateway), side: make(map[string]int),
+		store: newFakeStore(), group: newFakeGroup("g", "e1", "e2", "e3"),
+	}
+	f.store.put(gateway.TableCatalog, "config", gateway.Catalog{
+		Version: 1, IdleTransaction: 2 * time.Second,
+		Groups: map[string]gateway.Group{"g": {Name: "g", MaxConnections: maxConnections}},
+		Databases: map[string]gateway.Database{
+			"strict": {Name: "strict", Group: "g", Timeout: time.Second},
+			"own":    {Name: "own", Group: "g", Consistency: gateway.ConsistencySession, MaxStaleness: 2500 * time.Millisecond, Timeout: time.Second},
+		},
+	})
+	for id := range f.group.endpoints {
+		f.list(id, func(*gateway.Endpoint) {})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	for _, name := range hosts {
+		gw := gateway.New(gateway.Config{
+			Host: name, Address: name, AvailabilityZone: "z", Grace: 2 * time.Second,
+			Dialer: &fakeDialer{host: name, group: f.group}, Store: storeClient{f.store, name},
+			Decoder: fakeDecoder{}, Promoter: f.group, Peers: &fakePeers{fleet: f, host: name},
+			ParseStatus: parseFakeStatus, Metrics: metrics.NewRegistry(), Log: zerolog.Nop(),
+		})
+		f.hosts[name] = gw
+		go func() { _ = gw.Run(ctx) }()
+	}
+	for _, name := range hosts {
+		NewWithT(t).Eventually(func() bool {
+			r := f.caller(name, "strict").do(session.Statement{ID: "probe", Op: session.OpRead, Text: "READ x"})
+			return r.OK()
+		}, 8*time.Second, 20*time.Millisecond).Should(BeTrue(), name)
+	}
+	return f
+}
+
+// list writes an endpoint's entry.
+func (f *fakeFleet) list(id string, change func(*gateway.Endpoint)) {
+	f.group.mu.Lock()
+	e := gateway.Endpoint{ID: id, Group: "g", Address: id, AvailabilityZone: "z", Slots: 3, Primary: f.group.endpoints[id].primary}
+	f.group.mu.Unlock()
+	change(&e)
+	f.store.put(gateway.TableEndpoints, id, e)
+}
+
+// fakePeers carries calls between hosts of a fleet.
+type fakePeers struct {
+	fleet *fakeFleet
+	host  string
+}
+
+// to returns the host at the address, if it can be reached.
+func (p *fakePeers) to(address string) (*gateway.Gateway, error) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	gw := p.fleet.hosts[address]
+	if gw == nil {
+		return nil, errNotRunning
+	}
+	if p.fleet.side[p.host] != p.fleet.side[address] {
+		return nil, errUnreachable
+	}
+	return gw, nil
+}
+
+// Exchange implements gateway.Peers.
+func (p *fakePeers) Exchange(_ context.Context, address string, n gateway.News) (gateway.News, error) {
+	gw, err := p.to(address)
+	if err != nil {
+		return gateway.News{}, err
+	}
+	return gw.Receive(n), nil
+}
+
+// Fence implements gateway.Peers.
+func (p *fakePeers) Fence(_ context.Context, address string, r gateway.FenceRequest) (gateway.FenceReply, error) {
+	gw, err := p.to(address)
+	if err != nil {
+		return gateway.FenceReply{}, err
+	}
+	return gw.Fence(r)
+}
+
+// NotRunning implements gateway.Peers.
+func (p *fakePeers) NotRunning(err error) bool { return errors.Is(err, errNotRunning) }
+
+// Relay implements gateway.Peers.
+func (p *fakePeers) Relay(address string, e gateway.Endpoint) gateway.RelayConn {
+	return &fakeRelay{peers: p, address: address, endpoint: e, lease: uint64(time.Now().UnixNano())}
+}
+
+// fakeRelay is a connection through another host.
+type fakeRelay struct {
+	gateway.EndpointConn
+	peers    *fakePeers
+	address  string
+	endpoint gateway.Endpoint
+	lease    uint64
+	open     bool
+}
+
+// Run implements gateway.RelayConn.
+func (r *fakeRelay) Run(deadline time.Time, w gateway.RelayWork) (gateway.Reply, error) {
+	gw, err := r.peers.to(r.address)
+	if err != nil {
+		return gateway.Reply{}, errors.Join(gateway.ErrNotSent, err)
+	}
+	w.Lease, w.Group, w.Endpoint, w.Continues = r.lease, r.endpoint.Group, r.endpoint.ID, r.open
+	w.Timeout = time.Until(deadline)
+	reply, err := gw.Relay(context.Background(), w)
+	r.open = err == nil && reply.State != gateway.TxIdle
+	return reply, err
+}
+
+// Alive implements gateway.EndpointConn.
+func (r *fakeRelay) Alive() bool { return true }
+
+// Close implements gateway.EndpointConn.
+func (r *fakeRelay) Close() error { return nil }
+
+// fakeCaller is a caller's session at one host.
+type fakeCaller struct {
+	database   string
+	statements chan session.Statement
+	replies    chan gateway.Reply
+	interrupts chan struct{}
+	ended      chan struct{}
+}
+
+// caller opens a session at the host.
+func (f *fakeFleet) caller(host, database string) *fakeCaller {
+	c := &fakeCaller{
+		database: database, statements: make(chan session.Statement), replies: make(chan gateway.Reply, 1),
+		interrupts: make(chan struct{}, 8), ended: make(chan struct{}),
+	}
+	go func() {
+		f.hosts[host].Serve(c, func() error { return nil })
+		close(c.ended)
+	}()
+	return c
+}
+
+// do runs a statement and returns its answer; a closed session answers with
+// CodeOther.
+func (c *fakeCaller) do(st session.Statement) gateway.Reply {
+	select {
+	case c.statements <- st:
+	case <-c.ended:
+		return gateway.Reply{Code: gateway.CodeOther}
+	}
+	select {
+	case r := <-c.replies:
+		return r
+	case <-c.ended:
+		return gateway.Reply{Code: gateway.CodeOther}
+	}
+}
+
+// Database implements gateway.Caller.
+func (c *fakeCaller) Database() string { return c.database }
+
+// Statement implements gateway.Caller.
+func (c *fakeCaller) Statement() (session.Statement, error) {
+	select {
+	case st, ok := <-c.statements:
+		if !ok {
+			return st, io.EOF
+		}
+		return st, nil
+	case <-c.interrupts:
+		return session.Statement{}, gateway.ErrInterrupted
+	}
+}
+
+// Reply implements gateway.Caller.
+func (c *fakeCaller) Reply(r gateway.Reply) error {
+	c.replies <- r
+	return nil
+}
+
+// Refuse implements gateway.Caller.
+func (c *fakeCaller) Refuse(r gateway.Reply) error { return c.Reply(r) }
+
+// Interrupt implements gateway.Caller.
+func (c *fakeCaller) Interrupt() { c.interrupts <- struct{}{} }
+
+// SetIdleDeadline implements gateway.Caller.
+func (c *fakeCaller) SetIdleDeadline(time.Time) {}
+
+// Close implements gateway.Caller.
+func (c *fakeCaller) Close() error { return nil }
