--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,64 @@
+package fleet_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/fleet"
+	"github.com/beryltrestle/beryltrestle/internal/gateway"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+// Guards against a host that is stopped and counts as cut off, which would delay
+// every failover, or the other way round, which would be unsafe.
+func TestNotRunningMeansRefused(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	address := l.Addr().String()
+	l.Close()
+	c := fleet.NewClient()
+	_, err = c.Exchange(t.Context(), address, gateway.News{})
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(c.NotRunning(err)).To(BeTrue())
+
+	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) }))
+	defer silent.Close()
+	relay := c.Relay(strings.TrimPrefix(silent.URL, "http://"), gateway.Endpoint{ID: "e"})
+	_, err = relay.Run(time.Now().Add(50*time.Millisecond), gateway.RelayWork{})
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(c.NotRunning(err)).To(BeFalse())
+	g.Expect(err).NotTo(MatchError(gateway.ErrNotSent))
+}
+
+// Guards against a fence that a host which does not know the group acknowledges,
+// and against a relayed request that is answered without its endpoint.
+func TestCallsReachTheGateway(t *testing.T) {
+	g := NewWithT(t)
+	gw := gateway.New(gateway.Config{Host: "h1", Metrics: metrics.NewRegistry(), Log: zerolog.Nop()})
+	path, handler := (&fleet.Server{Gateway: gw}).Handler()
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	c := fleet.NewClient()
+	_, err := c.Fence(t.Context(), address, gateway.FenceRequest{Group: "g", Fence: gateway.FenceState{Term: 3, Version: 9}})
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(c.NotRunning(err)).To(BeFalse())
+	relay := c.Relay(address, gateway.Endpoint{ID: "e", Group: "g"})
+	reply, err := relay.Run(time.Now().Add(time.Second), gateway.RelayWork{
+		Request: gateway.Request{Statement: session.Statement{ID: "q", Op: session.OpRead, Text: "READ x"}},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reply.Code).To(Equal(gateway.CodeMisrouted))
+	g.Expect(reply.Code.NotRun()).To(BeTrue())
+}
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -6,6 +6,7 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/permission"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
 // readTimeout bounds a read of the claims.
@@ -22,6 +23,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.gw.ctx, readTimeout)
 		defer cancel()
+		c.gw.metrics.Inc(metrics.StoreReads)
 		listing, version, err := c.gw.cfg.Store.List(ctx, TableState)
 		if err != nil {
 			c.gw.events.log.Warn().Err(err).Msg("claims were not read")
@@ -60,6 +62,9 @@
 	now := boottime.Now()
 	held, holds := before > now.UnixNano(), until.After(now)
 	if held != holds {
+		if held {
+			c.gw.metrics.Inc(metrics.PermissionLost)
+		}
 		c.gw.events.log.Info().Bool("permitted", holds).Dur("claims_age_ms", now.Sub(c.asOf[TableState])).Msg("permission to use primaries changed")
 	}
 	if holds && !held {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -31,8 +31,8 @@
 }
 
 // retry records an attempt that settled nothing.
-func (e *events) retry(database string, t *target, a attempt) {
-	e.request.Info().Str("database", database).Str("endpoint", t.ID).Bool("sent", a.sent).
+func (e *events) retry(id, database string, t *target, a attempt) {
+	e.request.Info().Str("request", id).Str("database", database).Str("endpoint", t.ID).Bool("sent", a.sent).
 		Uint8("code", uint8(a.reply.Code)).Stringer("after", a.at.after).AnErr("error", a.err).Msg("attempt failed")
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
 const (
@@ -36,6 +37,7 @@
 			sleep(ctx, feedPoll)
 			continue
 		}
+		c.gw.metrics.Inc(metrics.StoreReads)
 		var err error
 		if list {
 			err = c.list(ctx, name)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -64,6 +64,8 @@
 	}
 	w := t.waiting.push(priority)
 	g.mu.Unlock()
+	began := boottime.Now()
+	defer func() { p.metrics.Observe(metrics.LatencyConnection, boottime.Now().Sub(began)) }()
 	return p.await(ctx, t, w)
 }
 
@@ -257,6 +259,7 @@
 	if err != nil {
 		return
 	}
+	p.metrics.Observe(metrics.LatencyEndpoint, now.Sub(began))
 	t.succeeded(now, now.Sub(began))
 	if reply.Position.Term > g.term {
 		p.onFailure(t)
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -13,6 +13,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/coord/succession"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
 const (
@@ -72,9 +73,13 @@
 	ch.old = g.targets[g.primary]
 	g.mu.Unlock()
 	began := boottime.Now()
+	c.gw.metrics.Inc(metrics.ChangesBegun)
 	err := ch.run(c.gw.ctx)
 	line := c.gw.events.log.Info()
-	if err != nil {
+	if err == nil {
+		c.gw.metrics.Inc(metrics.ChangesDone)
+	} else {
+		c.gw.metrics.Inc(metrics.ChangesGivenUp)
 		line = c.gw.events.log.Warn().Err(err)
 	}
 	line.Str("group", g.name).Str("reason", string(reason)).Uint64("term", ch.term).
--- a/internal/gateway/session_server.go
+++ b/internal/gateway/session_server.go
@@ -33,7 +33,9 @@
 			s.logEnd(err)
 			return
 		}
-		reply := s.handle(st)
+		arrived := boottime.Now()
+		reply := s.handle(st, arrived)
+		s.gateway.metrics.Observe(metrics.LatencyStatement, boottime.Now().Sub(arrived))
 		s.gateway.answered(s, st, &reply)
 		if err := s.caller.Reply(reply); err != nil {
 			return
@@ -79,8 +81,7 @@
 }
 
 // handle answers one statement.
-func (s *sessionServer) handle(st session.Statement) Reply {
-	arrived := boottime.Now()
+func (s *sessionServer) handle(st session.Statement, arrived time.Time) Reply {
 	tx := s.state.Transaction()
 	if tx != nil && tx.Failed && st.Op != session.OpCommit && st.Op != session.OpRollback {
 		return s.reply(CodeMalformed, "the transaction has failed")
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -65,7 +65,7 @@
 			return reply
 		}
 		last = a
-		s.beforeRetry(ctx, n, a)
+		s.beforeRetry(ctx, st.ID, n, a)
 	}
 }
 
@@ -160,7 +160,7 @@
 
 // beforeRetry keeps the next attempt away from an endpoint that could not serve
 // the statement.
-func (s *sessionServer) beforeRetry(ctx context.Context, n need, a attempt) {
+func (s *sessionServer) beforeRetry(ctx context.Context, id string, n need, a attempt) {
 	t := a.at.target
 	n.avoid[t.ID] = true
 	switch {
@@ -170,7 +170,27 @@
 	case n.primary && (a.err != nil || a.reply.Code == CodeBusy):
 		sleep(ctx, busyPause)
 	}
-	s.gateway.events.retry(s.db.Name, t, a)
+	s.gateway.metrics.Inc(retryReason(a))
+	s.gateway.events.retry(id, s.db.Name, t, a)
+}
+
+// retryReason returns the counter of the attempt's failure.
+func retryReason(a attempt) metrics.Name {
+	switch {
+	case !a.sent && a.err != nil:
+		return metrics.RetryNoConnection
+	case a.err != nil:
+		return metrics.RetryAnswerLost
+	}
+	switch a.reply.Code {
+	case CodeLagging:
+		return metrics.RetryLagging
+	case CodeReadOnly:
+		return metrics.RetryReadOnly
+	case CodeBusy, CodeTooMany:
+		return metrics.RetryBusy
+	}
+	return metrics.RetryOther
 }
 
 // giveUp answers a statement that no further attempt is made for.
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -50,7 +50,7 @@
 			a = attempt{reply: reply, sent: true, at: at}
 		}
 		last = a
-		s.beforeRetry(ctx, n, a)
+		s.beforeRetry(ctx, st.ID, n, a)
 	}
 }
 
--- a/internal/metrics/docs_test.go
+++ b/internal/metrics/docs_test.go
@@ -14,7 +14,7 @@
 	g := NewWithT(t)
 	source, err := os.ReadFile("names.go")
 	g.Expect(err).NotTo(HaveOccurred())
-	docs, err := os.ReadFile("../../docs/operators.md")
+	docs, err := os.ReadFile("../../docs/OPERATIONS.md")
 	g.Expect(err).NotTo(HaveOccurred())
 	for _, m := range regexp.MustCompile(`Name = "([a-z_.]+)"`).FindAllSubmatch(source, -1) {
 		name := string(m[1])
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -67,6 +67,30 @@
 	ConnsClosed          Name = "connections.closed"
 )
 
+// Latencies are histograms; their percentiles are exported in microseconds.
+const (
+	// LatencyStatement is the time from a statement's arrival to its answer.
+	LatencyStatement Name = "latency.statement"
+	// LatencyConnection is the time that a statement waited for a connection.
+	LatencyConnection Name = "latency.connection"
+	// LatencyEndpoint is the time from a request to the endpoint's answer.
+	LatencyEndpoint Name = "latency.endpoint"
+)
+
+// Gateway.
+const (
+	ChangesBegun      Name = "changes.begun"
+	ChangesDone       Name = "changes.done"
+	ChangesGivenUp    Name = "changes.given_up"
+	PermissionLost    Name = "permission.lost"
+	RetryBusy         Name = "retry.busy"
+	RetryLagging      Name = "retry.lagging"
+	RetryReadOnly     Name = "retry.read_only"
+	RetryAnswerLost   Name = "retry.answer_lost"
+	RetryNoConnection Name = "retry.no_connection"
+	StoreReads        Name = "store.reads"
+)
+
 // Control.
 const (
 	ClaimsStarted     Name = "claims.started"
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -3,6 +3,8 @@
 package metrics
 
 import (
+	"time"
+
 	gometrics "github.com/rcrowley/go-metrics"
 )
 
@@ -34,6 +36,30 @@
 	gometrics.GetOrRegisterGauge(string(name), r.reg).Update(v)
 }
 
+// sampleSize is how many of the newest values a histogram's percentiles rest on.
+const sampleSize = 512
+
+// Observe adds a duration to the histogram.
+func (r *Registry) Observe(name Name, d time.Duration) {
+	h := r.reg.GetOrRegister(string(name), func() gometrics.Histogram {
+		return gometrics.NewHistogram(gometrics.NewUniformSample(sampleSize))
+	}).(gometrics.Histogram)
+	h.Update(d.Microseconds())
+}
+
+// eachPercentile calls f for the count and the percentiles of a histogram, in
+// microseconds.
+func eachPercentile(name string, h gometrics.Histogram, f func(string, int64)) {
+	s := h.Snapshot()
+	f(name+".count", s.Count())
+	for _, p := range []struct {
+		suffix string
+		share  float64
+	}{{".p50_us", 0.5}, {".p90_us", 0.9}, {".p99_us", 0.99}} {
+		f(name+p.suffix, int64(s.Percentile(p.share)))
+	}
+}
+
 // Each calls f for every counter and gauge, in no particular order.
 func (r *Registry) Each(f func(name string, value int64)) {
 	r.reg.Each(func(name string, m any) {
@@ -42,6 +68,8 @@
 			f(name, m.Count())
 		case gometrics.Gauge:
 			f(name, m.Value())
+		case gometrics.Histogram:
+			eachPercentile(name, m, f)
 		}
 	})
 }
