--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -9,7 +9,7 @@
 	// memberGoneAfter is the silence after which a host's row is removed. A host that
 	// was only cut off writes it again. Until then each failover waits for the host's
 	// permission to end.
-	memberGoneAfter = 8 * time.Second
+	memberGoneAfter = 4 * time.Second
 	// cleanupInterval is how often the first host looks for such rows.
 	cleanupInterval = 2 * time.Second
 )
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -48,6 +48,8 @@
 	// registering is true while a write of this host's row is under way.
 	registering bool
 	lastCleanup time.Time
+	// removedAt is when a host's row last vanished.
+	removedAt time.Time
 }
 
 // newControl returns the control state of a host that knows nothing.
@@ -133,7 +135,7 @@
 	c.gw.events.log.Warn().Dur("paused_ms", now.Sub(c.lastTick)).Msg("host was paused")
 	c.lastNews = time.Time{}
 	for _, g := range *c.gw.groupsNow.Load() {
-		go c.survey(g)
+		go c.survey(g, nil)
 	}
 }
 
@@ -143,5 +145,4 @@
 		c.leaving = true
 		c.lastNews = time.Time{}
 	})
-	go c.unregister()
 }
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -14,7 +14,7 @@
 	// writeTimeout bounds one write to the store.
 	writeTimeout = 1500 * time.Millisecond
 	// unregisterTimeout bounds the removal of the host's row when it stops.
-	unregisterTimeout = time.Second
+	unregisterTimeout = 600 * time.Millisecond
 )
 
 // register writes this host's row until the store has accepted it. It runs on a
@@ -104,6 +104,7 @@
 	}
 	if r.Deleted {
 		_, known := c.members[name]
+		c.removedAt = boottime.Now()
 		delete(c.members, name)
 		return known
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -53,14 +53,16 @@
 func (p *pool) checkout(ctx context.Context, t *target, s *session.State, priority int) (*conn, error) {
 	g := t.group
 	g.mu.Lock()
-	if c := t.takeIdle(s); c != nil {
-		g.mu.Unlock()
-		return c, nil
-	}
-	if t.open() < t.limit {
-		t.opening++
-		g.mu.Unlock()
-		return p.open(ctx, t)
+	if t.window.Allows(t.inFlight) {
+		if c := t.takeIdle(s); c != nil {
+			g.mu.Unlock()
+			return c, nil
+		}
+		if t.open() < t.limit {
+			t.opening++
+			g.mu.Unlock()
+			return p.open(ctx, t)
+		}
 	}
 	w := t.waiting.push(priority)
 	g.mu.Unlock()
@@ -213,14 +215,24 @@
 	if c.broken || t.gone || len(t.conns) > t.limit {
 		delete(t.conns, c)
 		c.Close()
-		t.passOn()
+		t.wake()
 		return
 	}
-	if w := t.waiting.pop(); w != nil {
-		w.ready <- grant{conn: c}
+	t.idle = append(t.idle, c)
+	t.wake()
+}
+
+// wake gives the next waiter a connection, if the window allows another statement.
+// The group's mutex must be held.
+func (t *target) wake() {
+	if t.waiting.len() == 0 || !t.window.Allows(t.inFlight) {
 		return
 	}
-	t.idle = append(t.idle, c)
+	if c := t.takeIdle(nil); c != nil {
+		t.waiting.pop().ready <- grant{conn: c}
+		return
+	}
+	t.passOn()
 }
 
 // passOn lets the next waiter open a connection, if there is room for one. The
@@ -256,9 +268,15 @@
 	defer g.mu.Unlock()
 	c.since = time.Time{}
 	t.inFlight--
+	defer t.wake()
 	if err != nil {
 		return
 	}
+	if reply.Code == CodeBusy {
+		t.window.Shed()
+	} else {
+		t.window.Answered()
+	}
 	p.metrics.Observe(metrics.LatencyEndpoint, now.Sub(began))
 	t.succeeded(now, now.Sub(began))
 	if reply.Position.Term > g.term {
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -98,10 +98,12 @@
 // run performs the steps in order. Until the old primary is fenced, nothing has
 // happened; after that the change is completed by this host or by another.
 func (ch *change) run(ctx context.Context) error {
+	found := make(chan map[string]Status, 1)
+	go func() { found <- ch.survey() }()
 	if err := ch.checkEvidence(ctx); err != nil {
 		return err
 	}
-	if _, _, err := ch.choose(ch.c.survey(ch.g)); err != nil {
+	if _, _, err := ch.choose(<-found); err != nil {
 		return err
 	}
 	if err := ch.acquire(ctx); err != nil {
@@ -109,7 +111,6 @@
 	}
 	err := ch.fenceAll(ctx)
 	if err == nil {
-		ch.demote(ctx)
 		err = ch.promote(ctx)
 	}
 	if err != nil && !ch.ordered {
@@ -118,6 +119,15 @@
 	return err
 }
 
+// survey asks the endpoints for their status. A primary that cannot be reached is
+// left out, as the answers of the others would wait for it.
+func (ch *change) survey() map[string]Status {
+	if ch.reason == succession.ReasonUnreachable {
+		return ch.c.survey(ch.g, ch.old)
+	}
+	return ch.c.survey(ch.g, nil)
+}
+
 // withdraw allows the use of the old primary again, as nothing has replaced it. If
 // the claim cannot be written, the hosts stay fenced until the next attempt.
 func (ch *change) withdraw(ctx context.Context) {
@@ -162,6 +172,8 @@
 	// asked is the number of other hosts.
 	asked   int
 	replies map[string]FenceReply
+	// majorityAt is when the last answer came that made a majority; zero without one.
+	majorityAt time.Time
 	// stopped counts the hosts whose process does not run.
 	stopped int
 }
@@ -189,6 +201,9 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	out := poll{asked: len(addresses), replies: make(map[string]FenceReply)}
+	if out.majority() {
+		out.majorityAt = boottime.Now()
+	}
 	for name, address := range addresses {
 		wg.Go(func() {
 			reply, err := ch.c.gw.cfg.Peers.Fence(ctx, address, r)
@@ -200,6 +215,9 @@
 			case ch.c.gw.cfg.Peers.NotRunning(err):
 				out.stopped++
 			}
+			if out.majorityAt.IsZero() && out.majority() {
+				out.majorityAt = boottime.Now()
+			}
 		})
 	}
 	wg.Wait()
@@ -286,14 +304,26 @@
 	if !poll.majority() {
 		return errNoMajority
 	}
-	if !poll.complete() {
-		// The answers came after the wait began, so the permissions that rest on a
-		// majority are counted from the end of the poll.
-		sleep(ctx, permission.Duration)
+	demoted := make(chan struct{})
+	go func() {
+		defer close(demoted)
+		ch.demote(ctx)
+	}()
+	if !poll.complete() || ch.removedRecently() {
+		sleep(ctx, permission.Duration-boottime.Now().Sub(poll.majorityAt))
 	}
+	<-demoted
 	return nil
 }
 
+// removedRecently reports whether a host's row vanished so recently that the host
+// may still use primaries.
+func (ch *change) removedRecently() bool {
+	recently := false
+	ch.c.ask(func() { recently = boottime.Now().Sub(ch.c.removedAt) < permission.Duration })
+	return recently
+}
+
 // demote makes the old primary a replica, if it can be reached. It then neither
 // commits nor serves as primary to hosts that have not heard of the change.
 func (ch *change) demote(ctx context.Context) {
@@ -351,7 +381,7 @@
 func (ch *change) successor(ctx context.Context) (*target, error) {
 	deadline := time.Now().Add(catchUpTimeout)
 	for {
-		found := ch.c.survey(ch.g)
+		found := ch.survey()
 		target, end, err := ch.choose(found)
 		if err != nil {
 			return nil, err
--- a/internal/gateway/session_set.go
+++ b/internal/gateway/session_set.go
@@ -81,7 +81,7 @@
 	// that it is not ready: the balancer asks once a second and needs two misses.
 	rotationTime = 2300 * time.Millisecond
 	// stopReserve is the part of the grace that is kept for the end of the process.
-	stopReserve = 700 * time.Millisecond
+	stopReserve = 1000 * time.Millisecond
 	// drainPoll is how often a stopping host looks whether its sessions have ended.
 	drainPoll = 20 * time.Millisecond
 )
@@ -100,4 +100,6 @@
 		}
 		sleep(gw.ctx, drainPoll)
 	}
+	// The row goes last: a host that replaces a primary asks the listed hosts only.
+	gw.control.unregister()
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -92,13 +92,16 @@
 	return s, err
 }
 
-// survey asks all endpoints of the group for their roles, and returns the
+// survey asks all endpoints of the group but one for their roles, and returns the
 // answers by endpoint.
-func (c *control) survey(g *group) map[string]Status {
+func (c *control) survey(g *group, but *target) map[string]Status {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	found := make(map[string]Status)
 	for _, t := range g.listedTargets() {
+		if t == but {
+			continue
+		}
 		wg.Go(func() {
 			s, err := c.status(t)
 			if err != nil {
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/beryltrestle/beryltrestle/coord/admission"
 	"github.com/beryltrestle/beryltrestle/coord/routing"
 )
 
@@ -40,7 +41,9 @@
 	// opening counts connections that are being opened.
 	opening int
 	// limit is this host's share of the endpoint's connections.
-	limit   int
+	limit int
+	// window bounds the statements of this host that are under way.
+	window  *admission.Window
 	waiting waitQueue
 
 	inFlight int
@@ -55,7 +58,7 @@
 
 // newTarget returns the target of an endpoint without connections.
 func newTarget(g *group, e Endpoint) *target {
-	return &target{Endpoint: e, group: g, limit: minConnections, conns: make(map[*conn]bool), latency: initialLatency}
+	return &target{Endpoint: e, group: g, limit: minConnections, window: admission.NewWindow(minConnections), conns: make(map[*conn]bool), latency: initialLatency}
 }
 
 // open returns the number of connections that exist or are being opened.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -109,7 +109,7 @@
 	}
 	w.surveying, w.surveyedAt = true, now
 	go func() {
-		c.survey(g)
+		c.survey(g, nil)
 		c.do(func() { w.surveying = false })
 	}()
 }
