Let only a majority remove hosts, and ask every listed host before a promotion

Ruled out: the permission's time (the write was 0.4 s after the promotion, but its host never learned of the claim). The test fails without the check.

--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/permission"
 )
 
 const (
@@ -15,9 +17,10 @@
 )
 
 // cleanup removes the rows of hosts that have been silent for long. The first live
-// host does it.
+// host does it. The rows decide what a majority is, so the minority side of a split
+// must not remove the others.
 func (c *control) cleanup(now time.Time) {
-	if now.Sub(c.lastCleanup) < cleanupInterval || !c.gw.permitted(now) {
+	if now.Sub(c.lastCleanup) < cleanupInterval || !c.majorityAnswers(now) {
 		return
 	}
 	c.lastCleanup = now
@@ -35,6 +38,18 @@
 	}
 }
 
+// majorityAnswers reports whether a majority of the hosts has answered this one
+// within the time of a permission.
+func (c *control) majorityAnswers(now time.Time) bool {
+	answers := 1
+	for _, m := range c.members {
+		if now.Sub(m.heard) < permission.Duration {
+			answers++
+		}
+	}
+	return answers >= permission.Majority(len(c.members)+1)
+}
+
 // removeRow removes a row that has not changed.
 func (c *control) removeRow(key string, version uint64) {
 	ctx, cancel := context.WithTimeout(c.gw.ctx, writeTimeout)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -181,6 +181,38 @@
 	g.Expect(f.group.deposed).To(BeZero())
 }
 
+// Guards against the minority side of a split that takes the silent majority out of
+// the fleet and then counts as the majority itself (lindqvist-vev scale-1, with the
+// store on the minority's side).
+func TestMinorityDoesNotRemoveTheMajority(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := startFleet(t, manyConnections, "h1", "h2", "h3", "h4", "h5")
+	writeUntilDone(t, f, "h5", time.Second)
+	f.mu.Lock()
+	f.side["h1"], f.side["h2"] = 1, 1
+	f.mu.Unlock()
+	for _, host := range []string{"h1", "h2"} {
+		f.group.setCut(host, "e1", true)
+	}
+	for _, host := range []string{"h3", "h4", "h5"} {
+		f.store.setAway(host, true)
+	}
+	stop := time.Now().Add(11 * time.Second)
+	go func() {
+		for time.Now().Before(stop) {
+			f.caller("h1", "strict").do(write("a", "minority"))
+		}
+	}()
+	for ; time.Now().Before(stop); time.Sleep(10 * time.Millisecond) {
+		f.caller("h5", "strict").do(write("a", "majority"))
+	}
+	f.group.mu.Lock()
+	defer f.group.mu.Unlock()
+	g.Expect(f.group.promotions).To(BeEmpty())
+	g.Expect(f.group.deposed).To(BeZero())
+}
+
 // Guards against a host that uses a replaced primary which only it still reaches.
 func TestCutOffHostStopsUsingThePrimary(t *testing.T) {
 	t.Parallel()
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -20,12 +20,18 @@
 	// tooManyBackoff is the pause after an endpoint refused a connection over its
 	// limit.
 	tooManyBackoff = 300 * time.Millisecond
+	// requeueAfter is how long a statement waits at one endpoint before it chooses
+	// again: the expected waits change as others lag or fail. It is a few times a
+	// statement's run.
+	requeueAfter = 60 * time.Millisecond
 )
 
 // Reasons for which no connection was had; the work did not run.
 var (
 	errNoConnection = errors.New("no connection became free in time")
 	errEndpointDown = errors.New("the endpoint cannot be reached")
+	// errRequeue says that the statement should look for a better endpoint.
+	errRequeue = errors.New("no connection became free yet")
 )
 
 // pool opens connections and hands them to sessions.
@@ -48,9 +54,9 @@
 type StatusParser func(rows []string) (Status, error)
 
 // checkout returns a connection of the target that the session may use until
-// release. No error other than the context's, errNoConnection and errEndpointDown
-// is returned, and none of them has run anything.
-func (p *pool) checkout(ctx context.Context, t *target, s *session.State, priority int) (*conn, error) {
+// release. The errors are errNoConnection, errRequeue and errEndpointDown; none of
+// them has run anything.
+func (p *pool) checkout(ctx context.Context, t *target, s *session.State, priority int, arrived time.Time) (*conn, error) {
 	g := t.group
 	g.mu.Lock()
 	if t.window.Allows(t.inFlight) {
@@ -64,7 +70,7 @@
 			return p.open(ctx, t)
 		}
 	}
-	w := t.waiting.push(priority)
+	w := t.waiting.push(priority, arrived)
 	g.mu.Unlock()
 	began := boottime.Now()
 	defer func() { p.metrics.Observe(metrics.LatencyConnection, boottime.Now().Sub(began)) }()
@@ -73,14 +79,20 @@
 
 // await waits for a connection in the target's queue.
 func (p *pool) await(ctx context.Context, t *target, w *waiter) (*conn, error) {
+	timer := time.NewTimer(requeueAfter)
+	defer timer.Stop()
 	select {
 	case got := <-w.ready:
 		return p.granted(ctx, t, got)
+	case <-timer.C:
 	case <-ctx.Done():
 	}
 	t.group.mu.Lock()
 	removed := t.waiting.remove(w)
 	t.group.mu.Unlock()
+	if removed && ctx.Err() == nil {
+		return nil, errRequeue
+	}
 	if removed {
 		return nil, errNoConnection
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -135,7 +135,11 @@
 	if w.Primary && !leads {
 		return nil, &Reply{Code: CodeReadOnly, Detail: "the endpoint is not known to lead"}
 	}
-	c, err := gw.pool.checkout(ctx, t, nil, 0)
+	arrived := boottime.Now()
+	c, err := gw.pool.checkout(ctx, t, nil, 0, arrived)
+	for errors.Is(err, errRequeue) {
+		c, err = gw.pool.checkout(ctx, t, nil, 0, arrived)
+	}
 	if err != nil {
 		return nil, &Reply{Code: CodeBusy, Detail: err.Error()}
 	}
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -263,10 +263,12 @@
 func (ch *change) readClaim(ctx context.Context, key string) (claimRecord, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	listing, _, err := ch.c.gw.cfg.Store.List(ctx, TableState)
+	listing, listed, err := ch.c.gw.cfg.Store.List(ctx, TableState)
 	if err != nil {
 		return claimRecord{}, 0, err
 	}
+	// The hosts that are asked next must include every host that is listed now.
+	ch.c.ask(func() { ch.c.changed(TableState, ch.c.tables[TableState].Replace(listing, listed)) })
 	for _, r := range listing {
 		if r.Key != key {
 			continue
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -52,24 +52,28 @@
 	}
 	n := newNeed(s.db, s.state.Floor, arrived, st.Writes)
 	var last attempt
-	for tries := 0; ; tries++ {
-		if tries > 0 && !s.mayRetry(ctx, tries) {
-			return s.giveUp(st, last)
-		}
+	for tries := 1; ; {
 		at, ok := s.pick(ctx, g, n)
 		if !ok {
 			return s.giveUp(st, last)
 		}
-		a := s.try(ctx, st, at, n.primary)
+		a := s.try(ctx, st, at, n.primary, arrived)
+		if errors.Is(a.err, errRequeue) {
+			continue
+		}
 		if done, reply := s.conclude(st, a); done {
 			return reply
 		}
 		last = a
+		if !s.mayRetry(ctx, tries) {
+			return s.giveUp(st, last)
+		}
+		tries++
 		s.beforeRetry(ctx, st.ID, n, a)
 	}
 }
 
-// mayRetry asks the budget for another attempt.
+// mayRetry asks the budget for another attempt after so many.
 func (s *sessionServer) mayRetry(ctx context.Context, tries int) bool {
 	if tries >= maxAttempts || ctx.Err() != nil {
 		return false
@@ -101,8 +105,8 @@
 }
 
 // try sends the statement to the endpoint once.
-func (s *sessionServer) try(ctx context.Context, st session.Statement, at choice, primary bool) attempt {
-	c, err := s.gateway.pool.checkout(ctx, at.target, s.state, s.db.Priority)
+func (s *sessionServer) try(ctx context.Context, st session.Statement, at choice, primary bool, arrived time.Time) attempt {
+	c, err := s.gateway.pool.checkout(ctx, at.target, s.state, s.db.Priority, arrived)
 	if err != nil {
 		return attempt{err: err, at: at}
 	}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -33,15 +35,15 @@
 	tx := s.state.Transaction()
 	n := newNeed(s.db, s.state.Floor, tx.Began, !tx.ReadOnly)
 	var last attempt
-	for tries := 0; ; tries++ {
-		if tries > 0 && !s.mayRetry(ctx, tries) {
-			return s.giveUpFirst(last)
-		}
+	for tries := 1; ; {
 		at, ok := s.pick(ctx, g, n)
 		if !ok {
 			return s.giveUpFirst(last)
 		}
 		a := s.open(ctx, at, n.primary)
+		if errors.Is(a.err, errRequeue) {
+			continue
+		}
 		if a.err == nil && a.reply.OK() {
 			reply := s.runPinned(ctx, st)
 			if reply.OK() || !s.mayStartOver(st, &reply) {
@@ -50,6 +52,10 @@
 			a = attempt{reply: reply, sent: true, at: at}
 		}
 		last = a
+		if !s.mayRetry(ctx, tries) {
+			return s.giveUpFirst(last)
+		}
+		tries++
 		s.beforeRetry(ctx, st.ID, n, a)
 	}
 }
@@ -70,7 +76,7 @@
 
 // open begins the transaction on a connection of the endpoint.
 func (s *sessionServer) open(ctx context.Context, at choice, primary bool) attempt {
-	c, err := s.gateway.pool.checkout(ctx, at.target, s.state, s.db.Priority)
+	c, err := s.gateway.pool.checkout(ctx, at.target, s.state, s.db.Priority, s.state.Transaction().Began)
 	if err != nil {
 		return attempt{err: err, at: at}
 	}
@@ -166,11 +172,17 @@
 	g := s.gateway.group(s.db.Group)
 	tx := s.state.Transaction()
 	n := newNeed(s.db, s.state.Floor, tx.Began, !tx.ReadOnly)
-	if g != nil {
-		if at, ok := s.pick(ctx, g, n); ok {
-			if a := s.open(ctx, at, n.primary); a.err == nil && a.reply.OK() {
-				return s.commitPinned(ctx, st)
-			}
+	for g != nil {
+		at, ok := s.pick(ctx, g, n)
+		if !ok {
+			break
+		}
+		a := s.open(ctx, at, n.primary)
+		if a.err == nil && a.reply.OK() {
+			return s.commitPinned(ctx, st)
+		}
+		if !errors.Is(a.err, errRequeue) {
+			break
 		}
 	}
 	s.state.End()
--- a/internal/gateway/wait_queue.go
+++ b/internal/gateway/wait_queue.go
@@ -1,12 +1,17 @@
 package gateway
 
-import "container/heap"
+import (
+	"container/heap"
+	"time"
+)
 
 // waiter is a session that waits for a connection.
 type waiter struct {
 	priority int
-	order    uint64
-	index    int
+	// arrived is when the statement arrived at the host, so that a statement which
+	// looks for another endpoint keeps its place.
+	arrived time.Time
+	index   int
 	// ready receives a connection, or nil with the right to open one.
 	ready chan grant
 }
@@ -22,13 +27,11 @@
 // waitQueue orders waiters by priority, then by arrival.
 type waitQueue struct {
 	items waitHeap
-	next  uint64
 }
 
 // push adds a waiter.
-func (q *waitQueue) push(priority int) *waiter {
-	q.next++
-	w := &waiter{priority: priority, order: q.next, ready: make(chan grant, 1)}
+func (q *waitQueue) push(priority int, arrived time.Time) *waiter {
+	w := &waiter{priority: priority, arrived: arrived, ready: make(chan grant, 1)}
 	heap.Push(&q.items, w)
 	return w
 }
@@ -61,7 +64,7 @@
 	if h[i].priority != h[j].priority {
 		return h[i].priority < h[j].priority
 	}
-	return h[i].order < h[j].order
+	return h[i].arrived.Before(h[j].arrived)
 }
 
 func (h waitHeap) Swap(i, j int) {
