--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -173,5 +173,4 @@
 	}
 	t.relayed, t.holders = h.relayed, h.holders
 	t.limit = min(h.limit, t.limit+1)
-	t.window.SetLimit(t.limit)
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -59,16 +59,14 @@
 func (p *pool) checkout(ctx context.Context, t *target, s *session.State, priority int, arrived time.Time) (*conn, error) {
 	g := t.group
 	g.mu.Lock()
-	if t.window.Allows(t.inFlight) {
-		if c := t.takeIdle(s); c != nil {
-			g.mu.Unlock()
-			return c, nil
-		}
-		if t.open() < t.limit {
-			t.opening++
-			g.mu.Unlock()
-			return p.open(ctx, t)
-		}
+	if c := t.takeIdle(s); c != nil {
+		g.mu.Unlock()
+		return c, nil
+	}
+	if t.open() < t.limit {
+		t.opening++
+		g.mu.Unlock()
+		return p.open(ctx, t)
 	}
 	w := t.waiting.push(priority, arrived)
 	g.mu.Unlock()
@@ -234,10 +232,10 @@
 	t.wake()
 }
 
-// wake gives the next waiter a connection, if the window allows another statement.
-// The group's mutex must be held.
+// wake gives the next waiter a connection or the right to open one. The group's
+// mutex must be held.
 func (t *target) wake() {
-	if t.waiting.len() == 0 || !t.window.Allows(t.inFlight) {
+	if t.waiting.len() == 0 {
 		return
 	}
 	if c := t.takeIdle(nil); c != nil {
@@ -280,15 +278,9 @@
 	defer g.mu.Unlock()
 	c.since = time.Time{}
 	t.inFlight--
-	defer t.wake()
 	if err != nil {
 		return
 	}
-	if reply.Code == CodeBusy {
-		t.window.Shed()
-	} else {
-		t.window.Answered()
-	}
 	p.metrics.Observe(metrics.LatencyEndpoint, now.Sub(began))
 	t.succeeded(now, now.Sub(began))
 	if reply.Position.Term > g.term {
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/beryltrestle/beryltrestle/coord/admission"
 	"github.com/beryltrestle/beryltrestle/coord/routing"
 )
 
@@ -41,9 +40,7 @@
 	// opening counts connections that are being opened.
 	opening int
 	// limit is this host's share of the endpoint's connections.
-	limit int
-	// window bounds the statements of this host that are under way.
-	window  *admission.Window
+	limit   int
 	waiting waitQueue
 
 	inFlight int
@@ -58,7 +55,7 @@
 
 // newTarget returns the target of an endpoint without connections.
 func newTarget(g *group, e Endpoint) *target {
-	return &target{Endpoint: e, group: g, limit: minConnections, window: admission.NewWindow(minConnections), conns: make(map[*conn]bool), latency: initialLatency}
+	return &target{Endpoint: e, group: g, limit: minConnections, conns: make(map[*conn]bool), latency: initialLatency}
 }
 
 // open returns the number of connections that exist or are being opened.
