--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -68,6 +68,10 @@
 		g.mu.Unlock()
 		return p.open(ctx, t)
 	}
+	if deadline, ok := ctx.Deadline(); ok && t.queueWait() > time.Until(deadline) {
+		g.mu.Unlock()
+		return nil, errNoConnection
+	}
 	w := t.waiting.push(priority, arrived)
 	g.mu.Unlock()
 	began := boottime.Now()
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -77,6 +77,14 @@
 	return t.latency + t.latency*time.Duration(queued)/time.Duration(slots)
 }
 
+// queueWait estimates how long new work waits here for one of this host's
+// connections and then for its answer. Load: more work for one primary than fits
+// into its deadline; what cannot be served in time is refused at once, so that its
+// caller can go elsewhere or come back.
+func (t *target) queueWait() time.Duration {
+	return t.latency * time.Duration(t.waiting.len()+t.limit) / time.Duration(max(t.limit, 1))
+}
+
 // succeeded records an answer.
 func (t *target) succeeded(now time.Time, took time.Duration) {
 	t.answered = now
