--- a/coord/session/session_test.go
+++ b/coord/session/session_test.go
@@ -12,7 +12,7 @@
 // Guards against a statement that runs with the values of another session.
 func TestForeignValuesAreCleared(t *testing.T) {
 	g := NewWithT(t)
-	r := session.NewReplica()
+	r := session.NewConnState()
 	a, b := session.New(), session.New()
 	a.Set("zone", "1")
 	a.Set("tz", "utc")
@@ -29,7 +29,7 @@
 // Guards against two sessions that use one name for different statements.
 func TestPreparedNamesOfSessionsDoNotCollide(t *testing.T) {
 	g := NewWithT(t)
-	r := session.NewReplica()
+	r := session.NewConnState()
 	a, b := session.New(), session.New()
 	a.Prepare("s1", "READ q1", false)
 	b.Prepare("s1", "READ q2", false)
@@ -47,7 +47,7 @@
 // lists.
 func TestResetForgetsPreparedStatements(t *testing.T) {
 	g := NewWithT(t)
-	r := session.NewReplica()
+	r := session.NewConnState()
 	a, b := session.New(), session.New()
 	a.Set("zone", "1")
 	p := session.Prepared{Definition: "READ q1"}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -16,7 +16,7 @@
 type conn struct {
 	EndpointConn
 	target *target
-	state  *session.Replica
+	state  *session.ConnState
 	// since is when the statement in flight was sent; zero if there is none. It is
 	// guarded by the group's mutex.
 	since time.Time
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -33,8 +33,10 @@
 	own     uint64
 	leaving bool
 	// listed is true once the endpoints' table has been read.
-	listed   bool
-	watches  map[string]*watch
+	listed  bool
+	watches map[string]*watch
+	// unread holds the versions of the entries that could not be read.
+	unread   map[string]uint64
 	lastTick time.Time
 	lastNews time.Time
 	// round counts the rounds of news.
@@ -57,7 +59,7 @@
 	c := &control{
 		gw: gw, calls: make(chan func(), 256), incarnation: rand.Uint64() >> 1,
 		tables: make(map[TableName]*rows.Table), members: make(map[string]*member),
-		watches: make(map[string]*watch), asOf: make(map[TableName]time.Time),
+		watches: make(map[string]*watch), asOf: make(map[TableName]time.Time), unread: make(map[string]uint64),
 	}
 	for _, name := range Tables {
 		c.tables[name] = rows.NewTable()
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -37,7 +37,7 @@
 	for _, r := range c.tables[TableEndpoints].Live() {
 		e, err := c.gw.cfg.Decoder.Endpoint(r)
 		if err != nil {
-			c.gw.events.log.Warn().Str("endpoint", r.Key).Err(err).Msg("endpoint's entry cannot be read")
+			c.unreadable(r, err)
 			continue
 		}
 		if _, ok := catalog.Groups[e.Group]; !ok {
@@ -75,6 +75,15 @@
 	}
 }
 
+// unreadable records an entry that cannot be read, once for each version.
+func (c *control) unreadable(r rows.Row, err error) {
+	if c.unread[r.Key] == r.Version {
+		return
+	}
+	c.unread[r.Key] = r.Version
+	c.gw.events.log.Warn().Str("endpoint", r.Key).Uint64("version", r.Version).Err(err).Msg("endpoint's entry cannot be read")
+}
+
 // updateGroup adds, changes and removes the group's targets.
 func (c *control) updateGroup(g *group, config Group, listed map[string]Endpoint) {
 	var survey, retired []*target
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,7 +101,8 @@
 	return nil
 }
 
-// Serve serves a caller until its session ends.
+// Serve serves a caller until its session ends. welcome answers the caller's startup
+// message once the database is known to be configured.
 func (gw *Gateway) Serve(c Caller, welcome func() error) {
 	if !gw.awaitDatabase(c) {
 		gw.metrics.Inc(metrics.RefusedUnknownPool)
--- /dev/null
+++ b/internal/gateway/poll.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/permission"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
+)
+
+// poll is what the other hosts answered.
+type poll struct {
+	// asked is the number of other hosts.
+	asked   int
+	replies map[string]FenceReply
+	// majorityAt is when the last answer came that made a majority; zero without one.
+	majorityAt time.Time
+	// stopped counts the hosts whose process does not run.
+	stopped int
+}
+
+// majority reports whether a majority of all hosts agrees: this one, those that
+// answered and those that do not run.
+func (p *poll) majority() bool {
+	return 1+len(p.replies)+p.stopped >= permission.Majority(p.asked+1)
+}
+
+// complete reports whether no host is left that may still use the primary.
+func (p *poll) complete() bool { return len(p.replies)+p.stopped == p.asked }
+
+// askAll sends the request to every other host and returns the answers that came
+// in time.
+func (ch *change) askAll(ctx context.Context, r FenceRequest, timeout time.Duration) poll {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	addresses := make(map[string]string)
+	ch.c.ask(func() {
+		for name, m := range ch.c.members {
+			addresses[name] = m.Address
+		}
+	})
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	out := poll{asked: len(addresses), replies: make(map[string]FenceReply)}
+	if out.majority() {
+		out.majorityAt = boottime.Now()
+	}
+	for name, address := range addresses {
+		wg.Go(func() {
+			reply, err := ch.c.gw.cfg.Peers.Fence(ctx, address, r)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				out.replies[name] = reply
+			case ch.c.gw.cfg.Peers.NotRunning(err):
+				out.stopped++
+			}
+			if out.majorityAt.IsZero() && out.majority() {
+				out.majorityAt = boottime.Now()
+			}
+		})
+	}
+	wg.Wait()
+	return out
+}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -149,7 +149,7 @@
 		p.dialFailed(t, err)
 		return nil, errors.WithSecondaryError(errEndpointDown, err)
 	}
-	c := &conn{EndpointConn: raw, target: t, state: session.NewReplica()}
+	c := &conn{EndpointConn: raw, target: t, state: session.NewConnState()}
 	t.group.mu.Lock()
 	t.opening--
 	t.conns[c] = true
