--- a/internal/gateway/code.go
+++ b/internal/gateway/code.go
@@ -34,6 +34,22 @@
 	CodeOther
 )
 
+// codeNames are the codes as the logs show them.
+var codeNames = [...]string{
+	CodeNone: "none", CodeBusy: "busy", CodeAborted: "aborted", CodeLagging: "lagging", CodeReadOnly: "read_only",
+	CodeMisrouted: "misrouted", CodeTooMany: "too_many", CodeNoStatement: "no_statement", CodeFailed: "failed",
+	CodeTimeout: "timeout", CodeInDoubt: "in_doubt", CodeMalformed: "malformed", CodeNoDatabase: "no_database",
+	CodeOther: "other",
+}
+
+// String returns the code's name.
+func (c Code) String() string {
+	if int(c) >= len(codeNames) {
+		return "unknown"
+	}
+	return codeNames[c]
+}
+
 // NotRun reports whether the code promises that nothing of the statement is kept.
 func (c Code) NotRun() bool {
 	switch c {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -27,13 +27,19 @@
 // refused records an answer that is not a success.
 func (e *events) refused(id, database string, r *Reply) {
 	e.request.Info().Str("request", id).Str("database", database).
-		Uint8("code", uint8(r.Code)).Str("raw", r.RawCode).Str("detail", r.Detail).Msg("request not served")
+		Stringer("code", r.Code).Str("raw", r.RawCode).Str("detail", r.Detail).Msg("request not served")
 }
 
 // retry records an attempt that settled nothing.
 func (e *events) retry(id, database string, t *target, a attempt) {
 	e.request.Info().Str("request", id).Str("database", database).Str("endpoint", t.ID).Bool("sent", a.sent).
-		Uint8("code", uint8(a.reply.Code)).Stringer("after", a.at.after).AnErr("error", a.err).Msg("attempt failed")
+		Stringer("code", a.reply.Code).Stringer("after", a.at.after).AnErr("error", a.err).Msg("attempt failed")
+}
+
+// lostAnswer records a statement that was sent and whose answer did not come.
+func (e *events) lostAnswer(id, database string, t *target, after time.Duration, err error) {
+	e.request.Info().Str("request", id).Str("database", database).Str("endpoint", t.ID).
+		Dur("waited_ms", after).Err(err).Msg("answer lost")
 }
 
 // session records the unexpected end of a session.
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -164,6 +164,28 @@
 	side  map[string]int
 	store *fakeStore
 	group *fakeGroup
+	logs  map[string]*logBuffer
+}
+
+// logBuffer keeps the log lines of a host.
+type logBuffer struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.text = append(b.text, p...)
+	return len(p), nil
+}
+
+// String returns the lines.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return string(b.text)
 }
 
 var (
@@ -175,7 +197,7 @@
 func startFleet(t *testing.T, maxConnections int, hosts ...string) *fakeFleet {
 	t.Helper()
 	f := &fakeFleet{
-		hosts: make(map[string]*gateway.Gateway), side: make(map[string]int),
+		logs: make(map[string]*logBuffer), hosts: make(map[string]*gateway.Gateway), side: make(map[string]int),
 		store: newFakeStore(), group: newFakeGroup("g", "e1", "e2", "e3"),
 	}
 	f.store.put(gateway.TableCatalog, "config", gateway.Catalog{
@@ -192,11 +214,12 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	for _, name := range hosts {
+		f.logs[name] = &logBuffer{}
 		gw := gateway.New(gateway.Config{
 			Host: name, Address: name, AvailabilityZone: "z", Grace: 2 * time.Second,
 			Dialer: &fakeDialer{host: name, group: f.group}, Store: storeClient{f.store, name},
 			Decoder: fakeDecoder{}, Promoter: f.group, Peers: &fakePeers{fleet: f, host: name},
-			ParseStatus: parseFakeStatus, Metrics: metrics.NewRegistry(), Log: zerolog.Nop(),
+			ParseStatus: parseFakeStatus, Metrics: metrics.NewRegistry(), Log: zerolog.New(f.logs[name]),
 		})
 		f.hosts[name] = gw
 		go func() { _ = gw.Run(ctx) }()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -341,3 +341,19 @@
 	g.Expect(r.Code).To(Equal(gateway.CodeAborted))
 	g.Expect(f.group.holds("e1", st.ID)).To(BeFalse())
 }
+
+// Guards against a lost answer that the logs do not explain: the line must name the
+// request, the endpoint and the error.
+func TestLostAnswerIsLogged(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := startFleet(t, manyConnections, "h1")
+	f.group.mu.Lock()
+	f.group.endpoints["e1"].loseAnswer = true
+	f.group.mu.Unlock()
+	st := write("a", "1")
+	f.caller("h1", "strict").do(st)
+	lines := f.logs["h1"].String()
+	g.Expect(lines).To(MatchRegexp(`"request":"` + st.ID + `".*"endpoint":"e1".*"error":.*"message":"answer lost"`))
+	g.Expect(lines).To(MatchRegexp(`"request":"` + st.ID + `".*"code":"in_doubt".*"message":"request not served"`))
+}
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -116,6 +116,9 @@
 	if err != nil {
 		s.gateway.lost(c, err)
 	}
+	if err != nil {
+		s.gateway.events.lostAnswer(st.ID, s.db.Name, at.target, s.gateway.now().Sub(began), err)
+	}
 	if err == nil && reply.OK() && st.Writes && !at.target.group.leads(s.gateway.now(), at.target) {
 		err = errDeposed
 	}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -123,6 +123,7 @@
 	s.gateway.pool.end(c, began, &reply, err, logpos.Position{})
 	if err != nil {
 		s.pinned = nil
+		s.gateway.events.lostAnswer(st.ID, s.db.Name, c.target, s.gateway.now().Sub(began), err)
 		s.gateway.lost(c, err)
 		s.gateway.pool.release(c)
 		return s.refuse(CodeAborted, metrics.RefusedTransactionLost)
@@ -207,6 +208,7 @@
 	reply, err := c.run(end, s.state, true, Request{Statement: st})
 	s.gateway.pool.end(c, began, &reply, err, logpos.Position{})
 	if err != nil {
+		s.gateway.events.lostAnswer(st.ID, s.db.Name, c.target, s.gateway.now().Sub(began), err)
 		s.gateway.lost(c, err)
 		s.gateway.pool.release(c)
 		if !wrote {
