--- a/internal/proof/answers_test.go
+++ b/internal/proof/answers_test.go
@@ -163,6 +163,7 @@
 	r := newRun(t, localdeploy.Config{Hosts: 4})
 	a := &answers{r: r}
 	a.store()
+	r.awaitReplicas()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ended := make(chan struct{})
