Use one wait, one look at idle sockets and one majority

The gateway had written again what the owner, the entry, the manifest store and the measure had: a wait that a context ends (now wait.For), the look at an idle connection (owner's alive, now socket.Alive), and lease.Majority with the newest time since which a majority answered (now lease.NthNewest). No behaviour changes.

--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -48,12 +48,18 @@
 			times = append(times, t)
 		}
 	}
-	need := Majority(len(endpoints))
-	if len(times) < need {
+	return NthNewest(times, Majority(len(endpoints)))
+}
+
+// NthNewest returns the n-th newest of the times, counted from 1: the latest time
+// since which n answers have come. It is zero if there are fewer times. The times
+// are sorted in place.
+func NthNewest(times []time.Time, n int) time.Time {
+	if len(times) < n {
 		return time.Time{}
 	}
 	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
-	return times[need-1]
+	return times[n-1]
 }
 
 // Valid reports whether the lease holds at now.
--- a/coord/permission/permission.go
+++ b/coord/permission/permission.go
@@ -17,20 +17,18 @@
 package permission
 
 import (
-	"slices"
 	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/lease"
 )
 
 // Duration is how long a permission lasts. It allows for several missed rounds of
 // news between hosts, and is what a failover waits if a host does not answer.
 const Duration = 1500 * time.Millisecond
 
-// Majority returns how many of the hosts, this one included, make a majority.
-func Majority(hosts int) int { return hosts/2 + 1 }
-
 // Until returns when the permission ends. claims is the time as of which every
 // claim is known; answered holds for each other host when the last call began that
-// it answered, or that showed that it does not run.
+// it answered, or that showed that it does not run; the slice is sorted in place.
 func Until(claims time.Time, answered []time.Time) time.Time {
 	at := claims
 	if m := majorityAt(answered); m.After(at) {
@@ -46,10 +44,9 @@
 // alone is a majority of itself, but nothing shows that it is alone; it relies on
 // the store.
 func majorityAt(answered []time.Time) time.Time {
-	needed := Majority(len(answered)+1) - 1
-	if needed == 0 {
+	others := lease.Majority(len(answered)+1) - 1
+	if others == 0 {
 		return time.Time{}
 	}
-	sorted := slices.SortedFunc(slices.Values(answered), func(a, b time.Time) int { return b.Compare(a) })
-	return sorted[needed-1]
+	return lease.NthNewest(answered, others)
 }
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 // maxStarting is the number of connections beyond the largest number of callers
@@ -79,7 +80,7 @@
 		if !isTemporary(err) {
 			return errors.Wrap(err, "accepting callers")
 		}
-		pause(ctx, acceptPause)
+		wait.For(ctx, acceptPause)
 	}
 }
 
--- a/internal/entry/net.go
+++ b/internal/entry/net.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"net"
 	"syscall"
 	"time"
@@ -26,13 +25,3 @@
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
 		errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -6,6 +6,7 @@
 
 	peerv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/peer/v1"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 // Times between questions for a lost outcome.
@@ -115,7 +116,7 @@
 		case err != nil && (now.After(give) || r.needsNoVerdict()):
 			return nil
 		}
-		pause(r.c.ctx, jitter(outcomeInterval))
+		wait.For(r.c.ctx, jitter(outcomeInterval))
 	}
 }
 
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -7,6 +7,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/permission"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 // readTimeout bounds a read of the claims.
@@ -27,7 +28,7 @@
 		listing, version, err := c.gw.cfg.Store.List(ctx, TableState)
 		if err != nil {
 			c.gw.events.log.Warn().Err(err).Msg("claims were not read")
-			sleep(c.gw.ctx, firstPause)
+			wait.For(c.gw.ctx, firstPause)
 		}
 		c.do(func() {
 			c.reading = false
--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/beryltrestle/beryltrestle/coord/lease"
 	"github.com/beryltrestle/beryltrestle/coord/permission"
 )
 
@@ -47,7 +48,7 @@
 			answers++
 		}
 	}
-	return answers >= permission.Majority(len(c.members)+1)
+	return answers >= lease.Majority(len(c.members)+1)
 }
 
 // removeRow removes a row that has not changed.
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 // errUnknownGroup says that the host has not learned of the group yet. It then has
@@ -35,7 +36,7 @@
 	}
 	deadline := time.Now().Add(r.Grace)
 	for g.primaryUses() > 0 && time.Now().Before(deadline) {
-		sleep(gw.ctx, 5*time.Millisecond)
+		wait.For(gw.ctx, 5*time.Millisecond)
 	}
 	g.closePrimaryUses()
 	return reply, nil
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -10,6 +10,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 const (
@@ -34,7 +35,7 @@
 	list := true
 	for ctx.Err() == nil {
 		if !c.shouldRead(name) {
-			sleep(ctx, feedPoll)
+			wait.For(ctx, feedPoll)
 			continue
 		}
 		c.gw.metrics.Inc(metrics.StoreReads)
@@ -53,7 +54,7 @@
 			continue
 		}
 		c.gw.events.log.Warn().Str("table", string(name)).Err(err).Msg("store did not answer")
-		sleep(ctx, pause/2+rand.N(pause))
+		wait.For(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, lastPause)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 // Config configures a Gateway.
@@ -68,7 +69,7 @@
 	permittedUntil atomic.Int64
 
 	sessions sessionSet
-	leases   leases
+	leases   relayLeases
 	// drains is true once the host has begun to stop.
 	drains atomic.Bool
 }
@@ -82,7 +83,7 @@
 		events: newEvents(cfg.Log),
 	}
 	gw.sessions.open = make(map[*sessionServer]bool)
-	gw.leases.open = make(map[uint64]*lease)
+	gw.leases.open = make(map[uint64]*relayLease)
 	gw.catalogNow.Store(&Catalog{})
 	gw.groupsNow.Store(&map[string]*group{})
 	gw.control = newControl(gw)
@@ -128,7 +129,7 @@
 func (gw *Gateway) awaitDatabase(c Caller) bool {
 	deadline := time.Now().Add(catalogWait)
 	for gw.catalog().Version == 0 && time.Now().Before(deadline) {
-		sleep(gw.ctx, recheck)
+		wait.For(gw.ctx, recheck)
 	}
 	_, ok := gw.database(c.Database())
 	return ok
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -8,6 +8,7 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 const (
@@ -34,7 +35,7 @@
 		}
 		// The row of an earlier run, or of a write whose answer was lost, is replaced
 		// under its version.
-		sleep(ctx, lastPause/4)
+		wait.For(ctx, lastPause/4)
 		if listing, _, err := c.gw.cfg.Store.List(ctx, TableState); err == nil {
 			expected = versionOf(listing, key)
 		}
--- a/internal/gateway/poll.go
+++ b/internal/gateway/poll.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/beryltrestle/beryltrestle/coord/permission"
+	"github.com/beryltrestle/beryltrestle/coord/lease"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
@@ -23,7 +23,7 @@
 // majority reports whether a majority of all hosts agrees: this one, those that
 // answered and those that do not run.
 func (p *poll) majority() bool {
-	return 1+len(p.replies)+p.stopped >= permission.Majority(p.asked+1)
+	return 1+len(p.replies)+p.stopped >= lease.Majority(p.asked+1)
 }
 
 // complete reports whether no host is left that may still use the primary.
--- a/internal/gateway/promote.go
+++ b/internal/gateway/promote.go
@@ -9,6 +9,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/succession"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 // promote chooses a successor and orders its promotion until one leads.
@@ -52,7 +53,7 @@
 		if !behind || time.Now().After(deadline) {
 			return target, nil
 		}
-		sleep(ctx, confirmPoll)
+		wait.For(ctx, confirmPoll)
 	}
 }
 
@@ -106,7 +107,7 @@
 			ch.c.do(func() { ch.c.lastNews = time.Time{} })
 			return nil
 		}
-		sleep(ctx, confirmPoll)
+		wait.For(ctx, confirmPoll)
 	}
 	return errNotLeading
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -47,16 +47,16 @@
 // ErrAnswerLost says that the holder of the connection lost the answer.
 var ErrAnswerLost = errors.New("the holder of the connection lost the answer")
 
-// leases holds the connections of transactions that other hosts run here.
-type leases struct {
+// relayLeases holds the connections of transactions that other hosts run here.
+type relayLeases struct {
 	mu   sync.Mutex
-	open map[uint64]*lease
+	open map[uint64]*relayLease
 }
 
-// lease is the connection of another host's open transaction.
-type lease struct {
+// relayLease is the connection of another host's open transaction.
+type relayLease struct {
 	conn *conn
-	// used is when the last request ended; zero while one runs.
+	// used is when the last request ended.
 	used time.Time
 }
 
@@ -162,7 +162,7 @@
 func (gw *Gateway) keepLease(id uint64, c *conn) {
 	gw.leases.mu.Lock()
 	defer gw.leases.mu.Unlock()
-	gw.leases.open[id] = &lease{conn: c, used: boottime.Now()}
+	gw.leases.open[id] = &relayLease{conn: c, used: boottime.Now()}
 }
 
 // expireLeases rolls back transactions that have rested too long.
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -12,6 +12,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/succession"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 const (
@@ -179,7 +180,7 @@
 		ch.demote(ctx)
 	}()
 	if !poll.complete() || ch.removedRecently() {
-		sleep(ctx, permission.Duration-boottime.Now().Sub(poll.majorityAt))
+		wait.For(ctx, permission.Duration-boottime.Now().Sub(poll.majorityAt))
 	}
 	<-demoted
 	return nil
--- a/internal/gateway/session_set.go
+++ b/internal/gateway/session_set.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 // sessionSet holds the open sessions, for a stop that interrupts none of their
@@ -92,13 +94,13 @@
 	began := time.Now()
 	gw.drains.Store(true)
 	gw.control.leave()
-	sleep(gw.ctx, rotationTime)
+	wait.For(gw.ctx, rotationTime)
 	gw.sessions.close(false)
 	for gw.sessions.count() > 0 && time.Since(began) < gw.cfg.Grace-stopReserve {
 		if time.Since(began) >= gw.cfg.Grace/2 {
 			gw.sessions.close(true)
 		}
-		sleep(gw.ctx, drainPoll)
+		wait.For(gw.ctx, drainPoll)
 	}
 	// The row goes last: a host that replaces a primary asks the listed hosts only.
 	gw.control.unregister()
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -8,6 +8,7 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 const (
@@ -173,9 +174,9 @@
 	switch {
 	case a.err == nil && a.reply.Code == CodeReadOnly:
 		s.gateway.notPrimary(t)
-		sleep(ctx, recheck)
+		wait.For(ctx, recheck)
 	case n.primary && (a.err != nil || a.reply.Code == CodeBusy):
-		sleep(ctx, busyPause)
+		wait.For(ctx, busyPause)
 	}
 	s.gateway.metrics.Inc(retryReason(a))
 	s.gateway.events.retry(id, s.db.Name, t, a)
@@ -221,16 +222,6 @@
 	return s.failed(code, s.gateway.hint(reason))
 }
 
-// sleep waits, unless the context ends before.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // isTimeout reports whether the answer did not come in time.
 func isTimeout(err error) bool {
 	var timeout interface{ Timeout() bool }
--- a/internal/manifeststore/apply.go
+++ b/internal/manifeststore/apply.go
@@ -10,6 +10,7 @@
 
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
 	"github.com/beryltrestle/beryltrestle/internal/platform"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 // applyTimeout bounds one apply, the resolution of lost answers included.
@@ -117,7 +118,7 @@
 		if settled {
 			return result, resolveErr
 		}
-		if !sleep(ctx, backoff) {
+		if !wait.For(ctx, backoff) {
 			return Result{}, a.unsettled(errors.CombineErrors(err, resolveErr))
 		}
 		backoff = min(2*backoff, maxBackoff)
--- a/internal/manifeststore/retry.go
+++ b/internal/manifeststore/retry.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/beryltrestle/beryltrestle/internal/platform"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 // Retries of requests that can be repeated without harm.
@@ -29,21 +30,9 @@
 	backoff := firstBackoff
 	for n := 1; ; n++ {
 		final, err := f()
-		if final || n == attempts || !sleep(ctx, backoff) {
+		if final || n == attempts || !wait.For(ctx, backoff) {
 			return err
 		}
 		backoff *= 2
 	}
 }
-
-// sleep waits and reports false if ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/measure/scenarios.go
+++ b/internal/measure/scenarios.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 const (
@@ -64,14 +66,14 @@
 		}
 	},
 	during: func(ctx context.Context, sys System, o Options, _ *runner) error {
-		if !pause(ctx, o.Unit) {
+		if !wait.For(ctx, o.Unit) {
 			return ctx.Err()
 		}
 		restore, err := sys.FailPrimary(ctx, o.Deployment.Pools[0])
 		if err != nil {
 			return err
 		}
-		pause(ctx, 3*o.Unit)
+		wait.For(ctx, 3*o.Unit)
 		restore()
 		return nil
 	},
@@ -108,15 +110,6 @@
 	return map[string]float64{kindBooking: base, kindLookup: lookupShare * base}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // longestGap returns the longest time, in milliseconds, without an answer of the
 // kind on the first pool. The last gap ends at the end of the load.
 func longestGap(outcomes []outcome, kind string, from, to time.Duration) *float64 {
--- a/internal/owner/conn_pool.go
+++ b/internal/owner/conn_pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/beryltrestle/beryltrestle/internal/manifest"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/socket"
 )
 
 // reservedConns are left to the control connections of this and other daemons.
@@ -97,7 +98,7 @@
 }
 
 func (p *connPool) usable(c *conn) bool {
-	if alive(c.nc) {
+	if socket.Alive(c.nc) {
 		return true
 	}
 	p.discard(c)
--- a/internal/owner/drain.go
+++ b/internal/owner/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 // drainPoll is how often a drain looks whether the work has ended.
@@ -60,7 +62,7 @@
 
 func waitUntil(ctx context.Context, cond func() bool) error {
 	for !cond() {
-		sleep(ctx, drainPoll)
+		wait.For(ctx, drainPoll)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
--- a/internal/owner/poller.go
+++ b/internal/owner/poller.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/internal/control"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 const (
@@ -61,7 +62,7 @@
 		} else {
 			pause = min(2*pause, pollPauseMax)
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 }
 
@@ -103,12 +104,3 @@
 	}
 	return moved
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/owner/request.go
+++ b/internal/owner/request.go
@@ -11,6 +11,7 @@
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 	"github.com/beryltrestle/beryltrestle/internal/peer"
 	"github.com/beryltrestle/beryltrestle/internal/statement"
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 // request is one request from its arrival to its outcome.
@@ -134,13 +135,13 @@
 		if ref != nil || r.info.ReadOnly {
 			return grant, ref
 		}
-		wait := r.g.untilConfirm(time.Now())
-		if wait <= 0 {
+		until := r.g.untilConfirm(time.Now())
+		if until <= 0 {
 			return grant, nil
 		}
 		r.g.release(grant, 0, false)
 		r.g.end()
-		sleep(ctx, wait)
+		wait.For(ctx, until)
 	}
 }
 
--- a/internal/owner/alive.go
+++ b/internal/socket/alive.go
@@ -1,14 +1,15 @@
-package owner
+// Package socket looks at the state of open sockets.
+package socket
 
 import (
 	"net"
 	"syscall"
 )
 
-// alive reports whether the idle connection is still open and has nothing to
+// Alive reports whether the idle connection is still open and has nothing to
 // read. A connection that the endpoint closed meanwhile would otherwise leave
 // the outcome of the next write unknown.
-func alive(nc net.Conn) bool {
+func Alive(nc net.Conn) bool {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return true
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,19 @@
+// Package wait pauses a goroutine.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d. It returns false if ctx ended first.
+func For(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
