Run a request on a connection in one place; give relayed connections their own type

begin, run and end stood together in seven places, with the position that end needs copied from the request; pool.run holds them now, and sessionServer.send the record of a lost answer. pool.hold is gone: the mark that it set was still set by begin. A relayed connection implemented Send and Receive only to refuse them; Conn is what both kinds share. gw.now and notPrimary only renamed a call. No behaviour changes.

--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -67,20 +67,10 @@
 	return reply, nil
 }
 
-// Send implements gateway.EndpointConn; relayed requests go through Run.
-func (r *relayConn) Send(time.Time, ...gateway.Request) error {
-	return errors.AssertionFailedf("a relayed connection only runs whole requests")
-}
-
-// Receive implements gateway.EndpointConn; relayed requests go through Run.
-func (r *relayConn) Receive(time.Time) (gateway.Reply, error) {
-	return gateway.Reply{}, errors.AssertionFailedf("a relayed connection only runs whole requests")
-}
-
-// Alive implements gateway.EndpointConn.
+// Alive implements gateway.Conn.
 func (r *relayConn) Alive() bool { return true }
 
-// Close implements gateway.EndpointConn. The holder is told to roll back an open
+// Close implements gateway.Conn. The holder is told to roll back an open
 // transaction; if that fails, it does so when the transaction has rested too long.
 func (r *relayConn) Close() error {
 	r.cancel()
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -14,7 +14,8 @@
 // conn is a pooled connection with what it holds of session state. Between
 // checkout and release it belongs to one session.
 type conn struct {
-	EndpointConn
+	// Conn is a RelayConn or an EndpointConn.
+	Conn
 	target *target
 	state  *session.ConnState
 	// since is when the statement in flight was sent; zero if there is none. It is
@@ -35,14 +36,14 @@
 	if execute {
 		r.Alias = prepared.Alias()
 	}
-	if relay, ok := c.EndpointConn.(RelayConn); ok {
+	if relay, ok := c.Conn.(RelayConn); ok {
 		return c.runRelayed(relay, deadline, s, prepared, execute, r)
 	}
 	replay := c.state.Adopt(s, inTransaction)
 	if execute {
 		replay = append(replay, c.state.Need(prepared)...)
 	}
-	reply, err := c.call(deadline, replay, r)
+	reply, err := c.call(c.Conn.(EndpointConn), deadline, replay, r)
 	if err == nil && execute && reply.Code == CodeNoStatement {
 		c.state.Forget(prepared)
 	}
@@ -64,19 +65,19 @@
 
 // call replays the statements, sends the request, and returns its answer. An
 // error means that the request may have run, unless nothing was sent.
-func (c *conn) call(deadline time.Time, replay []session.Statement, r Request) (Reply, error) {
+func (c *conn) call(own EndpointConn, deadline time.Time, replay []session.Statement, r Request) (Reply, error) {
 	requests := make([]Request, 0, len(replay)+1)
 	for _, st := range replay {
 		requests = append(requests, Request{Statement: st})
 	}
 	requests = append(requests, r)
-	if err := c.Send(deadline, requests...); err != nil {
+	if err := own.Send(deadline, requests...); err != nil {
 		c.broken = true
 		return Reply{}, err
 	}
 	var refused error
 	for range replay {
-		reply, err := c.Receive(deadline)
+		reply, err := own.Receive(deadline)
 		if err != nil {
 			c.broken = true
 			return Reply{}, err
@@ -85,7 +86,7 @@
 			refused = errors.Wrapf(errReplay, "%s", reply.Detail)
 		}
 	}
-	reply, err := c.Receive(deadline)
+	reply, err := own.Receive(deadline)
 	if err == nil {
 		err = refused
 	}
--- a/internal/gateway/endpoint_conn.go
+++ b/internal/gateway/endpoint_conn.go
@@ -17,17 +17,22 @@
 	After logpos.Position
 }
 
-// EndpointConn is a connection to an endpoint. Requests are answered in order.
-// Only Close may be called while another call runs.
+// Conn is a connection to an endpoint, of this host or of another. Only Close may
+// be called while another call runs.
+type Conn interface {
+	// Alive reports whether the idle connection is neither closed by the endpoint
+	// nor holds unexpected data.
+	Alive() bool
+	Close() error
+}
+
+// EndpointConn is a connection of this host. Requests are answered in order.
 type EndpointConn interface {
+	Conn
 	// Send writes the requests at once.
 	Send(deadline time.Time, requests ...Request) error
 	// Receive returns the answer to the oldest request without one.
 	Receive(deadline time.Time) (Reply, error)
-	// Alive reports whether the idle connection is neither closed by the endpoint
-	// nor holds unexpected data.
-	Alive() bool
-	Close() error
 }
 
 // Dialer opens connections to endpoints.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -6,10 +6,9 @@
 	"github.com/rs/zerolog"
 )
 
-const (
-	// lines a second; the rest is only counted.
-	requestLines = 50
-)
+// requestLines bounds the log lines about single requests, in lines a second; the
+// rest is only counted.
+const requestLines = 50
 
 // events writes the log lines of decisions. Lines about requests are limited, so
 // that an overload does not turn into work for the log.
@@ -37,7 +36,12 @@
 }
 
 // lostAnswer records a statement that was sent and whose answer did not come.
+// The proxy's own statements have no ID; what depends on them is logged by their
+// callers.
 func (e *events) lostAnswer(id, database string, t *target, after time.Duration, err error) {
+	if id == "" {
+		return
+	}
 	e.request.Info().Str("request", id).Str("database", database).Str("endpoint", t.ID).
 		Dur("waited_ms", after).Err(err).Msg("answer lost")
 }
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -290,7 +290,6 @@
 
 // fakeRelay is a connection through another host.
 type fakeRelay struct {
-	gateway.EndpointConn
 	peers    *fakePeers
 	address  string
 	endpoint gateway.Endpoint
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,9 +147,6 @@
 // group returns a group, or nil.
 func (gw *Gateway) group(name string) *group { return (*gw.groupsNow.Load())[name] }
 
-// now returns the time for all decisions.
-func (gw *Gateway) now() time.Time { return boottime.Now() }
-
 // permitted reports whether this host may use primaries at the time.
 func (gw *Gateway) permitted(now time.Time) bool {
 	return now.UnixNano() < gw.permittedUntil.Load()
@@ -191,9 +188,6 @@
 	gw.control.suspect(t)
 }
 
-// notPrimary records that the endpoint refused a write.
-func (gw *Gateway) notPrimary(t *target) { gw.control.suspect(t) }
-
 // Times after which a caller should come back, by what it waits for.
 const (
 	// returnAfterBusy is about the time that a full endpoint queue takes to drain.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -149,7 +149,7 @@
 		p.dialFailed(t, err)
 		return nil, errors.WithSecondaryError(errEndpointDown, err)
 	}
-	c := &conn{EndpointConn: raw, target: t, state: session.NewConnState()}
+	c := &conn{Conn: raw, target: t, state: session.NewConnState()}
 	t.group.mu.Lock()
 	t.opening--
 	t.conns[c] = true
@@ -164,7 +164,7 @@
 }
 
 // dial opens a connection to the endpoint, or through one of its holders.
-func (p *pool) dial(ctx context.Context, t *target) (EndpointConn, error) {
+func (p *pool) dial(ctx context.Context, t *target) (Conn, error) {
 	t.group.mu.Lock()
 	e, relayed, holders := t.Endpoint, t.relayed, t.holders
 	t.group.mu.Unlock()
@@ -261,6 +261,17 @@
 	}
 }
 
+// run runs the request on the connection for a session, and records what its answer
+// shows of the endpoint. primary marks work that needs the primary; the connection
+// keeps the mark until it is released. It also returns how long the answer was
+// awaited.
+func (p *pool) run(c *conn, primary bool, deadline time.Time, s *session.State, inTransaction bool, r Request) (Reply, time.Duration, error) {
+	began := p.begin(c, primary)
+	reply, err := c.run(deadline, s, inTransaction, r)
+	p.end(c, began, &reply, err, r.After)
+	return reply, boottime.Now().Sub(began), err
+}
+
 // begin marks a statement as sent on the connection.
 func (p *pool) begin(c *conn, primary bool) time.Time {
 	now := boottime.Now()
@@ -300,11 +311,3 @@
 	}
 	t.lag.Observe(now, reply.Position, g.staleness)
 }
-
-// hold marks a connection as held by an open transaction.
-func (p *pool) hold(c *conn, primary bool) {
-	g := c.target.group
-	g.mu.Lock()
-	c.primaryUse = primary
-	g.mu.Unlock()
-}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -15,7 +15,7 @@
 // RelayConn is a connection to an endpoint that another host holds. That host
 // replays session state, so requests carry it.
 type RelayConn interface {
-	EndpointConn
+	Conn
 	Run(deadline time.Time, w RelayWork) (Reply, error)
 }
 
@@ -88,10 +88,8 @@
 	if w.Prepared != nil {
 		state.Prepare(w.Request.Name, w.Prepared.Definition, w.Prepared.Writes)
 	}
-	began := gw.pool.begin(c, w.Primary)
 	deadline, _ := ctx.Deadline()
-	reply, err := c.run(deadline, state, held != nil, w.Request)
-	gw.pool.end(c, began, &reply, err, w.Request.After)
+	reply, _, err := gw.pool.run(c, w.Primary, deadline, state, held != nil, w.Request)
 	if err != nil {
 		gw.lost(c, err)
 		gw.pool.release(c)
@@ -101,7 +99,6 @@
 		gw.pool.release(c)
 		return reply, nil
 	}
-	gw.pool.hold(c, w.Primary)
 	gw.keepLease(w.Lease, c)
 	return reply, nil
 }
@@ -110,7 +107,7 @@
 // run here.
 func (gw *Gateway) relayConn(ctx context.Context, held *conn, w RelayWork) (*conn, *Reply) {
 	if held != nil {
-		if w.Primary && !held.target.group.leads(gw.now(), held.target) {
+		if w.Primary && !held.target.group.leads(boottime.Now(), held.target) {
 			held.broken = true
 			gw.pool.release(held)
 			return nil, &Reply{Code: CodeAborted, Detail: "the endpoint may have been replaced as primary", State: TxFailed}
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
@@ -86,7 +87,7 @@
 func (s *sessionServer) pick(ctx context.Context, g *group, n need) (choice, bool) {
 	for {
 		g.mu.Lock()
-		at := g.choose(s.gateway.now(), n)
+		at := g.choose(boottime.Now(), n)
 		changed := g.changed
 		g.mu.Unlock()
 		if at.target != nil {
@@ -111,22 +112,24 @@
 	if err != nil {
 		return attempt{err: err, at: at}
 	}
-	began := s.gateway.pool.begin(c, primary)
-	reply, err := c.run(s.patience(ctx, st), s.state, false, Request{Statement: st, After: at.after})
-	s.gateway.pool.end(c, began, &reply, err, at.after)
-	if err != nil {
-		s.gateway.lost(c, err)
-	}
-	if err != nil {
-		s.gateway.events.lostAnswer(st.ID, s.db.Name, at.target, s.gateway.now().Sub(began), err)
-	}
-	if err == nil && reply.OK() && st.Writes && !at.target.group.leads(s.gateway.now(), at.target) {
+	reply, err := s.send(c, primary, s.patience(ctx, st), false, Request{Statement: st, After: at.after})
+	if err == nil && reply.OK() && st.Writes && !at.target.group.leads(boottime.Now(), at.target) {
 		err = errDeposed
 	}
 	s.gateway.pool.release(c)
 	return attempt{reply: reply, sent: !errors.Is(err, ErrNotSent), err: err, at: at}
 }
 
+// send runs the request on the connection, and records a lost answer.
+func (s *sessionServer) send(c *conn, primary bool, deadline time.Time, inTransaction bool, r Request) (Reply, error) {
+	reply, waited, err := s.gateway.pool.run(c, primary, deadline, s.state, inTransaction, r)
+	if err != nil {
+		s.gateway.events.lostAnswer(r.ID, s.db.Name, c.target, waited, err)
+		s.gateway.lost(c, err)
+	}
+	return reply, err
+}
+
 // patience returns until when the answer is awaited.
 func (s *sessionServer) patience(ctx context.Context, st session.Statement) time.Time {
 	end, _ := ctx.Deadline()
@@ -173,7 +176,7 @@
 	n.avoid[t.ID] = true
 	switch {
 	case a.err == nil && a.reply.Code == CodeReadOnly:
-		s.gateway.notPrimary(t)
+		s.gateway.control.suspect(t)
 		wait.For(ctx, recheck)
 	case n.primary && (a.err != nil || a.reply.Code == CodeBusy):
 		wait.For(ctx, busyPause)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -18,8 +18,8 @@
 // errNoStatus says that the endpoint shed the status request; it is alive.
 var errNoStatus = errors.New("the endpoint had no room for a status request")
 
-// control requests to one endpoint use a connection beyond the sessions' share,
-// since all of that may be held by statements without an answer.
+// controlConn returns a connection for the proxy's own statements, beyond the
+// sessions' share, since all of that may be held by statements without an answer.
 func (p *pool) controlConn(ctx context.Context, t *target) (*conn, error) {
 	g := t.group
 	g.mu.Lock()
@@ -41,10 +41,9 @@
 	if err != nil {
 		return Status{}, err
 	}
-	began := p.begin(c, false)
+	began := boottime.Now()
 	deadline, _ := ctx.Deadline()
-	reply, err := c.run(deadline, session.New(), true, Request{Statement: st})
-	p.end(c, began, &reply, err, Request{}.After)
+	reply, _, err := p.run(c, false, deadline, session.New(), true, Request{Statement: st})
 	p.release(c)
 	if err != nil {
 		g := t.group
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
@@ -84,19 +84,13 @@
 	if s.state.Transaction().ReadOnly {
 		op = session.OpBeginRead
 	}
-	began := s.gateway.pool.begin(c, primary)
 	end, _ := ctx.Deadline()
-	reply, err := c.run(end, s.state, false, Request{Statement: session.Statement{Op: op}, After: at.after})
-	s.gateway.pool.end(c, began, &reply, err, at.after)
+	reply, err := s.send(c, primary, end, false, Request{Statement: session.Statement{Op: op}, After: at.after})
 	if err != nil || !reply.OK() {
-		if err != nil {
-			s.gateway.lost(c, err)
-		}
 		s.gateway.pool.release(c)
 		// No statement of the caller has been sent.
 		return attempt{reply: reply, err: err, at: at}
 	}
-	s.gateway.pool.hold(c, primary)
 	s.pinned = c
 	return attempt{reply: reply, sent: true, at: at}
 }
@@ -114,21 +108,16 @@
 func (s *sessionServer) runPinned(ctx context.Context, st session.Statement) Reply {
 	c := s.pinned
 	tx := s.state.Transaction()
-	if !tx.ReadOnly && !c.target.group.leads(s.gateway.now(), c.target) {
+	if !tx.ReadOnly && !c.target.group.leads(boottime.Now(), c.target) {
 		return s.deposed()
 	}
-	began := s.gateway.pool.begin(c, !tx.ReadOnly)
 	end, _ := ctx.Deadline()
-	reply, err := c.run(end, s.state, true, Request{Statement: st})
-	s.gateway.pool.end(c, began, &reply, err, logpos.Position{})
+	reply, err := s.send(c, !tx.ReadOnly, end, true, Request{Statement: st})
 	if err != nil {
 		s.pinned = nil
-		s.gateway.events.lostAnswer(st.ID, s.db.Name, c.target, s.gateway.now().Sub(began), err)
-		s.gateway.lost(c, err)
 		s.gateway.pool.release(c)
 		return s.refuse(CodeAborted, metrics.RefusedTransactionLost)
 	}
-	s.gateway.pool.hold(c, !tx.ReadOnly)
 	tx.Wrote = tx.Wrote || st.Writes
 	tx.Failed = reply.State == TxFailed
 	if reply.State == TxIdle {
@@ -195,7 +184,7 @@
 	c := s.pinned
 	tx := s.state.Transaction()
 	wrote := tx.Wrote
-	if !tx.ReadOnly && !c.target.group.leads(s.gateway.now(), c.target) {
+	if !tx.ReadOnly && !c.target.group.leads(boottime.Now(), c.target) {
 		reply := s.deposed()
 		s.state.End()
 		reply.State = TxIdle
@@ -203,20 +192,16 @@
 	}
 	s.pinned = nil
 	s.state.End()
-	began := s.gateway.pool.begin(c, !tx.ReadOnly)
 	end, _ := ctx.Deadline()
-	reply, err := c.run(end, s.state, true, Request{Statement: st})
-	s.gateway.pool.end(c, began, &reply, err, logpos.Position{})
+	reply, err := s.send(c, !tx.ReadOnly, end, true, Request{Statement: st})
 	if err != nil {
-		s.gateway.events.lostAnswer(st.ID, s.db.Name, c.target, s.gateway.now().Sub(began), err)
-		s.gateway.lost(c, err)
 		s.gateway.pool.release(c)
 		if !wrote {
 			return s.refuse(CodeAborted, metrics.RefusedTransactionLost)
 		}
 		return s.unknown(err)
 	}
-	if wrote && reply.OK() && !c.target.group.leads(s.gateway.now(), c.target) {
+	if wrote && reply.OK() && !c.target.group.leads(boottime.Now(), c.target) {
 		s.gateway.pool.release(c)
 		return s.unknown(errDeposed)
 	}
@@ -235,10 +220,8 @@
 // rollbackOn ends what is open on the connection and returns it to the pool.
 func (gw *Gateway) rollbackOn(c *conn) {
 	if !c.broken {
-		began := gw.pool.begin(c, false)
 		rollback := Request{Statement: session.Statement{Op: session.OpRollback}}
-		reply, err := c.run(time.Now().Add(rollbackTimeout), session.New(), true, rollback)
-		gw.pool.end(c, began, &reply, err, logpos.Position{})
+		reply, _, err := gw.pool.run(c, false, time.Now().Add(rollbackTimeout), session.New(), true, rollback)
 		if err != nil || reply.State != TxIdle {
 			c.broken = true
 		}
