Decode entries once, rank hosts only where it decides, and drop what stood twice

Work in the wrong place: every host decoded all endpoints' rows twice a second and ordered all hosts once for each endpoint then, and once for each group every 50 ms although nothing was wrong. Written twice: the refusal of an unknown database, the search in a listing, the removal of a row, the take-over of a listing, closing a pooled connection, positions in messages, the operators' handler, the split in two tests. Unused: a claim's time, a holder's name.

--- a/coord/succession/decide.go
+++ b/coord/succession/decide.go
@@ -66,14 +66,20 @@
 	Successors int
 }
 
+// Settled reports whether no condition holds, so that Decide returns ReasonNone
+// whatever the rank is.
+func (v View) Settled() bool {
+	return v.DrainingSince.IsZero() && v.UnreachableSince.IsZero() && v.LostSince.IsZero() && v.FencedAt.IsZero()
+}
+
 // Decide returns why this host should replace the primary now.
 func Decide(v View) Reason {
-	if v.Successors == 0 || since(v.Now, v.GaveUpAt) < Cooldown && !v.GaveUpAt.IsZero() {
+	if v.Successors == 0 || v.Settled() || !v.GaveUpAt.IsZero() && v.Now.Sub(v.GaveUpAt) < Cooldown {
 		return ReasonNone
 	}
 	turn := time.Duration(v.Rank) * RankDelay
 	if !v.FencedAt.IsZero() {
-		if v.Holder || since(v.Now, v.FencedAt) >= StalledFence+turn {
+		if v.Holder || holds(v.Now, v.FencedAt, StalledFence+turn) {
 			return ReasonStalled
 		}
 		return ReasonNone
@@ -97,6 +103,3 @@
 func holds(now, since time.Time, least time.Duration) bool {
 	return !since.IsZero() && now.Sub(since) >= least
 }
-
-// since returns the age of a time.
-func since(now, at time.Time) time.Duration { return now.Sub(at) }
--- a/coord/succession/succession_test.go
+++ b/coord/succession/succession_test.go
@@ -43,6 +43,17 @@
 	}
 }
 
+// Guards against a rank that is not asked for although it decides.
+func TestOnlySettledViewsNeedNoRank(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(succession.View{Now: now, Successors: 2, GaveUpAt: ago(time.Minute)}.Settled()).To(BeTrue())
+	for _, v := range []succession.View{
+		{DrainingSince: now}, {UnreachableSince: now}, {LostSince: now}, {FencedAt: now},
+	} {
+		g.Expect(v.Settled()).To(BeFalse())
+	}
+}
+
 // Guards against acknowledged commits that are lost although a replica holds
 // them, and against a successor that leaves at once.
 func TestChooseTheFurthestLog(t *testing.T) {
--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -24,7 +24,7 @@
 	for _, g := range n.Groups {
 		out.Groups = append(out.Groups, &fleetv1.GroupNews{
 			Group: g.Group, Term: g.Term, Primary: g.Primary, Fence: encodeFence(g.Fence), AgeUs: g.Age.Microseconds(),
-			Position: &fleetv1.Position{Term: g.Position.Term, Offset: g.Position.Offset},
+			Position: encodePosition(g.Position),
 		})
 	}
 	for _, t := range n.Tables {
@@ -57,7 +57,7 @@
 	for _, g := range m.GetGroups() {
 		out.Groups = append(out.Groups, gateway.GroupNews{
 			Group: g.GetGroup(), Term: g.GetTerm(), Primary: g.GetPrimary(), Fence: decodeFence(g.GetFence()),
-			Position: logpos.Position{Term: g.GetPosition().GetTerm(), Offset: g.GetPosition().GetOffset()},
+			Position: decodePosition(g.GetPosition()),
 			Age:      time.Duration(g.GetAgeUs()) * time.Microsecond,
 		})
 	}
@@ -85,3 +85,13 @@
 func decodeFence(m *fleetv1.Fence) gateway.FenceState {
 	return gateway.FenceState{Term: m.GetTerm(), Version: m.GetVersion(), Withdrawn: m.GetWithdrawn()}
 }
+
+// encodePosition turns a position into its message.
+func encodePosition(p logpos.Position) *fleetv1.Position {
+	return &fleetv1.Position{Term: p.Term, Offset: p.Offset}
+}
+
+// decodePosition reads the message of a position.
+func decodePosition(m *fleetv1.Position) logpos.Position {
+	return logpos.Position{Term: m.GetTerm(), Offset: m.GetOffset()}
+}
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -8,7 +8,6 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
-	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
 	fleetv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/fleet/v1"
@@ -100,7 +99,7 @@
 		Lease: w.Lease, Group: w.Group, Endpoint: w.Endpoint, Values: w.Values,
 		Id: w.Request.ID, Text: w.Request.Text, Op: uint32(w.Request.Op), Name: w.Request.Name,
 		Args: w.Request.Args, Writes: w.Request.Writes, Primary: w.Primary, Continues: w.Continues, TimeoutUs: w.Timeout.Microseconds(),
-		After: &fleetv1.Position{Term: w.Request.After.Term, Offset: w.Request.After.Offset},
+		After: encodePosition(w.Request.After),
 	}
 	if w.Prepared != nil {
 		out.Prepared, out.PreparedWrites = w.Prepared.Definition, w.Prepared.Writes
@@ -118,7 +117,7 @@
 				ID: m.GetId(), Text: m.GetText(), Op: session.Op(m.GetOp()),
 				Name: m.GetName(), Args: m.GetArgs(), Writes: m.GetWrites(),
 			},
-			After: logpos.Position{Term: m.GetAfter().GetTerm(), Offset: m.GetAfter().GetOffset()},
+			After: decodePosition(m.GetAfter()),
 		},
 	}
 	if m.GetPrepared() != "" {
@@ -131,7 +130,7 @@
 func encodeReply(r gateway.Reply) *fleetv1.RelayResponse {
 	return &fleetv1.RelayResponse{
 		Rows: r.Rows, Signature: r.Signature, Code: uint32(r.Code), RawCode: r.RawCode, Detail: r.Detail,
-		State: uint32(r.State), Position: &fleetv1.Position{Term: r.Position.Term, Offset: r.Position.Offset},
+		State: uint32(r.State), Position: encodePosition(r.Position),
 	}
 }
 
@@ -140,6 +139,6 @@
 	return gateway.Reply{
 		Rows: m.GetRows(), Signature: m.GetSignature(), Code: gateway.Code(m.GetCode()),
 		RawCode: m.GetRawCode(), Detail: m.GetDetail(), State: gateway.TxState(m.GetState()),
-		Position: logpos.Position{Term: m.GetPosition().GetTerm(), Offset: m.GetPosition().GetOffset()},
+		Position: decodePosition(m.GetPosition()),
 	}
 }
--- a/internal/gateway/claim.go
+++ b/internal/gateway/claim.go
@@ -53,19 +53,17 @@
 		return claimRecord{}, 0, err
 	}
 	// The hosts that are asked next must include every host that is listed now.
-	ch.c.ask(func() { ch.c.changed(TableState, ch.c.tables[TableState].Replace(listing, listed)) })
-	for _, r := range listing {
-		if r.Key != key {
-			continue
-		}
-		claim, err := decodeRecord[claimRecord](r)
-		if err != nil {
-			// A claim that cannot be read is replaced under its version.
-			return claimRecord{}, r.Version, nil
-		}
-		return claim, r.Version, nil
+	ch.c.ask(func() { ch.c.listing(TableState, listing, listed) })
+	r := findRow(listing, key)
+	if r.Version == 0 {
+		return claimRecord{}, 0, nil
 	}
-	return claimRecord{}, 0, nil
+	claim, err := decodeRecord[claimRecord](r)
+	if err != nil {
+		// A claim that cannot be read is replaced under its version.
+		return claimRecord{}, r.Version, nil
+	}
+	return claim, r.Version, nil
 }
 
 // renew writes the claim again under its version, which fails if another host has
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -17,7 +17,8 @@
 // old. Whole listings are read, since a feed may miss changes when the store drops
 // its history.
 func (c *control) readClaims(now time.Time) {
-	if c.reading || now.Sub(c.asOf[TableState]) < claimsPatience.of(c.rankAmong(now, readersGroup)) {
+	rank := func() int { return c.rankAmong(now, readersGroup) }
+	if c.reading || !claimsPatience.due(now.Sub(c.asOf[TableState]), rank) {
 		return
 	}
 	c.reading = true
@@ -35,7 +36,7 @@
 			if err != nil {
 				return
 			}
-			c.changed(TableState, c.tables[TableState].Replace(listing, version))
+			c.listing(TableState, listing, version)
 			c.complete(TableState, now)
 		})
 	}()
--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/lease"
@@ -35,7 +34,7 @@
 			continue
 		}
 		c.gw.events.log.Info().Str("member", name).Dur("silent_ms", now.Sub(m.heard)).Msg("removing the row of a silent host")
-		go c.removeRow(r.Key, r.Version)
+		go c.remove(r.Key, r.Version, writeTimeout)
 	}
 }
 
@@ -50,12 +49,3 @@
 	}
 	return answers >= lease.Majority(len(c.members)+1)
 }
-
-// removeRow removes a row that has not changed.
-func (c *control) removeRow(key string, version uint64) {
-	ctx, cancel := context.WithTimeout(c.gw.ctx, writeTimeout)
-	defer cancel()
-	if err := c.gw.cfg.Store.Delete(ctx, TableState, key, version); err != nil {
-		c.gw.events.log.Warn().Str("row", key).Err(err).Msg("row was not removed")
-	}
-}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -35,8 +35,8 @@
 	// listed is true once the endpoints' table has been read.
 	listed  bool
 	watches map[string]*watch
-	// unread holds the versions of the entries that could not be read.
-	unread   map[string]uint64
+	// entries holds the decoded rows of the endpoints' table.
+	entries  map[string]entry
 	lastTick time.Time
 	lastNews time.Time
 	// round counts the rounds of news.
@@ -59,7 +59,7 @@
 	c := &control{
 		gw: gw, calls: make(chan func(), 256), incarnation: rand.Uint64() >> 1,
 		tables: make(map[TableName]*rows.Table), members: make(map[string]*member),
-		watches: make(map[string]*watch), asOf: make(map[TableName]time.Time), unread: make(map[string]uint64),
+		watches: make(map[string]*watch), asOf: make(map[TableName]time.Time),
 	}
 	for _, name := range Tables {
 		c.tables[name] = rows.NewTable()
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/beryltrestle/beryltrestle/coord/placement"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
@@ -34,12 +35,7 @@
 func (c *control) endpointsChanged() {
 	catalog := c.gw.catalog()
 	listed := make(map[string]map[string]Endpoint)
-	for _, r := range c.tables[TableEndpoints].Live() {
-		e, err := c.gw.cfg.Decoder.Endpoint(r)
-		if err != nil {
-			c.unreadable(r, err)
-			continue
-		}
+	for _, e := range c.readable() {
 		if _, ok := catalog.Groups[e.Group]; !ok {
 			continue
 		}
@@ -48,6 +44,8 @@
 		}
 		listed[e.Group][e.ID] = e
 	}
+	now := boottime.Now()
+	hosts := c.liveHosts(now)
 	groups := maps.Clone(*c.gw.groupsNow.Load())
 	var created []string
 	for name, config := range catalog.Groups {
@@ -58,7 +56,7 @@
 			c.watches[name] = newWatch()
 			created = append(created, name)
 		}
-		c.updateGroup(g, config, listed[name])
+		c.updateGroup(now, g, config, listed[name], hosts)
 	}
 	c.gw.groupsNow.Store(&groups)
 	if len(created) > 0 {
@@ -75,19 +73,45 @@
 	}
 }
 
-// unreadable records an entry that cannot be read, once for each version.
-func (c *control) unreadable(r rows.Row, err error) {
-	if c.unread[r.Key] == r.Version {
-		return
+// entry is one version of a row of the endpoints' table.
+type entry struct {
+	version  uint64
+	endpoint Endpoint
+	// readable is false for rows that name no endpoint to use.
+	readable bool
+}
+
+// readable returns the endpoints of the rows that can be read. Each version of a
+// row is decoded once, and reported once if it cannot be read.
+func (c *control) readable() []Endpoint {
+	var out []Endpoint
+	entries := make(map[string]entry)
+	for _, r := range c.tables[TableEndpoints].Live() {
+		e, ok := c.entries[r.Key]
+		if !ok || e.version != r.Version {
+			e = c.decode(r)
+		}
+		entries[r.Key] = e
+		if e.readable {
+			out = append(out, e.endpoint)
+		}
+	}
+	c.entries = entries
+	return out
+}
+
+// decode reads a row of the endpoints' table.
+func (c *control) decode(r rows.Row) entry {
+	endpoint, err := c.gw.cfg.Decoder.Endpoint(r)
+	if err != nil {
+		c.gw.events.log.Warn().Str("endpoint", r.Key).Uint64("version", r.Version).Err(err).Msg("endpoint's entry cannot be read")
 	}
-	c.unread[r.Key] = r.Version
-	c.gw.events.log.Warn().Str("endpoint", r.Key).Uint64("version", r.Version).Err(err).Msg("endpoint's entry cannot be read")
+	return entry{version: r.Version, endpoint: endpoint, readable: err == nil}
 }
 
 // updateGroup adds, changes and removes the group's targets.
-func (c *control) updateGroup(g *group, config Group, listed map[string]Endpoint) {
+func (c *control) updateGroup(now time.Time, g *group, config Group, listed map[string]Endpoint, hosts []placement.Host) {
 	var survey, retired []*target
-	now := boottime.Now()
 	g.mu.Lock()
 	g.config = config
 	for id, e := range listed {
@@ -111,7 +135,7 @@
 			}
 			t.Endpoint = e
 		}
-		t.hold(c.holding(now, config, e))
+		t.hold(c.holding(hosts, config, e))
 		if !t.Draining {
 			t.drainingSince = now
 		}
@@ -156,9 +180,8 @@
 // closeIdle closes the connections that are not in use. The group's mutex must be
 // held.
 func (t *target) closeIdle() {
-	for _, idle := range t.idle {
-		delete(t.conns, idle)
-		idle.Close()
+	for _, c := range t.idle {
+		t.drop(c)
 	}
 	t.idle = nil
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -64,7 +64,7 @@
 	read := false
 	c.ask(func() {
 		now := boottime.Now()
-		read = now.Sub(c.asOf[name]) >= feedPatience.of(c.rankAmong(now, readersGroup))
+		read = feedPatience.due(now.Sub(c.asOf[name]), func() int { return c.rankAmong(now, readersGroup) })
 	})
 	return read
 }
@@ -79,10 +79,9 @@
 		return err
 	}
 	c.ask(func() {
-		c.complete(name, began)
-		changed := c.tables[name].Replace(listing, version)
 		c.listed = c.listed || name == TableEndpoints
-		c.changed(name, changed)
+		c.listing(name, listing, version)
+		c.complete(name, began)
 	})
 	return nil
 }
@@ -109,6 +108,11 @@
 	return nil
 }
 
+// listing takes a whole listing of the table.
+func (c *control) listing(name TableName, listing []rows.Row, version uint64) {
+	c.changed(name, c.tables[name].Replace(listing, version))
+}
+
 // merge takes changes from the store or from another host.
 func (c *control) merge(n TableNews) {
 	table, ok := c.tables[n.Table]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,7 +107,7 @@
 func (gw *Gateway) Serve(c Caller, welcome func() error) {
 	if !gw.awaitDatabase(c) {
 		gw.metrics.Inc(metrics.RefusedUnknownPool)
-		_ = c.Refuse(Reply{Code: CodeNoDatabase, Detail: "no database of this name is configured"})
+		_ = c.Refuse(noDatabase)
 		c.Close()
 		return
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -154,6 +154,16 @@
 	g.Expect(deposed).To(BeZero())
 }
 
+// splitOff cuts the hosts off from the others and from the first primary.
+func (f *fakeFleet) splitOff(hosts ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, host := range hosts {
+		f.side[host] = 1
+		f.group.setCut(host, "e1", true)
+	}
+}
+
 // Guards against the minority side of a split that promotes a replica while the
 // majority goes on at the primary (lindqvist-vev scale-1).
 func TestMinorityDoesNotPromote(t *testing.T) {
@@ -161,14 +171,7 @@
 	g := NewWithT(t)
 	f := startFleet(t, manyConnections, "h1", "h2", "h3", "h4", "h5")
 	writeUntilDone(t, f, "h5", time.Second)
-	f.mu.Lock()
-	for _, host := range []string{"h1", "h2"} {
-		f.side[host] = 1
-	}
-	f.mu.Unlock()
-	for _, host := range []string{"h1", "h2"} {
-		f.group.setCut(host, "e1", true)
-	}
+	f.splitOff("h1", "h2")
 	stop := time.Now().Add(4 * time.Second)
 	for time.Now().Before(stop) {
 		f.caller("h1", "strict").do(write("a", "minority"))
@@ -189,12 +192,7 @@
 	g := NewWithT(t)
 	f := startFleet(t, manyConnections, "h1", "h2", "h3", "h4", "h5")
 	writeUntilDone(t, f, "h5", time.Second)
-	f.mu.Lock()
-	f.side["h1"], f.side["h2"] = 1, 1
-	f.mu.Unlock()
-	for _, host := range []string{"h1", "h2"} {
-		f.group.setCut(host, "e1", true)
-	}
+	f.splitOff("h1", "h2")
 	for _, host := range []string{"h3", "h4", "h5"} {
 		f.store.setAway(host, true)
 	}
--- a/internal/gateway/holder.go
+++ b/internal/gateway/holder.go
@@ -8,12 +8,6 @@
 	"github.com/beryltrestle/beryltrestle/coord/placement"
 )
 
-// holder is another host that holds connections to an endpoint.
-type holder struct {
-	Name    string
-	Address string
-}
-
 const (
 	// connectionReserve is the number of connections to an endpoint that are left for
 	// status requests and for hosts that join.
@@ -33,14 +27,14 @@
 	// limit is the number of connections, or of requests through holders.
 	limit   int
 	relayed bool
-	holders []holder
+	// holders are the addresses of the hosts that hold connections.
+	holders []string
 }
 
-// holding decides whether this host holds connections to the endpoint: all hosts
+// holding decides whether this host, one of the live hosts, holds connections to the endpoint: all hosts
 // do if the limit allows it, otherwise the few that are ranked first, hosts in the
 // endpoint's availability zone before others.
-func (c *control) holding(now time.Time, config Group, e Endpoint) holding {
-	hosts := c.liveHosts(now)
+func (c *control) holding(hosts []placement.Host, config Group, e Endpoint) holding {
 	free := config.MaxConnections - connectionReserve
 	if share := free / len(hosts); share >= minConnections {
 		return holding{limit: share}
@@ -52,7 +46,7 @@
 		if h.Name == c.gw.cfg.Host {
 			return holding{limit: max(free/len(few), 1)}
 		}
-		out.holders = append(out.holders, holder{Name: h.Name, Address: c.members[h.Name].Address})
+		out.holders = append(out.holders, c.members[h.Name].Address)
 	}
 	return out
 }
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -37,19 +37,19 @@
 		// under its version.
 		wait.For(ctx, lastPause/4)
 		if listing, _, err := c.gw.cfg.Store.List(ctx, TableState); err == nil {
-			expected = versionOf(listing, key)
+			expected = findRow(listing, key).Version
 		}
 	}
 }
 
-// versionOf returns the version of a row in a listing, 0 if it is missing.
-func versionOf(listing []rows.Row, key string) uint64 {
+// findRow returns a row of a listing; its version is 0 if it is missing.
+func findRow(listing []rows.Row, key string) rows.Row {
 	for _, r := range listing {
 		if r.Key == key {
-			return r.Version
+			return r
 		}
 	}
-	return 0
+	return rows.Row{}
 }
 
 // write writes a row of TableState once.
@@ -70,10 +70,16 @@
 	if own == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.gw.ctx, unregisterTimeout)
+	c.remove(hostPrefix+c.gw.cfg.Host, own, unregisterTimeout)
+}
+
+// remove removes a row of TableState that has not changed. It may be called from any
+// goroutine.
+func (c *control) remove(key string, version uint64, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(c.gw.ctx, timeout)
 	defer cancel()
-	if err := c.gw.cfg.Store.Delete(ctx, TableState, hostPrefix+c.gw.cfg.Host, own); err != nil {
-		c.gw.events.log.Warn().Err(err).Msg("host's row was not removed")
+	if err := c.gw.cfg.Store.Delete(ctx, TableState, key, version); err != nil {
+		c.gw.events.log.Warn().Str("row", key).Err(err).Msg("row was not removed")
 	}
 }
 
@@ -95,7 +101,7 @@
 // hostChanged takes the row of another host. It returns true if the set of hosts
 // changed.
 func (c *control) hostChanged(r rows.Row) bool {
-	name, ok := trimHost(r.Key)
+	name, ok := hostOfKey(r.Key)
 	if !ok {
 		return false
 	}
@@ -131,11 +137,3 @@
 	c.registering = true
 	go c.register(c.gw.ctx)
 }
-
-// trimHost returns the host that the key names.
-func trimHost(key string) (string, bool) {
-	if len(key) <= len(hostPrefix) || key[:len(hostPrefix)] != hostPrefix {
-		return "", false
-	}
-	return key[len(hostPrefix):], true
-}
--- a/internal/gateway/patience.go
+++ b/internal/gateway/patience.go
@@ -30,6 +30,12 @@
 // readPatienceMax is the age of the claims at which every host reads them.
 const readPatienceMax = 1000 * time.Millisecond
 
+// due reports whether a host should read a table whose mirror has the age. rank is
+// called only if it decides, since it orders all hosts.
+func (p patience) due(age time.Duration, rank func() int) bool {
+	return age >= p.first && (age >= p.most || age >= p.of(rank()))
+}
+
 // of returns the patience of the host of the rank.
 func (p patience) of(rank int) time.Duration {
 	if rank < p.readers {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -134,8 +134,7 @@
 		if c.Alive() {
 			return c
 		}
-		delete(t.conns, c)
-		c.Close()
+		t.drop(c)
 	}
 	return nil
 }
@@ -175,7 +174,7 @@
 	if len(holders) == 0 {
 		return nil, errEndpointDown
 	}
-	return p.relays.Relay(holders[rand.N(len(holders))].Address, e), nil
+	return p.relays.Relay(holders[rand.N(len(holders))], e), nil
 }
 
 // dialFailed records why no connection could be opened.
@@ -227,8 +226,7 @@
 	defer g.mu.Unlock()
 	c.since, c.primaryUse = time.Time{}, false
 	if c.broken || t.gone || len(t.conns) > t.limit {
-		delete(t.conns, c)
-		c.Close()
+		t.drop(c)
 		t.wake()
 		return
 	}
@@ -236,6 +234,12 @@
 	t.wake()
 }
 
+// drop closes a connection. The group's mutex must be held.
+func (t *target) drop(c *conn) {
+	delete(t.conns, c)
+	c.Close()
+}
+
 // wake gives the next waiter a connection or the right to open one. The group's
 // mutex must be held.
 func (t *target) wake() {
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -58,5 +58,11 @@
 	return out
 }
 
+// hostOfKey returns the host that the key of a host's row names.
+func hostOfKey(key string) (string, bool) {
+	name, ok := strings.CutPrefix(key, hostPrefix)
+	return name, ok && name != ""
+}
+
 // groupOfClaim returns the group that the key of a claim names.
 func groupOfClaim(key string) (string, bool) { return strings.CutPrefix(key, claimPrefix) }
--- a/internal/gateway/session_server.go
+++ b/internal/gateway/session_server.go
@@ -105,16 +105,7 @@
 	case session.OpRead, session.OpWrite, session.OpExecute:
 		return s.run(st, arrived)
 	}
-	return s.malformed("the statement is not understood")
-}
-
-// malformed refuses a statement. Within a transaction this fails it, as on an
-// endpoint.
-func (s *sessionServer) malformed(detail string) Reply {
-	if tx := s.state.Transaction(); tx != nil {
-		tx.Failed = true
-	}
-	return s.reply(CodeMalformed, detail)
+	return s.failed(CodeMalformed, "the statement is not understood")
 }
 
 // run runs a read or a write.
@@ -129,11 +120,9 @@
 	if s.state.Transaction() != nil {
 		return s.runInTransaction(st, arrived)
 	}
-	db, ok := s.gateway.database(s.caller.Database())
-	if !ok {
-		return s.reply(CodeNoDatabase, "no database of this name is configured")
+	if !s.route() {
+		return noDatabase
 	}
-	s.db = db
 	return s.runSingle(st, arrived)
 }
 
@@ -141,17 +130,28 @@
 // that no connection is held before.
 func (s *sessionServer) begin(st session.Statement, arrived time.Time) Reply {
 	if s.state.Transaction() != nil {
-		return s.malformed("a transaction is open")
+		return s.failed(CodeMalformed, "a transaction is open")
 	}
-	db, ok := s.gateway.database(s.caller.Database())
-	if !ok {
-		return s.reply(CodeNoDatabase, "no database of this name is configured")
+	if !s.route() {
+		return noDatabase
 	}
-	s.db = db
 	s.state.Begin(st.Op == session.OpBeginRead, arrived)
 	return s.reply(CodeNone, "")
 }
 
+// noDatabase answers outside a transaction for a database that is not configured.
+var noDatabase = Reply{Code: CodeNoDatabase, Detail: "no database of this name is configured"}
+
+// route takes the newest configuration of the caller's database. It returns false if
+// there is none.
+func (s *sessionServer) route() bool {
+	db, ok := s.gateway.database(s.caller.Database())
+	if ok {
+		s.db = db
+	}
+	return ok
+}
+
 // rollback ends a transaction. Its connection is told after the answer.
 func (s *sessionServer) rollback() Reply {
 	if s.state.Transaction() == nil {
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -30,9 +30,9 @@
 	// drainingSince is when this host learned that the endpoint leaves.
 	drainingSince time.Time
 
-	// relayed targets are reached through one of the holders.
+	// relayed targets are reached through one of the holders, given by address.
 	relayed bool
-	holders []holder
+	holders []string
 
 	idle []*conn
 	// conns holds every open connection.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -35,7 +35,6 @@
 	// claim is the newest claim that is known, with its version.
 	claim        claimRecord
 	claimVersion uint64
-	claimedAt    time.Time
 }
 
 func newWatch() *watch { return &watch{} }
@@ -92,13 +91,15 @@
 	if g.fenced() && g.term > 0 {
 		v.FencedAt = g.fencedAt
 	}
-	v.Rank = c.rank(now, g.name, w)
 	v.Holder = w.claim.Holder == c.gw.cfg.Host && w.claim.Incarnation == c.incarnation
 	for id, t := range g.targets {
 		if id != g.primary && !t.leaving(now) {
 			v.Successors++
 		}
 	}
+	if !v.Settled() {
+		v.Rank = c.rank(now, g.name, w)
+	}
 	return v
 }
 
@@ -170,11 +171,10 @@
 		c.gw.events.log.Warn().Err(err).Msg("claim cannot be read")
 		return
 	}
-	now := boottime.Now()
-	w.claim, w.claimVersion, w.claimedAt = claim, r.Version, now
+	w.claim, w.claimVersion = claim, r.Version
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.setFence(FenceState{Term: claim.Term, Version: r.Version, Withdrawn: claim.Withdrawn}, now)
+	g.setFence(FenceState{Term: claim.Term, Version: r.Version, Withdrawn: claim.Withdrawn}, boottime.Now())
 }
 
 // rank returns the number of live hosts that act before this one. The holder of
