Close the platform stand-in's listener even if Serve has not begun

Cause: http.Server.Close does not know the listener until Serve has begun on its goroutine, so the port stayed open for a moment and took the connection. Ruled out: the adapter, which classified the reset correctly.

--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -73,8 +73,15 @@
 // FaultsURL returns where the switches are read (GET) and replaced (PUT).
 func (s *Server) FaultsURL() string { return s.URL() + faultsPath }
 
-// Close stops the server and breaks all connections.
-func (s *Server) Close() error { return s.http.Close() }
+// Close stops the server and breaks all connections. The listener is closed here as
+// well, since http.Server does not know of it until Serve has begun.
+func (s *Server) Close() error {
+	err := s.http.Close()
+	if closed := s.listener.Close(); !errors.Is(closed, net.ErrClosed) {
+		err = errors.CombineErrors(err, closed)
+	}
+	return err
+}
 
 // SetFaults replaces the switches.
 func (s *Server) SetFaults(f Faults) {
