Reach a primary through other hosts while this host is cut off from it

Cause: a host whose path to a primary is cut refused its callers' work until the path healed, although other hosts reached the primary, which therefore was not replaced.

A refusal by the relaying host counted as an answer of the endpoint, so that a dead primary behind holders looked alive to the hosts that ask for evidence. Such refusals are now marked on the wire and count as failures.

Before: TestHostCutFromThePrimaryGoesThroughAnother times out. The relay helps where only the path to the primary is cut.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -68,6 +68,7 @@
 	return gateway.FenceReply{
 		Term:        response.Msg.GetTerm(),
 		AnsweredAgo: time.Duration(response.Msg.GetAnsweredAgoUs()) * time.Microsecond,
+		Direct:      response.Msg.GetDirect(),
 	}, nil
 }
 
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -130,7 +130,7 @@
 func encodeReply(r gateway.Reply) *fleetv1.RelayResponse {
 	return &fleetv1.RelayResponse{
 		Rows: r.Rows, Signature: r.Signature, Code: uint32(r.Code), RawCode: r.RawCode, Detail: r.Detail,
-		State: uint32(r.State), Position: encodePosition(r.Position),
+		State: uint32(r.State), Position: encodePosition(r.Position), ByHolder: r.ByHolder,
 	}
 }
 
@@ -139,6 +139,6 @@
 	return gateway.Reply{
 		Rows: m.GetRows(), Signature: m.GetSignature(), Code: gateway.Code(m.GetCode()),
 		RawCode: m.GetRawCode(), Detail: m.GetDetail(), State: gateway.TxState(m.GetState()),
-		Position: decodePosition(m.GetPosition()),
+		Position: decodePosition(m.GetPosition()), ByHolder: m.GetByHolder(),
 	}
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -38,6 +38,6 @@
 		return nil, connect.NewError(connect.CodeNotFound, err)
 	}
 	return connect.NewResponse(&fleetv1.FenceResponse{
-		Term: reply.Term, AnsweredAgoUs: reply.AnsweredAgo.Microseconds(),
+		Term: reply.Term, AnsweredAgoUs: reply.AnsweredAgo.Microseconds(), Direct: reply.Direct,
 	}), nil
 }
--- /dev/null
+++ b/internal/gateway/detour.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/succession"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
+)
+
+// detourAsked bounds how many hosts are asked whether they reach an endpoint. Among
+// so many, one that does is found unless nearly all are cut off.
+const detourAsked = 16
+
+// seekDetour asks other hosts whether they reach the endpoint, and goes through
+// those that do. It returns false if none does. It runs on a goroutine of its own.
+func (c *control) seekDetour(ctx context.Context, t *target) bool {
+	addresses := make(map[string]string)
+	c.ask(func() {
+		now := boottime.Now()
+		for name, m := range c.members {
+			if len(addresses) < detourAsked && m.live(now) {
+				addresses[name] = m.Address
+			}
+		}
+	})
+	poll := c.askHosts(ctx, addresses, FenceRequest{Group: t.group.name, Ask: true}, evidenceTimeout)
+	g := t.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.primary != t.ID || t.relayed || t.gone {
+		return false
+	}
+	var via []string
+	for name, r := range poll.replies {
+		if r.Term == g.term && r.Direct && r.recent(succession.ConfirmUnreachable) {
+			via = append(via, addresses[name])
+		}
+	}
+	if len(via) > 0 && !t.detour.Active() {
+		c.gw.events.log.Info().Str("group", g.name).Str("endpoint", t.ID).Int("asked", poll.asked).
+			Int("via", len(via)).Msg("endpoint reached through other hosts")
+		t.closeIdle()
+		t.succeededDial()
+	}
+	t.detour.Found(boottime.Now(), via)
+	g.notify()
+	return len(via) > 0
+}
+
+// endDetour returns to the direct way. The group's mutex must be held.
+func (t *target) endDetour() {
+	if t.detour.End() {
+		t.closeIdle()
+		t.group.notify()
+	}
+}
+
+// tryDirect tries the direct way to an endpoint on a detour, if that is due. The
+// group's mutex must be held.
+func (c *control) tryDirect(now time.Time, t *target) {
+	if !t.detour.TryDirect(now) {
+		return
+	}
+	e := t.Endpoint
+	go func() {
+		ctx, cancel := context.WithTimeout(c.gw.ctx, dialTimeout)
+		defer cancel()
+		conn, err := c.gw.cfg.Dialer.Dial(ctx, e)
+		if err != nil {
+			// Still cut off. Other hosts may have joined those that reach it.
+			c.seekDetour(c.gw.ctx, t)
+			return
+		}
+		if err := conn.Close(); err != nil {
+			c.gw.events.log.Debug().Str("endpoint", e.ID).Err(err).Msg("connection did not close")
+		}
+		c.gw.events.log.Info().Str("group", e.Group).Str("endpoint", e.ID).Msg("endpoint reached directly again")
+		t.group.mu.Lock()
+		defer t.group.mu.Unlock()
+		t.endDetour()
+	}()
+}
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -50,7 +50,7 @@
 	if t == nil || t.answered.IsZero() {
 		return FenceReply{Term: g.term, AnsweredAgo: -1}
 	}
-	return FenceReply{Term: g.term, AnsweredAgo: boottime.Now().Sub(t.answered)}
+	return FenceReply{Term: g.term, AnsweredAgo: boottime.Now().Sub(t.answered), Direct: !t.throughOthers()}
 }
 
 // primaryUses counts the connections that are held for work on the fenced
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -42,6 +42,14 @@
 	return id
 }
 
+// succeeds runs the statements in one session and expects them to be done.
+func succeeds(g *WithT, c *fakeCaller, statements ...session.Statement) {
+	for _, st := range statements {
+		r := c.do(st)
+		g.Expect(r.Code).To(Equal(gateway.CodeNone), r.Detail)
+	}
+}
+
 // Guards against a session that does not see its own write at a replica, and
 // against values and prepared statements of one session that reach another.
 func TestSessionsSeeTheirOwnState(t *testing.T) {
@@ -164,6 +172,43 @@
 	}
 }
 
+// Guards against a host that refuses work for a primary which only it cannot reach
+// (lindqvist-vev scale-1, primary_cut), and against one that does not return to the
+// direct way.
+func TestHostCutFromThePrimaryGoesThroughAnother(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := startFleet(t, manyConnections, "h1", "h2", "h3")
+	writeUntilDone(t, f, "h1", time.Second)
+	f.group.setCut("h1", "e1", true)
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+				f.caller("h2", "strict").do(write("b", "other"))
+			}
+		}
+	}()
+	writeUntilDone(t, f, "h1", 2500*time.Millisecond)
+	for range 20 {
+		succeeds(g, f.caller("h1", "strict"), write("a", "cut"))
+		succeeds(g, f.caller("h1", "strict"), op(session.OpBegin), write("a", "tx"), op(session.OpCommit))
+	}
+	f.group.setCut("h1", "e1", false)
+	g.Eventually(f.logs["h1"].String, 3*time.Second, 20*time.Millisecond).Should(ContainSubstring("endpoint reached directly again"))
+	succeeds(g, f.caller("h1", "strict"), write("a", "healed"))
+	close(stop)
+	<-done
+	f.group.mu.Lock()
+	defer f.group.mu.Unlock()
+	g.Expect(f.group.promotions).To(BeEmpty())
+}
+
 // Guards against the minority side of a split that promotes a replica while the
 // majority goes on at the primary (lindqvist-vev scale-1).
 func TestMinorityDoesNotPromote(t *testing.T) {
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -61,6 +61,13 @@
 	// AnsweredAgo is how long ago the primary last answered the host; negative if it
 	// never did.
 	AnsweredAgo time.Duration
+	// Direct means that the host has connections of its own to the primary.
+	Direct bool
+}
+
+// recent reports whether the primary answered the host within the time.
+func (r FenceReply) recent(within time.Duration) bool {
+	return r.AnsweredAgo >= 0 && r.AnsweredAgo < within
 }
 
 // Peers calls other hosts.
--- a/internal/gateway/poll.go
+++ b/internal/gateway/poll.go
@@ -32,14 +32,20 @@
 // askAll sends the request to every other host and returns the answers that came
 // in time.
 func (ch *change) askAll(ctx context.Context, r FenceRequest, timeout time.Duration) poll {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	addresses := make(map[string]string)
 	ch.c.ask(func() {
 		for name, m := range ch.c.members {
 			addresses[name] = m.Address
 		}
 	})
+	return ch.c.askHosts(ctx, addresses, r, timeout)
+}
+
+// askHosts sends the request to the hosts, given by name, and returns the answers
+// that came in time. It may be called from any goroutine but the control goroutine.
+func (c *control) askHosts(ctx context.Context, addresses map[string]string, r FenceRequest, timeout time.Duration) poll {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	out := poll{asked: len(addresses), replies: make(map[string]FenceReply)}
@@ -48,13 +54,13 @@
 	}
 	for name, address := range addresses {
 		wg.Go(func() {
-			reply, err := ch.c.gw.cfg.Peers.Fence(ctx, address, r)
+			reply, err := c.gw.cfg.Peers.Fence(ctx, address, r)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
 			case err == nil:
 				out.replies[name] = reply
-			case ch.c.gw.cfg.Peers.NotRunning(err):
+			case c.gw.cfg.Peers.NotRunning(err):
 				out.stopped++
 			}
 			if out.majorityAt.IsZero() && out.majority() {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -165,16 +164,21 @@
 // dial opens a connection to the endpoint, or through one of its holders.
 func (p *pool) dial(ctx context.Context, t *target) (Conn, error) {
 	t.group.mu.Lock()
-	e, relayed, holders := t.Endpoint, t.relayed, t.holders
+	e, direct := t.Endpoint, !t.throughOthers()
+	var via string
+	reachable := direct
+	if !direct {
+		via, reachable = t.via()
+	}
 	t.group.mu.Unlock()
-	if !relayed {
+	switch {
+	case !reachable:
+		return nil, errEndpointDown
+	case direct:
 		p.metrics.Inc(metrics.ConnsOpened)
 		return p.dialer.Dial(ctx, e)
 	}
-	if len(holders) == 0 {
-		return nil, errEndpointDown
-	}
-	return p.relays.Relay(holders[rand.N(len(holders))], e), nil
+	return p.relays.Relay(via, e), nil
 }
 
 // dialFailed records why no connection could be opened.
@@ -225,7 +229,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.since, c.primaryUse = time.Time{}, false
-	if c.broken || t.gone || len(t.conns) > t.limit {
+	_, relay := c.Conn.(RelayConn)
+	if c.broken || t.gone || len(t.conns) > t.limit || relay != t.throughOthers() {
 		t.drop(c)
 		t.wake()
 		return
@@ -300,6 +305,11 @@
 	if err != nil {
 		return
 	}
+	if reply.ByHolder {
+		// The endpoint has shown no sign of life; a probe is due.
+		t.failures++
+		return
+	}
 	p.metrics.Observe(metrics.LatencyEndpoint, now.Sub(began))
 	t.succeeded(now, now.Sub(began))
 	if reply.Position.Term > g.term {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -79,6 +79,7 @@
 	defer cancel()
 	c, refusal := gw.relayConn(ctx, held, w)
 	if refusal != nil {
+		refusal.ByHolder = true
 		return *refusal, nil
 	}
 	state := session.New()
@@ -124,7 +125,7 @@
 	g.mu.Lock()
 	t := g.targets[w.Endpoint]
 	leads := t != nil && g.leader(boottime.Now()) == t
-	relayed := t == nil || t.relayed
+	relayed := t == nil || t.throughOthers()
 	g.mu.Unlock()
 	if relayed {
 		return nil, &Reply{Code: CodeMisrouted, Detail: "the host does not hold connections to the endpoint"}
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -140,8 +140,7 @@
 		if r.Term > ch.term {
 			return errNewerTerm
 		}
-		recent := r.AnsweredAgo >= 0 && r.AnsweredAgo < succession.ConfirmUnreachable
-		if ch.reason == succession.ReasonUnreachable && recent {
+		if ch.reason == succession.ReasonUnreachable && r.recent(succession.ConfirmUnreachable) {
 			return errPrimaryAnswers
 		}
 	}
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -15,6 +15,9 @@
 	State   TxState
 	// Position is the end of the endpoint's log; zero if the proxy answered.
 	Position logpos.Position
+	// ByHolder marks a refusal by the host through which the endpoint is reached; the
+	// endpoint has not seen the request.
+	ByHolder bool
 }
 
 // OK reports whether the statement succeeded.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -18,6 +18,10 @@
 // errNoStatus says that the endpoint shed the status request; it is alive.
 var errNoStatus = errors.New("the endpoint had no room for a status request")
 
+// errHolderRefused says that the host through which the endpoint is reached sent it
+// nothing, so that nothing is known of the endpoint.
+var errHolderRefused = errors.New("the holder of the connections refused the request")
+
 // controlConn returns a connection for the proxy's own statements, beyond the
 // sessions' share, since all of that may be held by statements without an answer.
 func (p *pool) controlConn(ctx context.Context, t *target) (*conn, error) {
@@ -52,6 +56,9 @@
 		g.mu.Unlock()
 		return Status{}, err
 	}
+	if reply.ByHolder {
+		return Status{}, errors.Wrapf(errHolderRefused, "%s", reply.Detail)
+	}
 	if !reply.OK() {
 		return Status{}, errors.Wrapf(errNoStatus, "%s", reply.Detail)
 	}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/routing"
@@ -33,6 +34,8 @@
 	// relayed targets are reached through one of the holders, given by address.
 	relayed bool
 	holders []string
+	// detour leads through other hosts while this one is cut off from the endpoint.
+	detour routing.Detour
 
 	idle []*conn
 	// conns holds every open connection.
@@ -88,9 +91,29 @@
 // succeeded records an answer.
 func (t *target) succeeded(now time.Time, took time.Duration) {
 	t.answered = now
+	t.succeededDial()
+	t.latency += time.Duration(latencyShare * float64(took-t.latency))
+}
+
+// succeededDial lets work be sent to the endpoint at once, after failures.
+func (t *target) succeededDial() {
 	t.failures = 0
 	t.downUntil = time.Time{}
-	t.latency += time.Duration(latencyShare * float64(took-t.latency))
+}
+
+// throughOthers reports whether the endpoint is reached through other hosts.
+func (t *target) throughOthers() bool { return t.relayed || t.detour.Active() }
+
+// via returns the address of the host to go through. It returns false if there is
+// none.
+func (t *target) via() (string, bool) {
+	switch {
+	case t.detour.Active():
+		return t.detour.Next(), true
+	case len(t.holders) > 0:
+		return t.holders[rand.N(len(t.holders))], true
+	}
+	return "", false
 }
 
 // failed records a failed dial or a lost connection.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/beryltrestle/beryltrestle/coord/placement"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/coord/succession"
@@ -78,6 +80,7 @@
 	} else {
 		w.lostSince = time.Time{}
 		c.checkSilence(now, g, w, leader)
+		c.tryDirect(now, leader)
 		if leader.leaving(now) {
 			v.DrainingSince = leader.drainingSince
 		}
@@ -140,10 +143,28 @@
 	w.probing, w.probedAt = true, now
 	go func() {
 		_, err := c.status(t)
+		if err != nil && !errors.Is(err, errNoStatus) {
+			c.probeFailed(t, now)
+		}
 		c.do(func() { c.probed(g, w, t, now, err) })
 	}()
 }
 
+// probeFailed looks for another way to an endpoint that has not answered since the
+// time.
+func (c *control) probeFailed(t *target, began time.Time) {
+	g := t.group
+	g.mu.Lock()
+	silent := !t.answered.After(began)
+	g.mu.Unlock()
+	if !silent || c.seekDetour(c.gw.ctx, t) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t.endDetour()
+}
+
 // probed records the result of a probe that began at the time.
 func (c *control) probed(g *group, w *watch, t *target, began time.Time, err error) {
 	w.probing = false
