Take over the row of an earlier incarnation at once; keep half of the connections free

Now the host lists the table first, which also serves as its first read of the claims, and stands on the old row until it has replaced it.

A host now keeps half of its share, at least two connections.

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -43,15 +43,23 @@
 	}()
 }
 
-// registrationHead is how long a host that has just started waits for its row to be
-// written before it reads the claims. They must be read after it, see listed.
+// registrationHead is how long a host that has just started leaves the first read of
+// the claims to its registration, which lists the same table.
 const registrationHead = 300 * time.Millisecond
 
-// awaitsRegistration reports whether the first write of this host's row is under way.
+// awaitsRegistration reports whether the registration has yet to list the hosts.
 func (c *control) awaitsRegistration(now time.Time) bool {
 	return c.registering && c.asOf[TableState].IsZero() && now.Sub(c.began) < registrationHead
 }
 
+// listedSince notes that a row with this host's address is in the store since the
+// version, unless it was already: a row that replaces another leaves no gap.
+func (c *control) listedSince(version uint64) {
+	if c.listedAt == 0 {
+		c.listedAt = version
+	}
+}
+
 // listed reports whether every host that replaces a primary asks this one first: its
 // row is in the store, and this host knows all claims that are older than its row.
 // The holder of a younger claim lists the hosts after it has written the claim.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -31,7 +31,7 @@
 	members     map[string]*member
 	// own is the version of this host's row; 0 if it is not written.
 	own uint64
-	// listedAt is the version of the row that lists this host's address, also if an
+	// listedAt is the version since which a row lists this host's address, also if an
 	// earlier incarnation wrote it; 0 if there is none.
 	listedAt uint64
 	leaving  bool
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -26,6 +26,8 @@
 	// away holds the hosts that the store does not answer, readOnly those whose writes
 	// it refuses.
 	away, readOnly map[string]bool
+	// conflicts counts the writes that failed their condition.
+	conflicts int
 }
 
 func newFakeStore() *fakeStore {
@@ -124,6 +126,7 @@
 		held.Version = 0
 	}
 	if held.Version != expected {
+		c.conflicts++
 		return 0, gateway.ErrConflict
 	}
 	return c.set(table, rows.Row{Key: key, Value: value}), nil
@@ -212,18 +215,8 @@
 	for id := range f.group.endpoints {
 		f.list(id, func(*gateway.Endpoint) {})
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
 	for _, name := range hosts {
-		f.logs[name] = &logBuffer{}
-		gw := gateway.New(gateway.Config{
-			Host: name, Address: name, AvailabilityZone: "z", Grace: 2 * time.Second,
-			Dialer: &fakeDialer{host: name, group: f.group}, Store: storeClient{f.store, name},
-			Decoder: fakeDecoder{}, Promoter: f.group, Peers: &fakePeers{fleet: f, host: name},
-			ParseStatus: parseFakeStatus, Metrics: metrics.NewRegistry(), Log: zerolog.New(f.logs[name]),
-		})
-		f.hosts[name] = gw
-		go func() { _ = gw.Run(ctx) }()
+		f.start(t, name)
 	}
 	for _, name := range hosts {
 		NewWithT(t).Eventually(func() bool {
@@ -234,6 +227,24 @@
 	return f
 }
 
+// start runs a host, in the place of an earlier one of the name.
+func (f *fakeFleet) start(t *testing.T, name string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.logs[name] = &logBuffer{}
+	gw := gateway.New(gateway.Config{
+		Host: name, Address: name, AvailabilityZone: "z", Grace: 2 * time.Second,
+		Dialer: &fakeDialer{host: name, group: f.group}, Store: storeClient{f.store, name},
+		Decoder: fakeDecoder{}, Promoter: f.group, Peers: &fakePeers{fleet: f, host: name},
+		ParseStatus: parseFakeStatus, Metrics: metrics.NewRegistry(), Log: zerolog.New(f.logs[name]),
+	})
+	f.hosts[name] = gw
+	go func() { _ = gw.Run(ctx) }()
+}
+
 // list writes an endpoint's entry.
 func (f *fakeFleet) list(id string, change func(*gateway.Endpoint)) {
 	f.group.mu.Lock()
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -41,7 +41,7 @@
 		c.gw.metrics.Inc(metrics.StoreReads)
 		var err error
 		if list {
-			err = c.list(ctx, name)
+			_, err = c.list(ctx, name)
 		} else {
 			err = c.changes(ctx, name)
 		}
@@ -69,21 +69,21 @@
 	return read
 }
 
-// list reads the whole table.
-func (c *control) list(ctx context.Context, name TableName) error {
+// list reads the whole table into its mirror and returns its rows.
+func (c *control) list(ctx context.Context, name TableName) ([]rows.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	began := boottime.Now()
 	listing, version, err := c.gw.cfg.Store.List(ctx, name)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	c.ask(func() {
 		c.endpointsListed = c.endpointsListed || name == TableEndpoints
 		c.listing(name, listing, version)
 		c.complete(name, began)
 	})
-	return nil
+	return listing, nil
 }
 
 // changes waits for changes of the table.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -307,6 +307,21 @@
 	writeUntilDone(t, f, "h1", 3*time.Second)
 }
 
+// Guards against a host that starts again and waits, because its first write fails on
+// the row of its earlier incarnation: after a loss of power every host does so, and
+// callers wait for all of them (lindqvist-vev trouble-1).
+func TestHostThatStartsAgainTakesOverItsRow(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := startFleet(t, manyConnections, "h1", "h2", "h3")
+	f.start(t, "h1")
+	writeUntilDone(t, f, "h1", 2*time.Second)
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	g.Expect(f.store.conflicts).To(BeZero())
+	g.Expect(f.logs["h1"].String()).NotTo(ContainSubstring(`"permitted":false`))
+}
+
 // Guards against a change of primary that waits for the permission of a host whose
 // row has just been removed, although the host answers.
 func TestHostRemovedJustNowIsAsked(t *testing.T) {
--- a/internal/gateway/holder.go
+++ b/internal/gateway/holder.go
@@ -17,6 +17,12 @@
 	// fewHolders is how many hosts hold connections to an endpoint whose limit does
 	// not allow minConnections for every host. Three survive the loss of any two.
 	fewHolders = 3
+	// restartShare divides a host's share of an endpoint's connections: the rest stays
+	// free for the next incarnation of the host. Load: every host loses power at a
+	// crest. The endpoint keeps the old connections for seconds and would refuse the
+	// new ones. Fewer connections also leave fewer statements to be shed by the
+	// endpoint's queue.
+	restartShare = 2
 	// relayConnections bounds the requests that a host has under way at one endpoint
 	// through its holders.
 	relayConnections = 12
@@ -37,14 +43,14 @@
 func (c *control) holding(hosts []placement.Host, config Group, e Endpoint) holding {
 	free := config.MaxConnections - connectionReserve
 	if share := free / len(hosts); share >= minConnections {
-		return holding{limit: share}
+		return holding{limit: max(share/restartShare, minConnections)}
 	}
 	ranked := c.rankHolders(hosts, e)
 	few := ranked[:min(fewHolders, len(ranked))]
 	out := holding{limit: relayConnections, relayed: true}
 	for _, h := range few {
 		if h.Name == c.gw.cfg.Host {
-			return holding{limit: max(free/len(few), 1)}
+			return holding{limit: max(free/len(few)/restartShare, 1)}
 		}
 		out.holders = append(out.holders, c.members[h.Name].Address)
 	}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
 	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
@@ -19,29 +21,34 @@
 )
 
 // register writes this host's row until the store has accepted it. It runs on a
-// goroutine of its own.
+// goroutine of its own. The row of an earlier incarnation is replaced under its
+// version; until then it stands for this one, which answers at the same address.
 func (c *control) register(ctx context.Context) {
 	record := encodeRecord(hostRecord{
 		Name: c.gw.cfg.Host, Address: c.gw.cfg.Address,
 		Incarnation: c.incarnation, AvailabilityZone: c.gw.cfg.AvailabilityZone,
 	})
 	key := hostPrefix + c.gw.cfg.Host
-	var expected uint64
-	for ctx.Err() == nil {
-		version, err := c.write(ctx, key, expected, record)
-		if err == nil {
-			c.ask(func() {
-				c.own, c.registering = version, false
-				c.listedAt = max(c.listedAt, version)
-			})
-			return
+	for ; ctx.Err() == nil; wait.For(ctx, lastPause/4) {
+		c.gw.metrics.Inc(metrics.StoreReads)
+		listing, err := c.list(ctx, TableState)
+		if err != nil {
+			c.gw.events.log.Warn().Err(err).Msg("hosts were not listed")
+			continue
+		}
+		held := findRow(listing, key)
+		version := held.Version
+		if !bytes.Equal(held.Value, record) {
+			version, err = c.write(ctx, key, held.Version, record)
 		}
-		// The row of an earlier run, or of a write whose answer was lost, is replaced
-		// under its version.
-		wait.For(ctx, lastPause/4)
-		if listing, _, err := c.gw.cfg.Store.List(ctx, TableState); err == nil {
-			expected = findRow(listing, key).Version
+		if err != nil {
+			continue
 		}
+		c.ask(func() {
+			c.own, c.registering = version, false
+			c.listedSince(version)
+		})
+		return
 	}
 }
 
@@ -143,7 +150,7 @@
 	if !r.Deleted {
 		record, err := decodeRecord[hostRecord](r)
 		if err == nil && record.Address == c.gw.cfg.Address {
-			c.listedAt = max(c.listedAt, r.Version)
+			c.listedSince(r.Version)
 		}
 		return
 	}
