Refuse at once on a cut-off host; replace a dead primary behind holders

A host cut off from a primary and from most other hosts held work until the statement's deadline, which left its caller no time for another host.

Refusals by a holder are no answers, and holders go first.

--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -12,22 +12,45 @@
 // so many, one that does is found unless nearly all are cut off.
 const detourAsked = 16
 
+// cutOffHolds is how long a host counts as cut off after most of the others did not
+// answer it. It is above the time between two failed probes.
+const cutOffHolds = time.Second
+
+// cutOff reports whether neither this host's path to the primary works nor most of the
+// other hosts answer it, so that it can neither use nor replace the primary nor go
+// through another host. Load: a partition with callers on its smaller side. Work that
+// needs the primary is refused at once, so that its caller has the time to go to
+// another host; after an ordinary loss of the primary it waits for the next one, as
+// other hosts could not serve it either. The mutex must be held.
+func (g *group) cutOff(now time.Time) bool { return now.Before(g.cutOffUntil) }
+
 // seekDetour asks other hosts whether they reach the endpoint, and goes through
 // those that do. It returns false if none does. It runs on a goroutine of its own.
 func (c *control) seekDetour(ctx context.Context, t *target) bool {
+	g := t.group
+	g.mu.Lock()
+	held := !t.relayed
+	g.mu.Unlock()
+	if !held {
+		// The holders look for another way.
+		return false
+	}
 	addresses := make(map[string]string)
 	c.ask(func() {
-		now := boottime.Now()
 		for name, m := range c.members {
-			if len(addresses) < detourAsked && m.live(now) {
+			if len(addresses) < detourAsked {
 				addresses[name] = m.Address
 			}
 		}
 	})
-	poll := c.askHosts(ctx, addresses, FenceRequest{Group: t.group.name, Ask: true}, evidenceTimeout)
-	g := t.group
+	poll := c.askHosts(ctx, addresses, FenceRequest{Group: g.name, Ask: true}, evidenceTimeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !poll.majority() {
+		c.gw.events.log.Info().Str("group", g.name).Int("asked", poll.asked).Int("answered", len(poll.replies)).Msg("host is cut off")
+		g.cutOffUntil = boottime.Now().Add(cutOffHolds)
+		g.notify()
+	}
 	if g.primary != t.ID || t.relayed || t.gone {
 		return false
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -230,6 +230,30 @@
 	g.Expect(f.group.deposed).To(BeZero())
 }
 
+// Guards against a cut-off host that holds work until its deadline, so that the caller
+// has no time left for another host (lindqvist-vev scale-1, primary_cut).
+func TestCutOffHostRefusesAtOnce(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := startFleet(t, manyConnections, "h1", "h2", "h3", "h4", "h5")
+	writeUntilDone(t, f, "h1", time.Second)
+	f.splitOff("h1", "h2")
+	g.Eventually(func() error {
+		f.caller("h1", "strict").do(write("a", "minority"))
+		return f.hosts["h1"].Ready()
+	}, 4*time.Second, 10*time.Millisecond).ShouldNot(Succeed())
+	slow := 0
+	for range 20 {
+		began := time.Now()
+		r := f.caller("h1", "strict").do(write("a", "minority"))
+		g.Expect(r.Code).To(Equal(gateway.CodeBusy))
+		if time.Since(began) > 300*time.Millisecond {
+			slow++
+		}
+	}
+	g.Expect(slow).To(BeNumerically("<=", 2), "of 20 refusals")
+}
+
 // Guards against the minority side of a split that takes the silent majority out of
 // the fleet and then counts as the majority itself (lindqvist-vev scale-1, with the
 // store on the minority's side).
@@ -421,6 +445,35 @@
 	g.Expect(len(holders)).To(BeNumerically("<=", 3))
 }
 
+// Guards against a dead primary that stays because most hosts reach it through others
+// and take the holders' refusals for its answers, or because the holders wait for the
+// turns of hosts that do not notice.
+func TestDeadPrimaryBehindHoldersIsReplaced(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	hosts := []string{"h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8"}
+	f := startFleet(t, 12, hosts...)
+	f.group.stop("e1")
+	began := time.Now()
+	done := make(chan struct{})
+	for _, host := range hosts {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			for time.Since(began) < 6*time.Second && f.group.leads() == "e1" {
+				f.caller(host, "strict").do(write("a", host))
+			}
+		}()
+	}
+	for range hosts {
+		<-done
+	}
+	g.Expect(f.group.leads()).NotTo(Equal("e1"))
+	t.Log("replaced after", time.Since(began))
+	for _, host := range hosts {
+		writeUntilDone(t, f, host, 3*time.Second)
+	}
+}
+
 // Guards against a statement of a transaction whose lease has ended and that would
 // commit on its own.
 func TestLostLeaseDoesNotRunOutsideItsTransaction(t *testing.T) {
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -27,9 +27,11 @@
 	// seenTerm is the newest term that any endpoint has told of.
 	seenTerm uint64
 	// fence is the newest claim, learned at fencedAt.
-	fence     FenceState
-	fencedAt  time.Time
-	staleness *routing.Staleness
+	fence    FenceState
+	fencedAt time.Time
+	// cutOffUntil is until when this host counts as cut off from the primary.
+	cutOffUntil time.Time
+	staleness   *routing.Staleness
 	// changed is closed and replaced whenever waiting sessions should look again.
 	changed chan struct{}
 }
--- a/internal/gateway/holder.go
+++ b/internal/gateway/holder.go
@@ -57,6 +57,13 @@
 	return out
 }
 
+// fewHold reports whether only some hosts hold connections to the endpoint. The
+// group's mutex must be held.
+func (c *control) fewHold(t *target) bool {
+	free := t.group.config.MaxConnections - connectionReserve
+	return free/(len(c.members)+1) < minConnections
+}
+
 // liveHosts returns the hosts that are thought to run, this one included.
 func (c *control) liveHosts(now time.Time) []placement.Host {
 	hosts := []placement.Host{{Name: c.gw.cfg.Host}}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -306,8 +306,10 @@
 		return
 	}
 	if reply.ByHolder {
-		// The endpoint has shown no sign of life; a probe is due.
-		t.failures++
+		if reply.Code == CodeMisrouted {
+			// The holder does not reach the endpoint either; a probe is due.
+			t.failures++
+		}
 		return
 	}
 	p.metrics.Observe(metrics.LatencyEndpoint, now.Sub(began))
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -1,12 +1,17 @@
 package gateway
 
-import "github.com/cockroachdb/errors"
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
+)
 
 // Reasons for which a host is not ready.
 var (
 	errStopping        = errors.New("the host stops")
 	errNoConfiguration = errors.New("no configuration is known yet")
 	errNoEndpoints     = errors.New("no endpoint is known yet")
+	errCutOff          = errors.New("the host is cut off from a primary and from most hosts")
 )
 
 // Ready returns nil if the host should get new sessions. It may be called from
@@ -15,15 +20,20 @@
 	if gw.catalog().Version == 0 {
 		return errNoConfiguration
 	}
+	known := false
 	for _, g := range *gw.groupsNow.Load() {
 		g.mu.Lock()
-		known := g.primary != "" || len(g.targets) > 0
+		known = known || g.primary != "" || len(g.targets) > 0
+		cutOff := g.cutOff(boottime.Now())
 		g.mu.Unlock()
-		if known {
-			return gw.stopping()
+		if cutOff {
+			return errCutOff
 		}
 	}
-	return errNoEndpoints
+	if !known {
+		return errNoEndpoints
+	}
+	return gw.stopping()
 }
 
 // stopping returns errStopping once Drain has begun.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -138,7 +138,10 @@
 	for errors.Is(err, errRequeue) {
 		c, err = gw.pool.checkout(ctx, t, nil, 0, arrived)
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, errEndpointDown):
+		return nil, &Reply{Code: CodeMisrouted, Detail: err.Error()}
+	case err != nil:
 		return nil, &Reply{Code: CodeBusy, Detail: err.Error()}
 	}
 	return c, nil
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -87,12 +87,17 @@
 func (s *sessionServer) pick(ctx context.Context, g *group, n need) (choice, bool) {
 	for {
 		g.mu.Lock()
-		at := g.choose(boottime.Now(), n)
+		now := boottime.Now()
+		at := g.choose(now, n)
 		changed := g.changed
+		cutOff := g.cutOff(now)
 		g.mu.Unlock()
 		if at.target != nil {
 			return at, true
 		}
+		if cutOff {
+			return choice{}, false
+		}
 		clear(n.avoid)
 		timer := time.NewTimer(recheck)
 		select {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -56,7 +56,7 @@
 		g.mu.Unlock()
 		return Status{}, err
 	}
-	if reply.ByHolder {
+	if reply.ByHolder && reply.Code != CodeMisrouted {
 		return Status{}, errors.Wrapf(errHolderRefused, "%s", reply.Detail)
 	}
 	if !reply.OK() {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -101,7 +102,7 @@
 		}
 	}
 	if !v.Settled() {
-		v.Rank = c.rank(now, g.name, w)
+		v.Rank = c.rank(now, g.name, w, leader)
 	}
 	return v
 }
@@ -143,7 +144,7 @@
 	w.probing, w.probedAt = true, now
 	go func() {
 		_, err := c.status(t)
-		if err != nil && !errors.Is(err, errNoStatus) {
+		if err != nil && !errors.Is(err, errNoStatus) && !errors.Is(err, errHolderRefused) {
 			c.probeFailed(t, now)
 		}
 		c.do(func() { c.probed(g, w, t, now, err) })
@@ -168,6 +169,10 @@
 // probed records the result of a probe that began at the time.
 func (c *control) probed(g *group, w *watch, t *target, began time.Time, err error) {
 	w.probing = false
+	if errors.Is(err, errHolderRefused) {
+		// Nothing is known of the endpoint.
+		return
+	}
 	g.mu.Lock()
 	answered := t.answered
 	g.mu.Unlock()
@@ -200,8 +205,14 @@
 
 // rank returns the number of live hosts that act before this one. The holder of
 // the last claim goes first, so that the holder rarely changes.
-func (c *control) rank(now time.Time, group string, w *watch) int {
-	rank := c.rankAmong(now, group)
+func (c *control) rank(now time.Time, group string, w *watch, leader *target) int {
+	rank := 0
+	if leader == nil || !c.fewHold(leader) {
+		rank = c.rankAmong(now, group)
+	} else {
+		// Only the holders of connections see that the primary is silent.
+		rank = c.position(c.rankHolders(c.liveHosts(now), leader.Endpoint))
+	}
 	holder := w.claim.Holder
 	switch {
 	case holder == c.gw.cfg.Host:
@@ -217,12 +228,10 @@
 func (c *control) rankAmong(now time.Time, group string) int {
 	hosts := c.liveHosts(now)
 	ranked := placement.Rank(group, hosts, len(hosts))
-	rank := 0
-	for _, h := range ranked {
-		if h.Name == c.gw.cfg.Host {
-			break
-		}
-		rank++
-	}
-	return rank
+	return c.position(ranked)
+}
+
+// position returns the number of hosts that are ranked before this one.
+func (c *control) position(ranked []placement.Host) int {
+	return slices.IndexFunc(ranked, func(h placement.Host) bool { return h.Name == c.gw.cfg.Host })
 }
