Let a call to the control goroutine either run before it returns or never

Receive and others read what the call had set although the gateway had ended meanwhile; the race detector found it in 2 of 5 runs of the gateway's tests (one with its place logged: news.go, Receive).

A holder that is cut off asks the other holders first whether they reach the endpoint, and addresses of hosts that left are forgotten.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/rows"
@@ -53,6 +54,9 @@
 	// registering is true while a write of this host's row is under way.
 	registering bool
 	lastCleanup time.Time
+	// fleetSize is the number of listed hosts, this one included. It may be read from
+	// any goroutine.
+	fleetSize atomic.Int64
 	// former holds when the rows of hosts vanished, by their addresses, for as long as
 	// such a host may still use primaries.
 	former map[string]time.Time
@@ -68,6 +72,7 @@
 		watches: make(map[string]*watch), asOf: make(map[TableName]time.Time),
 		former: make(map[string]time.Time), began: boottime.Now(),
 	}
+	c.fleetSize.Store(1)
 	for _, name := range Tables {
 		c.tables[name] = rows.NewTable()
 	}
@@ -105,18 +110,30 @@
 	}
 }
 
-// ask runs f on the control goroutine and waits for it.
+// ask runs f on the control goroutine and waits for it. It returns false if the
+// gateway has ended; f then has not run and will not.
 func (c *control) ask(f func()) bool {
+	var taken atomic.Bool
 	done := make(chan struct{})
-	if !c.do(func() { f(); close(done) }) {
+	run := func() {
+		if taken.CompareAndSwap(false, true) {
+			f()
+			close(done)
+		}
+	}
+	if !c.do(run) {
 		return false
 	}
 	select {
 	case <-done:
 		return true
 	case <-c.gw.ctx.Done():
+	}
+	if taken.CompareAndSwap(false, true) {
 		return false
 	}
+	<-done
+	return true
 }
 
 // tick checks conditions that depend on time.
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -29,20 +29,14 @@
 func (c *control) seekDetour(ctx context.Context, t *target) bool {
 	g := t.group
 	g.mu.Lock()
-	held := !t.relayed
+	e, held, few := t.Endpoint, !t.relayed, c.fewHold(t)
 	g.mu.Unlock()
 	if !held {
 		// The holders look for another way.
 		return false
 	}
-	addresses := make(map[string]string)
-	c.ask(func() {
-		for name, m := range c.members {
-			if len(addresses) < detourAsked {
-				addresses[name] = m.Address
-			}
-		}
-	})
+	var addresses map[string]string
+	c.ask(func() { addresses = c.detourHosts(e, few) })
 	poll := c.askHosts(ctx, addresses, FenceRequest{Group: g.name, Ask: true}, evidenceTimeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -71,6 +65,26 @@
 	return len(via) > 0
 }
 
+// detourHosts returns the addresses of hosts to ask whether they reach the endpoint:
+// the other holders of its connections if only few hosts hold some, then any hosts.
+func (c *control) detourHosts(e Endpoint, few bool) map[string]string {
+	addresses := make(map[string]string)
+	if few {
+		ranked := c.rankHolders(c.liveHosts(boottime.Now()), e)
+		for _, h := range ranked[:min(fewHolders, len(ranked))] {
+			if m := c.members[h.Name]; m != nil {
+				addresses[h.Name] = m.Address
+			}
+		}
+	}
+	for name, m := range c.members {
+		if len(addresses) < detourAsked {
+			addresses[name] = m.Address
+		}
+	}
+	return addresses
+}
+
 // endDetour returns to the direct way. The group's mutex must be held.
 func (t *target) endDetour() {
 	if t.detour.End() {
--- a/internal/gateway/holder.go
+++ b/internal/gateway/holder.go
@@ -61,7 +61,7 @@
 // group's mutex must be held.
 func (c *control) fewHold(t *target) bool {
 	free := t.group.config.MaxConnections - connectionReserve
-	return free/(len(c.members)+1) < minConnections
+	return free < minConnections*int(c.fleetSize.Load())
 }
 
 // liveHosts returns the hosts that are thought to run, this one included.
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/beryltrestle/beryltrestle/coord/permission"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -104,6 +106,7 @@
 		membership = c.hostChanged(r) || membership
 	}
 	if membership {
+		c.fleetSize.Store(int64(len(c.members) + 1))
 		c.endpointsChanged()
 	}
 }
@@ -122,7 +125,7 @@
 	if r.Deleted {
 		m, known := c.members[name]
 		if known {
-			c.former[m.Address] = boottime.Now()
+			c.left(m.Address)
 		}
 		delete(c.members, name)
 		return known
@@ -137,13 +140,20 @@
 		return false
 	}
 	if known && m.Address != record.Address {
-		c.former[m.Address] = boottime.Now()
+		c.left(m.Address)
 	}
 	c.members[name] = &member{hostRecord: record, known: boottime.Now(), through: make(map[TableName]uint64)}
 	c.gw.events.log.Info().Str("member", name).Uint64("incarnation", record.Incarnation).Msg("host joined")
 	return !known
 }
 
+// left notes that the host at the address is no longer listed.
+func (c *control) left(address string) {
+	now := boottime.Now()
+	maps.DeleteFunc(c.former, func(_ string, at time.Time) bool { return now.Sub(at) >= permission.Duration })
+	c.former[address] = now
+}
+
 // ownRowChanged notes whether this host is listed, and writes its row again if others
 // have removed it.
 func (c *control) ownRowChanged(r rows.Row) {
--- a/internal/gateway/poll.go
+++ b/internal/gateway/poll.go
@@ -47,11 +47,9 @@
 		addresses[name] = m.Address
 	}
 	for address, at := range c.former {
-		if now.Sub(at) >= permission.Duration {
-			delete(c.former, address)
-			continue
+		if now.Sub(at) < permission.Duration {
+			addresses["former "+address] = address
 		}
-		addresses["former "+address] = address
 	}
 	return addresses
 }
