--- a/internal/localdeploy/deployment.go
+++ b/internal/localdeploy/deployment.go
@@ -167,6 +167,18 @@
 	return out
 }
 
+// CaughtUp reports whether every replica has applied what the primary's log holds
+// now. Sessions that start earlier may read from a replica that lacks a new table.
+func (d *Deployment) CaughtUp(pool string) bool {
+	end := d.Primary(pool).Status().Applied
+	for _, replica := range d.Replicas(pool) {
+		if !replica.Status().Applied.Covers(end) {
+			return false
+		}
+	}
+	return true
+}
+
 // Close stops everything.
 func (d *Deployment) Close() error {
 	for _, h := range d.Hosts {
--- a/internal/localdeploy/deployment_test.go
+++ b/internal/localdeploy/deployment_test.go
@@ -35,6 +35,7 @@
 		_, err := conn.Exec(context.Background(), workload.Schema)
 		return err
 	}, 10*time.Second).Should(Succeed())
+	g.Eventually(func() bool { return d.CaughtUp(pool) }, 10*time.Second, 5*time.Millisecond).Should(BeTrue())
 }
 
 func entries(d *localdeploy.Deployment) []string {
--- a/internal/proof/run_test.go
+++ b/internal/proof/run_test.go
@@ -90,10 +90,7 @@
 	if r.d == nil {
 		return
 	}
-	end := r.d.Primary(poolName).Status().Applied
-	for _, replica := range r.d.Replicas(poolName) {
-		r.g.Eventually(func() bool { return replica.Status().Applied.Covers(end) }, recovery, 5*time.Millisecond).Should(BeTrue())
-	}
+	r.g.Eventually(func() bool { return r.d.CaughtUp(poolName) }, recovery, 5*time.Millisecond).Should(BeTrue())
 }
 
 // exec runs one statement through an entry.
