--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -26,12 +26,14 @@
 	// away holds the hosts that the store does not answer, readOnly those whose writes
 	// it refuses.
 	away, readOnly map[string]bool
+	// late holds for each host how long after the lost answer its writes are performed.
+	late map[string]time.Duration
 	// conflicts counts the writes that failed their condition.
 	conflicts int
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{tables: make(map[gateway.TableName]map[string]rows.Row), away: make(map[string]bool), readOnly: make(map[string]bool)}
+	return &fakeStore{tables: make(map[gateway.TableName]map[string]rows.Row), away: make(map[string]bool), readOnly: make(map[string]bool), late: make(map[string]time.Duration)}
 }
 
 // put writes a row as an operator or an endpoint.
@@ -121,15 +123,28 @@
 	if c.away[c.host] || c.readOnly[c.host] {
 		return 0, gateway.ErrStoreRefused
 	}
-	held := c.tables[table][key]
+	if late := c.late[c.host]; late > 0 {
+		time.AfterFunc(late, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			_, _ = c.writeIf(table, key, expected, value)
+		})
+		return 0, errAway
+	}
+	return c.writeIf(table, key, expected, value)
+}
+
+// writeIf writes the row if it has the expected version. The mutex must be held.
+func (s *fakeStore) writeIf(table gateway.TableName, key string, expected uint64, value []byte) (uint64, error) {
+	held := s.tables[table][key]
 	if held.Deleted {
 		held.Version = 0
 	}
 	if held.Version != expected {
-		c.conflicts++
+		s.conflicts++
 		return 0, gateway.ErrConflict
 	}
-	return c.set(table, rows.Row{Key: key, Value: value}), nil
+	return s.set(table, rows.Row{Key: key, Value: value}), nil
 }
 
 // Delete implements gateway.Store.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -474,6 +474,39 @@
 	}
 }
 
+// Guards against a claim that the store performs a second after its answer was lost:
+// two hosts must not promote under one fence, and nothing may be committed at a primary
+// that was replaced.
+func TestClaimsPerformedLate(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := startFleet(t, manyConnections, "h1", "h2", "h3")
+	writeUntilDone(t, f, "h1", time.Second)
+	f.store.mu.Lock()
+	for _, host := range []string{"h1", "h2"} {
+		f.store.late[host] = time.Second
+	}
+	f.store.mu.Unlock()
+	f.group.stop("e1")
+	writeUntilDone(t, f, "h2", 12*time.Second)
+	f.store.mu.Lock()
+	clear(f.store.late)
+	f.store.mu.Unlock()
+	writeUntilDone(t, f, "h1", 5*time.Second)
+	f.group.mu.Lock()
+	defer f.group.mu.Unlock()
+	holders := make(map[string]string)
+	for _, p := range f.group.promotions {
+		var holder, fence, endpoint string
+		_, err := fmt.Sscan(p, &holder, &fence, &endpoint)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(holders[fence]).To(BeElementOf("", holder), "fence %s", fence)
+		holders[fence] = holder
+	}
+	g.Expect(f.group.promotions).NotTo(BeEmpty())
+	g.Expect(f.group.deposed).To(BeZero())
+}
+
 // Guards against a statement of a transaction whose lease has ended and that would
 // commit on its own.
 func TestLostLeaseDoesNotRunOutsideItsTransaction(t *testing.T) {
