Call other hosts over HTTP/2 without compression

Cause: a relayed statement of about 200 bytes carried 440 bytes of HTTP/1 headers, its answer was compressed, and a burst to a holder opened a connection for each statement beyond two. Calls now share one connection, whose pings close it within a second after it goes silent.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -18,14 +17,6 @@
 	"github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/fleet/v1/fleetv1connect"
 )
 
-const (
-	// dialTimeout bounds the opening of a connection between hosts, which takes two
-	// round trips.
-	dialTimeout = 300 * time.Millisecond
-	// idleTimeout closes connections to hosts that are not called any more.
-	idleTimeout = 10 * time.Second
-)
-
 // Client calls other hosts. It implements gateway.Peers.
 type Client struct {
 	http    *http.Client
@@ -35,20 +26,14 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	dialer := net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		clients: make(map[string]fleetv1connect.FleetServiceClient),
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			IdleConnTimeout:     idleTimeout,
-			MaxIdleConnsPerHost: 2,
-			DisableCompression:  true,
-		}},
+		http:    &http.Client{Transport: newTransport()},
 	}
 }
 
-// Exchange implements gateway.Peers. A connection on which a call timed out is
-// closed by the HTTP client, so that one that went silent is not used again.
+// Exchange implements gateway.Peers. A connection that goes silent is closed by
+// its pings, so that later calls open a new one.
 func (c *Client) Exchange(ctx context.Context, address string, n gateway.News) (gateway.News, error) {
 	response, err := c.client(address).Exchange(ctx, connect.NewRequest(&fleetv1.ExchangeRequest{News: encodeNews(n)}))
 	if err != nil {
@@ -82,7 +67,7 @@
 	defer c.mu.Unlock()
 	client, ok := c.clients[address]
 	if !ok {
-		client = fleetv1connect.NewFleetServiceClient(c.http, "http://"+address)
+		client = fleetv1connect.NewFleetServiceClient(c.http, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil))
 		c.clients[address] = client
 	}
 	return client
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -9,12 +9,10 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/rs/zerolog"
 
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/fleet"
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
-	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
 // Guards against a host that is stopped and counts as cut off, which would delay
@@ -30,7 +28,9 @@
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(c.NotRunning(err)).To(BeTrue())
 
-	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) }))
+	silent := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) }))
+	silent.Config.Protocols = fleet.Protocols()
+	silent.Start()
 	defer silent.Close()
 	relay := c.Relay(strings.TrimPrefix(silent.URL, "http://"), gateway.Endpoint{ID: "e"})
 	_, err = relay.Run(time.Now().Add(50*time.Millisecond), gateway.RelayWork{})
@@ -43,13 +43,7 @@
 // and against a relayed request that is answered without its endpoint.
 func TestCallsReachTheGateway(t *testing.T) {
 	g := NewWithT(t)
-	gw := gateway.New(gateway.Config{Host: "h1", Metrics: metrics.NewRegistry(), Log: zerolog.Nop()})
-	path, handler := (&fleet.Server{Gateway: gw}).Handler()
-	mux := http.NewServeMux()
-	mux.Handle(path, handler)
-	server := httptest.NewServer(mux)
-	defer server.Close()
-	address := strings.TrimPrefix(server.URL, "http://")
+	address := startPeer(t).address
 	c := fleet.NewClient()
 	_, err := c.Fence(t.Context(), address, gateway.FenceRequest{Group: "g", Fence: gateway.FenceState{Term: 3, Version: 9}})
 	g.Expect(err).To(HaveOccurred())
