Order waiting work by its objective and refuse at once what would miss it

In order of arrival the queue grew until every answer missed its objective and requests waited until their deadline. Work that can still meet its objective now goes first, by priority and arrival; work that is expected to miss it is refused at once, and no work waits longer than half of its time. Relayed work carries its priority and objective, so that a holder orders it like its own.

--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -98,7 +98,7 @@
 	out := &fleetv1.RelayRequest{
 		Lease: w.Lease, Group: w.Group, Endpoint: w.Endpoint, Values: w.Values,
 		Id: w.Request.ID, Text: w.Request.Text, Op: uint32(w.Request.Op), Name: w.Request.Name,
-		Args: w.Request.Args, Writes: w.Request.Writes, Primary: w.Primary, Continues: w.Continues, TimeoutUs: w.Timeout.Microseconds(),
+		Args: w.Request.Args, Writes: w.Request.Writes, Primary: w.Primary, Continues: w.Continues, Priority: int64(w.Priority), ObjectiveUs: w.Objective.Microseconds(), TimeoutUs: w.Timeout.Microseconds(),
 		After: encodePosition(w.Request.After),
 	}
 	if w.Prepared != nil {
@@ -112,6 +112,7 @@
 	w := gateway.RelayWork{
 		Lease: m.GetLease(), Group: m.GetGroup(), Endpoint: m.GetEndpoint(), Values: m.GetValues(),
 		Primary: m.GetPrimary(), Timeout: time.Duration(m.GetTimeoutUs()) * time.Microsecond, Abandon: m.GetAbandon(), Continues: m.GetContinues(),
+		Priority: int(m.GetPriority()), Objective: time.Duration(m.GetObjectiveUs()) * time.Microsecond,
 		Request: gateway.Request{
 			Statement: session.Statement{
 				ID: m.GetId(), Text: m.GetText(), Op: session.Op(m.GetOp()),
--- a/internal/gateway/catalog.go
+++ b/internal/gateway/catalog.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/admission"
+)
 
 // Consistency is what a database's reads must see.
 type Consistency uint8
@@ -24,10 +28,21 @@
 	MaxStaleness time.Duration
 	// Timeout limits one statement.
 	Timeout time.Duration
+	// Objective is how soon callers want their answers; zero means no objective.
+	Objective time.Duration
 	// Priority orders waiting statements; 0 is the highest.
 	Priority int
 }
 
+// turn returns the place of work that arrived at the time.
+func (d Database) turn(arrived time.Time) admission.Turn {
+	t := admission.Turn{Priority: d.Priority, Arrived: arrived, Deadline: arrived.Add(d.Timeout)}
+	if d.Objective > 0 {
+		t.Objective = arrived.Add(d.Objective)
+	}
+	return t
+}
+
 // Group is the configuration of one database group.
 type Group struct {
 	Name string
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -5,7 +5,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/beryltrestle/beryltrestle/coord/admission"
 	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
 // errReplay says that session state could not be replayed on a connection.
@@ -23,6 +25,8 @@
 	since time.Time
 	// primaryUse marks a connection that is held for work on the primary.
 	primaryUse bool
+	// turn is the place of the work that the connection was taken for.
+	turn admission.Turn
 	// broken connections are closed at release.
 	broken bool
 }
@@ -52,7 +56,7 @@
 
 // runRelayed lets the host that holds the connection run the request.
 func (c *conn) runRelayed(relay RelayConn, deadline time.Time, s *session.State, p session.Prepared, execute bool, r Request) (Reply, error) {
-	work := RelayWork{Values: s.Values(), Request: r, Primary: c.primaryUse}
+	work := RelayWork{Values: s.Values(), Request: r, Primary: c.primaryUse, Priority: c.turn.Priority, Objective: c.turn.Left(boottime.Now())}
 	if execute {
 		work.Prepared = &p
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/beryltrestle/beryltrestle/coord/admission"
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
@@ -55,7 +56,17 @@
 // checkout returns a connection of the target that the session may use until
 // release. The errors are errNoConnection, errRequeue and errEndpointDown; none of
 // them has run anything.
-func (p *pool) checkout(ctx context.Context, t *target, s *session.State, priority int, arrived time.Time) (*conn, error) {
+func (p *pool) checkout(ctx context.Context, t *target, s *session.State, turn admission.Turn) (*conn, error) {
+	c, err := p.take(ctx, t, s, turn)
+	if err == nil {
+		c.turn = turn
+	}
+	return c, err
+}
+
+// take waits for a connection or opens one.
+func (p *pool) take(ctx context.Context, t *target, s *session.State, turn admission.Turn) (*conn, error) {
+	now := boottime.Now()
 	g := t.group
 	g.mu.Lock()
 	if c := t.takeIdle(s); c != nil {
@@ -67,14 +78,13 @@
 		g.mu.Unlock()
 		return p.open(ctx, t)
 	}
-	if deadline, ok := ctx.Deadline(); ok && t.queueWait() > time.Until(deadline) {
+	if now.After(turn.GiveUp()) || turn.Hopeless(now, t.queueWait(t.waiting.ahead(turn, now))) {
 		g.mu.Unlock()
 		return nil, errNoConnection
 	}
-	w := t.waiting.push(priority, arrived)
+	w := t.waiting.push(turn)
 	g.mu.Unlock()
-	began := boottime.Now()
-	defer func() { p.metrics.Observe(metrics.LatencyConnection, boottime.Now().Sub(began)) }()
+	defer func() { p.metrics.Observe(metrics.LatencyConnection, boottime.Now().Sub(now)) }()
 	return p.await(ctx, t, w)
 }
 
@@ -209,9 +219,10 @@
 // failWaiting ends all waits, as the endpoint cannot be reached. The group's mutex
 // must be held.
 func (t *target) failWaiting(err error) {
-	for w := t.waiting.pop(); w != nil; w = t.waiting.pop() {
+	for _, w := range t.waiting.items {
 		w.ready <- grant{err: err}
 	}
+	t.waiting.items = nil
 }
 
 // openingEnded gives up the right to open a connection.
@@ -252,7 +263,7 @@
 		return
 	}
 	if c := t.takeIdle(nil); c != nil {
-		t.waiting.pop().ready <- grant{conn: c}
+		t.waiting.pop(boottime.Now()).ready <- grant{conn: c}
 		return
 	}
 	t.passOn()
@@ -264,7 +275,7 @@
 	if t.open() >= t.limit {
 		return
 	}
-	if w := t.waiting.pop(); w != nil {
+	if w := t.waiting.pop(boottime.Now()); w != nil {
 		t.opening++
 		w.ready <- grant{open: true}
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/beryltrestle/beryltrestle/coord/admission"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -32,6 +33,11 @@
 	Request  Request
 	// Primary work must not run unless the endpoint leads.
 	Primary bool
+	// Priority orders it among work that waits for the holder's connections.
+	Priority int
+	// Objective is the time left to meet the latency objective; zero means that there
+	// is none or that it is missed.
+	Objective time.Duration
 	// Timeout is how long the caller waits, on top of its own transmission.
 	Timeout time.Duration
 	// Continues means that the lease's transaction has begun. If it is lost, the
@@ -41,6 +47,13 @@
 	Abandon bool
 }
 
+// turn returns the work's place among what waits at the holder, where it arrived at
+// the time.
+func (w RelayWork) turn(arrived time.Time) admission.Turn {
+	db := Database{Timeout: w.Timeout, Objective: w.Objective, Priority: w.Priority}
+	return db.turn(arrived)
+}
+
 // ErrNotSent says that a request surely did not reach the endpoint.
 var ErrNotSent = errors.New("the request was not sent")
 
@@ -133,10 +146,10 @@
 	if w.Primary && !leads {
 		return nil, &Reply{Code: CodeReadOnly, Detail: "the endpoint is not known to lead"}
 	}
-	arrived := boottime.Now()
-	c, err := gw.pool.checkout(ctx, t, nil, 0, arrived)
+	turn := w.turn(boottime.Now())
+	c, err := gw.pool.checkout(ctx, t, nil, turn)
 	for errors.Is(err, errRequeue) {
-		c, err = gw.pool.checkout(ctx, t, nil, 0, arrived)
+		c, err = gw.pool.checkout(ctx, t, nil, turn)
 	}
 	switch {
 	case errors.Is(err, errEndpointDown):
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -43,6 +43,18 @@
 	at   choice
 }
 
+// hopeless reports whether the work was refused because only the primary can run it
+// and the queue there is too long.
+func (a attempt) hopeless(n need) bool { return n.primary && errors.Is(a.err, errNoConnection) }
+
+// refusal returns why work is refused that did not run.
+func (a attempt) refusal() metrics.Name {
+	if errors.Is(a.err, errNoConnection) {
+		return metrics.RefusedExpectedWait
+	}
+	return metrics.RefusedNoPrimary
+}
+
 // runSingle runs a statement outside a transaction. Writes are sent again only if
 // they surely did not run.
 func (s *sessionServer) runSingle(st session.Statement, arrived time.Time) Reply {
@@ -67,7 +79,7 @@
 			return reply
 		}
 		last = a
-		if !s.mayRetry(ctx, tries) {
+		if a.hopeless(n) || !s.mayRetry(ctx, tries) {
 			return s.giveUp(st, last)
 		}
 		tries++
@@ -113,7 +125,7 @@
 
 // try sends the statement to the endpoint once.
 func (s *sessionServer) try(ctx context.Context, st session.Statement, at choice, primary bool, arrived time.Time) attempt {
-	c, err := s.gateway.pool.checkout(ctx, at.target, s.state, s.db.Priority, arrived)
+	c, err := s.gateway.pool.checkout(ctx, at.target, s.state, s.db.turn(arrived))
 	if err != nil {
 		return attempt{err: err, at: at}
 	}
@@ -218,10 +230,8 @@
 		return s.refuse(CodeTimeout, metrics.UnknownTimeout)
 	case last.sent:
 		return s.refuse(CodeFailed, metrics.RefusedReadLost)
-	case errors.Is(last.err, errNoConnection):
-		return s.refuse(CodeBusy, metrics.RefusedExpectedWait)
 	}
-	return s.refuse(CodeBusy, metrics.RefusedNoPrimary)
+	return s.refuse(CodeBusy, last.refusal())
 }
 
 // refuse counts and returns an error.
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -81,11 +81,9 @@
 }
 
 // queueWait estimates how long new work waits here for one of this host's
-// connections and then for its answer. Load: more work for one primary than fits
-// into its deadline; what cannot be served in time is refused at once, so that its
-// caller can go elsewhere or come back.
-func (t *target) queueWait() time.Duration {
-	return t.latency * time.Duration(t.waiting.len()+t.limit) / time.Duration(max(t.limit, 1))
+// connections, behind so many others, and then for its answer.
+func (t *target) queueWait(ahead int) time.Duration {
+	return t.latency * time.Duration(ahead+t.limit) / time.Duration(max(t.limit, 1))
 }
 
 // succeeded records an answer.
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -22,12 +22,12 @@
 	if s.pinned != nil {
 		return s.runPinned(ctx, st)
 	}
-	return s.runFirst(ctx, st)
+	return s.runFirst(ctx, st, arrived)
 }
 
 // runFirst chooses the transaction's endpoint and runs its first statement there.
 // Nothing has run before, so that it may start over elsewhere.
-func (s *sessionServer) runFirst(ctx context.Context, st session.Statement) Reply {
+func (s *sessionServer) runFirst(ctx context.Context, st session.Statement, arrived time.Time) Reply {
 	g := s.gateway.group(s.db.Group)
 	if g == nil {
 		return s.refuse(CodeBusy, metrics.RefusedNoPrimary)
@@ -40,7 +40,7 @@
 		if !ok {
 			return s.giveUpFirst(last)
 		}
-		a := s.open(ctx, at, n.primary)
+		a := s.open(ctx, at, n.primary, arrived)
 		if errors.Is(a.err, errRequeue) {
 			continue
 		}
@@ -52,7 +52,7 @@
 			a = attempt{reply: reply, sent: true, at: at}
 		}
 		last = a
-		if !s.mayRetry(ctx, tries) {
+		if a.hopeless(n) || !s.mayRetry(ctx, tries) {
 			return s.giveUpFirst(last)
 		}
 		tries++
@@ -74,9 +74,10 @@
 	return true
 }
 
-// open begins the transaction on a connection of the endpoint.
-func (s *sessionServer) open(ctx context.Context, at choice, primary bool) attempt {
-	c, err := s.gateway.pool.checkout(ctx, at.target, s.state, s.db.Priority, s.state.Transaction().Began)
+// open begins the transaction on a connection of the endpoint, for its first
+// statement, which arrived at the time.
+func (s *sessionServer) open(ctx context.Context, at choice, primary bool, arrived time.Time) attempt {
+	c, err := s.gateway.pool.checkout(ctx, at.target, s.state, s.db.turn(arrived))
 	if err != nil {
 		return attempt{err: err, at: at}
 	}
@@ -100,7 +101,7 @@
 	if last.sent && last.err == nil {
 		return s.failed(last.reply.Code, last.reply.Detail)
 	}
-	return s.refuse(CodeBusy, metrics.RefusedNoPrimary)
+	return s.refuse(CodeBusy, last.refusal())
 }
 
 // runPinned runs a statement on the transaction's connection. A transaction whose
@@ -151,14 +152,14 @@
 	ctx, cancel := s.callerContext(arrived)
 	defer cancel()
 	if s.pinned == nil {
-		return s.commitEmpty(ctx, st)
+		return s.commitEmpty(ctx, st, arrived)
 	}
 	return s.commitPinned(ctx, st)
 }
 
 // commitEmpty commits a transaction without statements, for the endpoint's
 // signature.
-func (s *sessionServer) commitEmpty(ctx context.Context, st session.Statement) Reply {
+func (s *sessionServer) commitEmpty(ctx context.Context, st session.Statement, arrived time.Time) Reply {
 	g := s.gateway.group(s.db.Group)
 	tx := s.state.Transaction()
 	n := newNeed(s.db, s.state.Floor, tx.Began, !tx.ReadOnly)
@@ -167,7 +168,7 @@
 		if !ok {
 			break
 		}
-		a := s.open(ctx, at, n.primary)
+		a := s.open(ctx, at, n.primary, arrived)
 		if a.err == nil && a.reply.OK() {
 			return s.commitPinned(ctx, st)
 		}
--- a/internal/gateway/wait_queue.go
+++ b/internal/gateway/wait_queue.go
@@ -1,17 +1,15 @@
 package gateway
 
 import (
-	"container/heap"
+	"slices"
 	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/admission"
 )
 
 // waiter is a session that waits for a connection.
 type waiter struct {
-	priority int
-	// arrived is when the statement arrived at the host, so that a statement which
-	// looks for another endpoint keeps its place.
-	arrived time.Time
-	index   int
+	admission.Turn
 	// ready receives a connection, or nil with the right to open one.
 	ready chan grant
 }
@@ -24,66 +22,53 @@
 	err  error
 }
 
-// waitQueue orders waiters by priority, then by arrival.
+// waitQueue holds the waiters of a target. Which goes first depends on the time, so
+// that it is found when one is taken; a queue holds a few dozen at most.
 type waitQueue struct {
-	items waitHeap
+	items []*waiter
 }
 
 // push adds a waiter.
-func (q *waitQueue) push(priority int, arrived time.Time) *waiter {
-	w := &waiter{priority: priority, arrived: arrived, ready: make(chan grant, 1)}
-	heap.Push(&q.items, w)
+func (q *waitQueue) push(t admission.Turn) *waiter {
+	w := &waiter{Turn: t, ready: make(chan grant, 1)}
+	q.items = append(q.items, w)
 	return w
 }
 
 // pop removes the first waiter; nil if there is none.
-func (q *waitQueue) pop() *waiter {
+func (q *waitQueue) pop(now time.Time) *waiter {
 	if len(q.items) == 0 {
 		return nil
 	}
-	return heap.Pop(&q.items).(*waiter)
+	first := q.items[0]
+	for _, w := range q.items[1:] {
+		if w.Before(first.Turn, now) {
+			first = w
+		}
+	}
+	q.remove(first)
+	return first
 }
 
 // remove takes a waiter out. It returns false if the waiter was granted.
 func (q *waitQueue) remove(w *waiter) bool {
-	if w.index < 0 {
+	i := slices.Index(q.items, w)
+	if i < 0 {
 		return false
 	}
-	heap.Remove(&q.items, w.index)
+	q.items = slices.Delete(q.items, i, i+1)
 	return true
 }
 
-func (q *waitQueue) len() int { return len(q.items) }
-
-// waitHeap implements heap.Interface.
-type waitHeap []*waiter
-
-func (h waitHeap) Len() int { return len(h) }
-
-func (h waitHeap) Less(i, j int) bool {
-	if h[i].priority != h[j].priority {
-		return h[i].priority < h[j].priority
+// ahead counts the waiters that go before the turn.
+func (q *waitQueue) ahead(t admission.Turn, now time.Time) int {
+	n := 0
+	for _, w := range q.items {
+		if w.Before(t, now) {
+			n++
+		}
 	}
-	return h[i].arrived.Before(h[j].arrived)
+	return n
 }
 
-func (h waitHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *waitHeap) Push(x any) {
-	w := x.(*waiter)
-	w.index = len(*h)
-	*h = append(*h, w)
-}
-
-// Pop implements heap.Interface.
-func (h *waitHeap) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	*h = old[:len(old)-1]
-	w.index = -1
-	return w
-}
+func (q *waitQueue) len() int { return len(q.items) }
