Read the claims by the age of the permission, not of the mirror

Ruled out: calls for changes, which are few since they are spaced. Hosts but the first now read the claims when their permission is old.

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -17,9 +17,7 @@
 // old. Whole listings are read, since a feed may miss changes when the store drops
 // its history.
 func (c *control) readClaims(now time.Time) {
-	rank := func() int { return c.rankAmong(now, readersGroup) }
-	due := c.listedAt > c.tables[TableState].Through() || claimsPatience.due(now.Sub(c.asOf[TableState]), rank)
-	if c.reading || !due || c.awaitsRegistration(now) {
+	if c.reading || !c.claimsDue(now) || c.awaitsRegistration(now) {
 		return
 	}
 	c.reading = true
@@ -43,6 +41,20 @@
 	}()
 }
 
+// claimsDue reports whether this host should read the claims: the first reader when
+// its own mirror is old, the others when their permission to use primaries is. Answers
+// of a majority of the hosts renew a permission without the store.
+func (c *control) claimsDue(now time.Time) bool {
+	rank := func() int { return c.rankAmong(now, readersGroup) }
+	switch {
+	case c.listedAt > c.tables[TableState].Through():
+		return true
+	case claimsPatience.due(now.Sub(c.permitted.Add(-permission.Duration)), rank):
+		return true
+	}
+	return now.Sub(c.asOf[TableState]) >= claimsPatience.first && rank() < claimsPatience.readers
+}
+
 // registrationHead is how long a host that has just started leaves the first read of
 // the claims to its registration, which lists the same table.
 const registrationHead = 300 * time.Millisecond
@@ -88,6 +100,7 @@
 	if !c.listed() {
 		until = time.Time{}
 	}
+	c.permitted = until
 	before := c.gw.permittedUntil.Swap(until.UnixNano())
 	now := boottime.Now()
 	held, holds := before > now.UnixNano(), until.After(now)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -49,8 +49,10 @@
 	lastSweep time.Time
 	// asOf is the time as of which the mirror of each table is complete. That of
 	// TableState gives the permission to use primaries.
-	asOf    map[TableName]time.Time
-	reading bool
+	asOf map[TableName]time.Time
+	// permitted is when the permission to use primaries ends.
+	permitted time.Time
+	reading   bool
 	// registering is true while a write of this host's row is under way.
 	registering bool
 	lastCleanup time.Time
--- a/internal/gateway/patience.go
+++ b/internal/gateway/patience.go
@@ -21,14 +21,15 @@
 var (
 	// claimsPatience keeps the claims younger than the permission to use primaries,
 	// with time for a read and its answer.
-	claimsPatience = patience{readers: 1, first: 400 * time.Millisecond, rest: 700 * time.Millisecond, step: 100 * time.Millisecond, most: readPatienceMax}
+	claimsPatience = patience{readers: 1, first: 400 * time.Millisecond, rest: 900 * time.Millisecond, step: 100 * time.Millisecond, most: readPatienceMax}
 	// feedPatience leaves most of a second of the shortest time in which a
 	// configuration must be in force, if all readers fail at once.
-	feedPatience = patience{readers: 2, rest: 1700 * time.Millisecond, step: 100 * time.Millisecond, most: 2100 * time.Millisecond}
+	feedPatience = patience{readers: 2, rest: 2000 * time.Millisecond, step: 100 * time.Millisecond, most: 2300 * time.Millisecond}
 )
 
-// readPatienceMax is the age of the claims at which every host reads them.
-const readPatienceMax = 1000 * time.Millisecond
+// readPatienceMax is the age of the claims at which every host reads them. The rest of
+// a permission (permission.Duration) is for the read.
+const readPatienceMax = 1150 * time.Millisecond
 
 // due reports whether a host should read a table whose mirror has the age. rank is
 // called only if it decides, since it orders all hosts.
--- a/internal/gateway/patience_test.go
+++ b/internal/gateway/patience_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/coord/permission"
 )
 
 // Guards against a ranking of all hosts on every tick, and against an answer that
@@ -24,3 +26,35 @@
 		}
 	}
 }
+
+// Guards against hosts that read the claims although the answers of a majority have
+// just renewed their permission: 120 of the 484 calls of a quiet day of svfb-trestle.
+func TestFreshPermissionSparesReadsOfTheClaims(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	due := func(host string, claimsAge, permissionAge time.Duration) bool {
+		c := newControl(&Gateway{cfg: Config{Host: host}})
+		for _, name := range []string{"h1", "h2", "h3"} {
+			if name != host {
+				c.members[name] = &member{hostRecord: hostRecord{Name: name}}
+			}
+		}
+		c.asOf[TableState] = now.Add(-claimsAge)
+		c.permitted = now.Add(permission.Duration - permissionAge)
+		return c.claimsDue(now)
+	}
+	readers, old, fresh := 0, 0, 0
+	for _, host := range []string{"h1", "h2", "h3"} {
+		for _, c := range []struct {
+			claims, permission time.Duration
+			count              *int
+		}{{500 * time.Millisecond, 0, &readers}, {2 * time.Second, 0, &fresh}, {2 * time.Second, readPatienceMax, &old}} {
+			if due(host, c.claims, c.permission) {
+				*c.count++
+			}
+		}
+	}
+	g.Expect(readers).To(Equal(1))
+	g.Expect(fresh).To(Equal(1))
+	g.Expect(old).To(Equal(3))
+}
