Give endpoints less work that fail it, whatever their entries say

Load: an endpoint that fails or swallows part of its statements while it is called ready (srv_grey). The weights are those of coord/routing.Health, which the PostgreSQL owner uses already; an endpoint that is not admitted still serves what no other endpoint may.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/placement"
@@ -167,6 +168,7 @@
 		t.failWaiting(errEndpointDown)
 		t.closeIdle()
 	}
+	g.health.SetEndpoints(now, slices.Collect(maps.Keys(g.targets)))
 	g.notify()
 	g.mu.Unlock()
 	for _, t := range survey {
--- /dev/null
+++ b/internal/gateway/grey_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+// Guards against an endpoint that fails its statements and keeps its share of the reads,
+// since its entry calls it ready, and against one that is not used again once it is well
+// (svfb-trestle-grown, srv_grey).
+func TestFailingEndpointIsUsedLess(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := &pool{
+		metrics: metrics.NewRegistry(), onFailure: func(*target) {},
+		permitted: func(time.Time) bool { return true },
+	}
+	gr := newGroup("g", p)
+	position := logpos.Position{Term: 1, Offset: 1}
+	gr.lead(1, "e1", position)
+	for _, id := range []string{"e1", "e2", "e3"} {
+		gr.targets[id] = newTarget(gr, Endpoint{ID: id})
+	}
+	gr.health.SetEndpoints(boottime.Now(), []string{"e1", "e2", "e3"})
+	fails := true
+	// readFor reads for the time and returns the share that went to e2.
+	readFor := func(d time.Duration) float64 {
+		at, all := 0, 0
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			now := boottime.Now()
+			gr.mu.Lock()
+			gr.sample(now, position)
+			for _, each := range gr.targets {
+				each.lag.Observe(now, position, gr.staleness)
+			}
+			n := newNeed(Database{Consistency: ConsistencyBounded, MaxStaleness: time.Second}, logpos.Position{}, now, false)
+			// Equal run times leave the choice between the replicas to health.
+			for _, each := range gr.targets {
+				each.latency = initialLatency
+			}
+			gr.targets["e1"].latency = 3 * initialLatency
+			chosen := gr.choose(now, n).target
+			gr.mu.Unlock()
+			reply := Reply{Position: position}
+			all++
+			if chosen.ID == "e2" {
+				at++
+				if fails {
+					reply.Code = CodeFailed
+				}
+			}
+			c := &conn{target: chosen}
+			p.end(c, p.begin(c, false), &reply, nil, logpos.Position{})
+		}
+		return float64(at) / float64(all)
+	}
+	g.Expect(readFor(500 * time.Millisecond)).To(BeNumerically(">", 0.2))
+	readFor(3500 * time.Millisecond)
+	g.Expect(readFor(time.Second)).To(BeNumerically("<", 0.1))
+	fails = false
+	readFor(10 * time.Second)
+	g.Expect(readFor(time.Second)).To(BeNumerically(">", 0.2))
+}
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -32,6 +32,9 @@
 	// cutOffUntil is until when this host counts as cut off from the primary.
 	cutOffUntil time.Time
 	staleness   *routing.Staleness
+	// health weighs the endpoints by how the statements on them went, whatever their
+	// entries say. Load: endpoints that fail or swallow part of their requests.
+	health *routing.Health
 	// changed is closed and replaced whenever waiting sessions should look again.
 	changed chan struct{}
 }
@@ -40,7 +43,7 @@
 func newGroup(name string, p *pool) *group {
 	return &group{
 		name: name, pool: p, targets: make(map[string]*target),
-		staleness: routing.NewStaleness(), changed: make(chan struct{}),
+		staleness: routing.NewStaleness(), health: routing.NewHealth(), changed: make(chan struct{}),
 	}
 }
 
--- a/internal/gateway/need.go
+++ b/internal/gateway/need.go
@@ -49,25 +49,34 @@
 	if n.primary {
 		return choice{target: leader}
 	}
-	best := choice{}
-	if leader != nil && !n.avoid[leader.ID] {
-		best.target = leader
-	}
 	after, ok := g.bound(n)
 	if !ok {
 		return choice{target: leader}
 	}
+	// reserve stands in if no endpoint is admitted by its health.
+	best, reserve := choice{}, choice{}
+	consider := func(c choice) {
+		if reserve.target == nil || g.cheaper(c.target, reserve.target) {
+			reserve = c
+		}
+		if g.health.Admit(c.target.ID) && (best.target == nil || g.cheaper(c.target, best.target)) {
+			best = c
+		}
+	}
+	if leader != nil && !n.avoid[leader.ID] {
+		consider(choice{target: leader})
+	}
 	for _, t := range g.targets {
 		if t == leader || t.ID == g.primary || t.leaving(now) || !t.usable(now) || n.avoid[t.ID] {
 			continue
 		}
-		if !t.lag.Holds(now, after, g.staleness) {
-			continue
-		}
-		if best.target == nil || g.cheaper(t, best.target) {
-			best = choice{target: t, after: after}
+		if t.lag.Holds(now, after, g.staleness) {
+			consider(choice{target: t, after: after})
 		}
 	}
+	if best.target == nil {
+		return reserve
+	}
 	return best
 }
 
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -313,6 +313,11 @@
 	defer g.mu.Unlock()
 	c.since = time.Time{}
 	t.inFlight--
+	if err != nil || !reply.ByHolder {
+		took := now.Sub(began)
+		g.health.Observe(t.ID, took, 0, err != nil || reply.Code == CodeFailed)
+		g.health.Update(now)
+	}
 	if err != nil {
 		return
 	}
