Use the other holders when one of an endpoint's holders fails

A third of the calls to an endpoint went to a dead holder, each of which counted the endpoint as down for up to a second for the caller's host; idle relayed connections kept leading there.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -19,7 +19,9 @@
 	// Conn is a RelayConn or an EndpointConn.
 	Conn
 	target *target
-	state  *session.ConnState
+	// via is the address of the host through which a RelayConn goes.
+	via   string
+	state *session.ConnState
 	// since is when the statement in flight was sent; zero if there is none. It is
 	// guarded by the group's mutex.
 	since time.Time
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/beryltrestle/beryltrestle/coord/admission"
@@ -180,9 +181,13 @@
 // lost records a connection that failed in use.
 func (gw *Gateway) lost(c *conn, err error) {
 	t := c.target
+	now := boottime.Now()
 	t.group.mu.Lock()
-	if !isTimeout(err) {
-		t.failed(boottime.Now())
+	switch {
+	case c.via != "" && !errors.Is(err, ErrAnswerLost) && t.holderFailed(now, c.via):
+		// The other holders may reach the endpoint.
+	case !isTimeout(err):
+		t.failed(now)
 	}
 	t.group.mu.Unlock()
 	gw.control.suspect(t)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -152,12 +152,12 @@
 func (p *pool) open(ctx context.Context, t *target) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := p.dial(ctx, t)
+	raw, via, err := p.dial(ctx, t)
 	if err != nil {
 		p.dialFailed(t, err)
 		return nil, errors.WithSecondaryError(errEndpointDown, err)
 	}
-	c := &conn{Conn: raw, target: t, state: session.NewConnState()}
+	c := &conn{Conn: raw, target: t, via: via, state: session.NewConnState()}
 	t.group.mu.Lock()
 	t.opening--
 	t.conns[c] = true
@@ -171,24 +171,26 @@
 	return c, nil
 }
 
-// dial opens a connection to the endpoint, or through one of its holders.
-func (p *pool) dial(ctx context.Context, t *target) (Conn, error) {
+// dial opens a connection to the endpoint, or through another host, whose address it
+// returns.
+func (p *pool) dial(ctx context.Context, t *target) (Conn, string, error) {
 	t.group.mu.Lock()
 	e, direct := t.Endpoint, !t.throughOthers()
 	var via string
 	reachable := direct
 	if !direct {
-		via, reachable = t.via()
+		via, reachable = t.via(boottime.Now())
 	}
 	t.group.mu.Unlock()
 	switch {
 	case !reachable:
-		return nil, errEndpointDown
+		return nil, "", errEndpointDown
 	case direct:
 		p.metrics.Inc(metrics.ConnsOpened)
-		return p.dialer.Dial(ctx, e)
+		conn, err := p.dialer.Dial(ctx, e)
+		return conn, "", err
 	}
-	return p.relays.Relay(via, e), nil
+	return p.relays.Relay(via, e), via, nil
 }
 
 // dialFailed records why no connection could be opened.
@@ -325,6 +327,7 @@
 		if reply.Code == CodeMisrouted {
 			// The holder does not reach the endpoint either; a probe is due.
 			t.failures++
+			t.holderFailed(now, c.via)
 		}
 		return
 	}
