Remove rows of lost hosts in large fleets, after a poll of the others

Cause, shown by the new test with 40 hosts in five zones: above 24 hosts the first host hears from its hubs only. It now takes hosts that are reported silent, asks all of them once, and removes those that do not answer if a majority does. The same code serves small fleets.

--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -3,8 +3,7 @@
 import (
 	"time"
 
-	"github.com/beryltrestle/beryltrestle/coord/lease"
-	"github.com/beryltrestle/beryltrestle/coord/permission"
+	"github.com/beryltrestle/beryltrestle/coord/rows"
 )
 
 const (
@@ -17,35 +16,43 @@
 )
 
 // cleanup removes the rows of hosts that have been silent for long. The first live
-// host does it. The rows decide what a majority is, so the minority side of a split
-// must not remove the others.
+// host does it. The rows decide what a majority is, so a majority must answer right
+// before: the minority side of a split must not remove the others.
 func (c *control) cleanup(now time.Time) {
-	if now.Sub(c.lastCleanup) < cleanupInterval || !c.majorityAnswers(now) {
+	if now.Sub(c.lastCleanup) < cleanupInterval {
 		return
 	}
 	c.lastCleanup = now
-	if c.rankAmong(now, readersGroup) != 0 {
+	gone := c.gone(now)
+	if len(gone) == 0 || c.rankAmong(now, readersGroup) != 0 {
 		return
 	}
-	for name, m := range c.members {
-		silent := now.Sub(m.known) > memberGoneAfter && now.Sub(m.heard) > memberGoneAfter && now.Sub(m.answered) > memberGoneAfter
-		r, ok := c.tables[TableState].Get(hostPrefix + name)
-		if !silent || !ok {
-			continue
-		}
-		c.gw.events.log.Info().Str("member", name).Dur("silent_ms", now.Sub(m.heard)).Msg("removing the row of a silent host")
-		go c.remove(r.Key, r.Version, writeTimeout)
+	var request FenceRequest
+	for group := range *c.gw.groupsNow.Load() {
+		request = FenceRequest{Group: group, Ask: true}
 	}
+	addresses := c.mayUsePrimaries(now)
+	go func() {
+		poll := c.askHosts(c.gw.ctx, addresses, request, evidenceTimeout)
+		for name, r := range gone {
+			if _, answered := poll.replies[name]; answered || !poll.majority() {
+				continue
+			}
+			c.gw.events.log.Info().Str("member", name).Int("asked", poll.asked).Int("answered", len(poll.replies)).Msg("removing the row of a silent host")
+			c.remove(r.Key, r.Version, writeTimeout)
+		}
+	}()
 }
 
-// majorityAnswers reports whether a majority of the hosts has answered this one
-// within the time of a permission.
-func (c *control) majorityAnswers(now time.Time) bool {
-	answers := 1
-	for _, m := range c.members {
-		if now.Sub(m.heard) < permission.Duration {
-			answers++
+// gone returns the rows of the hosts that neither answer nor call, here or, in fleets
+// too large to hear from every host, at others.
+func (c *control) gone(now time.Time) map[string]rows.Row {
+	out := make(map[string]rows.Row)
+	for name, m := range c.members {
+		silent := now.Sub(m.known) > memberGoneAfter && now.Sub(m.heard) > memberGoneAfter && now.Sub(m.answered) > memberGoneAfter
+		if r, ok := c.tables[TableState].Get(hostPrefix + name); ok && silent && !m.live(now) {
+			out[name] = r
 		}
 	}
-	return answers >= lease.Majority(len(c.members)+1)
+	return out
 }
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -250,6 +251,15 @@
 	return f
 }
 
+// zoneOfHost returns the availability zone of a host: what stands before a dash in its
+// name, or that of the endpoints.
+func zoneOfHost(name string) string {
+	if zone, _, ok := strings.Cut(name, "-"); ok {
+		return zone
+	}
+	return "z"
+}
+
 // start runs a host, in the place of an earlier one of the name.
 func (f *fakeFleet) start(t *testing.T, name string) {
 	t.Helper()
@@ -259,7 +269,7 @@
 	defer f.mu.Unlock()
 	f.logs[name] = &logBuffer{}
 	gw := gateway.New(gateway.Config{
-		Host: name, Address: name, AvailabilityZone: "z", Grace: 2 * time.Second,
+		Host: name, Address: name, AvailabilityZone: zoneOfHost(name), Grace: 2 * time.Second,
 		Dialer: &fakeDialer{host: name, group: f.group}, Store: storeClient{f.store, name},
 		Decoder: fakeDecoder{}, Promoter: f.group, Peers: &fakePeers{fleet: f, host: name},
 		ParseStatus: parseFakeStatus, Metrics: metrics.NewRegistry(), Log: zerolog.New(f.logs[name]),
