--- a/internal/gateway/need.go
+++ b/internal/gateway/need.go
@@ -85,12 +85,21 @@
 	return g.cost(a) < g.cost(b)
 }
 
-// cost is the expected time of work at the target.
+// primaryReserve is the time that a read must save at the primary to be sent there. It
+// is about half of a statement's run: a replica that is free, or nearly so, leaves the
+// primary's slots to work that only the primary may do. Load: a crest of writes and
+// strict reads beside reads that any endpoint may serve.
+const primaryReserve = 10 * time.Millisecond
+
+// cost is the expected time of work at the target, with what it should save to be used.
 func (g *group) cost(t *target) time.Duration {
 	cost := t.expectedWait()
 	if t.AvailabilityZone != g.pool.zone {
 		cost += g.pool.zoneDistance
 	}
+	if t.ID == g.primary {
+		cost += primaryReserve
+	}
 	return cost
 }
 
