Add a soak that runs hosts as processes under random faults

deploy/soak runs the real daemon before stand-ins of the platform's store, promotion call and endpoints, with loopback proxies in between, stops, pauses, kills and restarts the processes by signals, and checks the promises from what callers and endpoints see. Faults follow from the seed and overlap. A run of 12 s with seed 1 is part of the tests.

--- /dev/null
+++ b/deploy/soak/soak_test.go
@@ -0,0 +1,34 @@
+package soak_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/beryltrestle/beryltrestle/deploy/soak"
+)
+
+// Guards every promise that deploy/soak checks against faults from outside the processes:
+// a short run with one seed, and one with each seed that ever failed.
+func TestSoak(t *testing.T) {
+	daemon := filepath.Join(t.TempDir(), "beryltrestled")
+	build := exec.Command("go", "build", "-o", daemon, "../../cmd/beryltrestled")
+	build.Stderr = os.Stderr
+	NewWithT(t).Expect(build.Run()).To(Succeed())
+	for _, seed := range []uint64{1} {
+		g := NewWithT(t)
+		dir := t.TempDir()
+		report, err := soak.Play(t.Context(), soak.Config{
+			Daemon: daemon, Dir: dir, Hosts: 5, Callers: 12, Seed: seed, Length: 12 * time.Second, Log: zerolog.Nop(),
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(report.Found).To(BeEmpty(), "seed %d", seed)
+		g.Expect(report.Done).To(BeNumerically(">", 100))
+		t.Logf("%+v", report)
+	}
+}
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -8,6 +8,7 @@
 	Status   statusCommand    `cmd:"" help:"Show the state of a daemon."`
 	Demo     demoCommand      `cmd:"" help:"Show the main job on embedded stand-ins; ends by itself in under 30 s."`
 	Measure  measureCommand   `cmd:"" help:"Measure a scenario on embedded stand-ins."`
+	Soak     soakCommand      `cmd:"" help:"Run hosts of the users' platform as processes under random faults and check their promises."`
 	Standin  standinCommands  `cmd:"" help:"Run stand-ins for tests and demonstrations."`
 }
 
--- /dev/null
+++ b/internal/cli/soak.go
@@ -0,0 +1,72 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/beryltrestle/beryltrestle/deploy/soak"
+)
+
+// errSoak reports seeds under which a promise was broken.
+var errSoak = errors.New("a promise was broken; the logs of the hosts are kept")
+
+// soakCommand runs hosts as processes under random faults.
+type soakCommand struct {
+	Daemon  string  `required:"" placeholder:"FILE" help:"Program of the hosts (beryltrestled)."`
+	Seed    uint64  `help:"First seed." default:"1"`
+	Seeds   int     `help:"Number of seeds, one after the other." default:"1"`
+	Minutes float64 `help:"Minutes of faults for each seed." default:"1"`
+	Hosts   int     `help:"Number of hosts." default:"7"`
+	Callers int     `help:"Number of callers." default:"20"`
+	Dir     string  `help:"Folder for settings and logs; a new one by default." placeholder:"DIR"`
+	Verbose bool    `help:"Log each fault."`
+}
+
+// Run runs the seeds and prints a line for each.
+func (c *soakCommand) Run(e *environment) error {
+	dir := c.Dir
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "beryltrestle-soak-"); err != nil {
+			return err
+		}
+	}
+	log := zerolog.Nop()
+	if c.Verbose {
+		log = zerolog.New(os.Stderr).With().Timestamp().Logger()
+	}
+	broken := 0
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds); seed++ {
+		own := filepath.Join(dir, fmt.Sprintf("seed-%d", seed))
+		if err := os.MkdirAll(own, 0o755); err != nil {
+			return err
+		}
+		report, err := soak.Play(e.ctx, soak.Config{
+			Daemon: c.Daemon, Dir: own, Hosts: c.Hosts, Callers: c.Callers, Seed: seed, Log: log,
+			Length: time.Duration(c.Minutes * float64(time.Minute)),
+		})
+		if err != nil {
+			return errors.Wrapf(err, "seed %d", seed)
+		}
+		if err := e.out.result(report, func(w io.Writer) { fmt.Fprintln(w, report, own) }); err != nil {
+			return err
+		}
+		if len(report.Found) > 0 {
+			broken++
+			continue
+		}
+		if err := os.RemoveAll(own); err != nil {
+			return err
+		}
+	}
+	if broken > 0 {
+		return errSoak
+	}
+	return nil
+}
