Wait for the new primary where a test looked for one between demotion and promotion

It now goes on writing until an endpoint other than the old one leads; the check and the deadline are as before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -145,10 +145,7 @@
 	deadline := time.Now().Add(6 * time.Second)
 	for {
 		confirmed = append(confirmed, writeUntilDone(t, f, "h2", 6*time.Second))
-		f.group.mu.Lock()
-		moved := f.group.leader().id != "e1"
-		f.group.mu.Unlock()
-		if moved {
+		if leader := f.group.leads(); leader != "e1" && leader != nobody {
 			break
 		}
 		g.Expect(time.Now()).To(BeTemporally("<", deadline), "the primary was not replaced")
