Answer rows with the version as of which they are complete in the soak's store

Found by reading: the stand-in read the store's version after it had listed the rows, so that a row written in between was missing from an answer that claimed to hold it. A host could then miss a claim, and a run could have blamed the product. Rows and version are now taken together, and the comment that described the opposite is gone.

--- a/deploy/soak/check.go
+++ b/deploy/soak/check.go
@@ -20,8 +20,7 @@
 type read struct {
 	id, item, session string
 	value             int
-	// sent is when its first byte was sent; freshAt is the time before which every
-	// acknowledged commit must be visible.
+	// freshAt is the time before which every acknowledged commit must be visible.
 	freshAt time.Time
 	// own is the last value that the session itself had acknowledged before.
 	own int
--- a/deploy/soak/store.go
+++ b/deploy/soak/store.go
@@ -87,7 +87,8 @@
 func (s *store) handler(host string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rows-get", func(w http.ResponseWriter, r *http.Request) {
-		s.answer(w, s.since(r.URL.Query().Get("Table"), 0, false))
+		listing, version := s.since(r.URL.Query().Get("Table"), 0, false)
+		answerRows(w, listing, version)
 	})
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	mux.HandleFunc("POST /rows-tx", func(w http.ResponseWriter, r *http.Request) { s.transact(w, r, host) })
@@ -103,8 +104,9 @@
 	})
 }
 
-// since returns the table's rows after the version, in their order.
-func (s *store) since(table string, after uint64, removed bool) []storedRow {
+// since returns the table's rows after the version, in their order, and the version as of
+// which they are complete.
+func (s *store) since(table string, after uint64, removed bool) ([]storedRow, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := []storedRow{}
@@ -119,7 +121,7 @@
 		}
 		return out[i].Key < out[j].Key
 	})
-	return out
+	return out, s.version
 }
 
 // feed waits for changes.
@@ -133,14 +135,15 @@
 		s.mu.Lock()
 		changed := s.changed
 		s.mu.Unlock()
-		if rows := s.since(q.Get("Table"), after, true); len(rows) > 0 {
-			s.answer(w, rows)
+		rows, version := s.since(q.Get("Table"), after, true)
+		if len(rows) > 0 {
+			answerRows(w, rows, version)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			s.answer(w, nil)
+			answerRows(w, rows, version)
 			return
 		case <-r.Context().Done():
 			return
@@ -148,15 +151,8 @@
 	}
 }
 
-// answer writes rows with the newest version.
-func (s *store) answer(w http.ResponseWriter, rows []storedRow) {
-	s.mu.Lock()
-	version := s.version
-	s.mu.Unlock()
-	for _, r := range rows {
-		// Rows that were written after the listing must not look as if it held them all.
-		version = max(version, r.Ver)
-	}
+// answerRows writes rows with the version as of which they are complete.
+func answerRows(w http.ResponseWriter, rows []storedRow, version uint64) {
 	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "Ver": version, "HasMore": false})
 }
 
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -15,8 +15,8 @@
 	// replaceAfter is the least age of a connection on which a call got no answer until
 	// it is replaced, so that slow answers do not open a connection each.
 	replaceAfter = 300 * time.Millisecond
-	// compressFrom is the size in bytes from which messages are compressed. Tables of
-	// the store shrink to a fifth; statements are smaller and stay as they are.
+	// compressFrom is the size in bytes from which messages are compressed: tables of
+	// the store are, statements and their answers usually are not.
 	compressFrom = 1024
 )
 
