Take over a stalled claim although the fenced primary answers

Cause: a claim whose holder ended before it was withdrawn fences the primary of its term on every host.

Ruled out: load. A claim of a host that does not exist, written into the store before three hosts in one process, stops service for ever.

Before: TestStalledClaimOnALivePrimaryIsTakenOver fails, no write accepted within 6 s.

Weighed: withdrawing the claim. Its holder may have ordered a promotion that is yet to take effect, so the old primary must not confirm writes again.

--- a/coord/succession/decide.go
+++ b/coord/succession/decide.go
@@ -40,6 +40,11 @@
 // wait for its work and its log.
 func (r Reason) Planned() bool { return r == ReasonDraining }
 
+// ReplacesLive reports whether a primary that answers is replaced all the same. A stalled
+// claim has fenced it, and its holder may have ordered a promotion that is yet to take
+// effect, so that the use of the primary must not resume.
+func (r Reason) ReplacesLive() bool { return r.Planned() || r == ReasonStalled }
+
 // View is what a host has seen of one group. Zero times mean that the condition
 // does not hold.
 type View struct {
--- a/internal/gateway/promote.go
+++ b/internal/gateway/promote.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		end = logpos.Max(end, s.Received)
-		if t == ch.old && (ch.reason.Planned() || !s.Primary) {
+		if t == ch.old && (ch.reason.ReplacesLive() || !s.Primary) {
 			continue
 		}
 		if s.Primary && s.Term >= ch.term {
