Pass reports of silent hosts on, with the age of the failed call

Cause: in fleets above 24 hosts only the hosts that had called a lost host knew of its loss, and told the hosts that they call. The first host, which removes its row, heard of it only once a host of its own zone or a hub had found out. The age of a report was not sent, so that it counted as new however old the failed call was, also against the next incarnation.

--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -12,7 +12,8 @@
 // encodeNews turns news into its message.
 func encodeNews(n gateway.News) *fleetv1.News {
 	out := &fleetv1.News{
-		Host: n.Host, Incarnation: n.Incarnation, Leaving: n.Leaving, Silent: n.Silent, AgesUs: make(map[string]int64, len(n.Ages)),
+		Host: n.Host, Incarnation: n.Incarnation, Leaving: n.Leaving,
+		AgesUs: make(map[string]int64, len(n.Ages)), SilentUs: make(map[string]int64, len(n.Silent)),
 		Through: make(map[string]uint64, len(n.Through)),
 	}
 	for table, through := range n.Through {
@@ -21,6 +22,9 @@
 	for table, age := range n.Ages {
 		out.AgesUs[string(table)] = age.Microseconds()
 	}
+	for host, age := range n.Silent {
+		out.SilentUs[host] = age.Microseconds()
+	}
 	for _, g := range n.Groups {
 		out.Groups = append(out.Groups, &fleetv1.GroupNews{
 			Group: g.Group, Term: g.Term, Primary: g.Primary, Fence: encodeFence(g.Fence), AgeUs: g.Age.Microseconds(),
@@ -45,7 +49,8 @@
 // decodeNews reads the message of news.
 func decodeNews(m *fleetv1.News) gateway.News {
 	out := gateway.News{
-		Host: m.GetHost(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(), Silent: m.GetSilent(), Ages: make(map[gateway.TableName]time.Duration, len(m.GetAgesUs())),
+		Host: m.GetHost(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(),
+		Ages: make(map[gateway.TableName]time.Duration, len(m.GetAgesUs())), Silent: make(map[string]time.Duration, len(m.GetSilentUs())),
 		Through: make(map[gateway.TableName]uint64, len(m.GetThrough())),
 	}
 	for table, through := range m.GetThrough() {
@@ -54,6 +59,9 @@
 	for table, age := range m.GetAgesUs() {
 		out.Ages[gateway.TableName(table)] = time.Duration(age) * time.Microsecond
 	}
+	for host, age := range m.GetSilentUs() {
+		out.Silent[host] = time.Duration(age) * time.Microsecond
+	}
 	for _, g := range m.GetGroups() {
 		out.Groups = append(out.Groups, gateway.GroupNews{
 			Group: g.GetGroup(), Term: g.GetTerm(), Primary: g.GetPrimary(), Fence: decodeFence(g.GetFence()),
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -25,7 +25,7 @@
 	failed time.Time
 	// failures counts the calls in a row that failed.
 	failures int
-	// reported is when another host last told that the host does not answer.
+	// reported is when the host last failed to answer some other host.
 	reported time.Time
 	// called is when the host was last called.
 	called  time.Time
@@ -34,6 +34,27 @@
 	through map[TableName]uint64
 }
 
+// reportSilent takes another host's report that the host did not answer at the time. A
+// report from before this host knew the incarnation may be about an earlier one.
+func (m *member) reportSilent(at time.Time) {
+	if at.After(m.known) && at.After(m.reported) {
+		m.reported = at
+	}
+}
+
+// silentAt returns when the host last failed to answer, here or elsewhere; zero if it has
+// been heard of since.
+func (m *member) silentAt() time.Time {
+	at := m.reported
+	if m.failures >= suspectFailures && m.failed.After(at) {
+		at = m.failed
+	}
+	if at.Before(m.heard) {
+		return time.Time{}
+	}
+	return at
+}
+
 // live reports whether the host is thought to run: it does until calls to it fail,
 // here or at another host, after it was last heard of.
 func (m *member) live(now time.Time) bool {
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -36,8 +36,9 @@
 	// Ages holds how long ago the sender's mirror of each table was complete; tables
 	// that never were are missing.
 	Ages map[TableName]time.Duration
-	// Silent lists the hosts that do not answer the sender.
-	Silent []string
+	// Silent holds the hosts that do not answer, with how long ago the last call to each
+	// failed, at the sender or at a host that told it.
+	Silent map[string]time.Duration
 	// Through holds the version that the sender's mirror of each table reaches to.
 	Through map[TableName]uint64
 	Tables  []TableNews
