Leave refusals out of an endpoint's service time; bound the work of few holders

Cause: a primary whose queue is full sheds work within a millisecond, and these answers counted as its service time. Before few holders an endpoint had up to 39 statements under way for 5 slots and a queue of 24.

Now refusals do not count, and a holder sends at most its part of two statements a slot. Resting transactions and overdue answers do not count against this window. Rows of silent hosts are removed after a poll of one second instead of 200 ms, since nothing waits for it.

--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -13,6 +13,9 @@
 	memberGoneAfter = 4 * time.Second
 	// cleanupInterval is how often the first host looks for such rows.
 	cleanupInterval = 2 * time.Second
+	// cleanupPollTimeout bounds the question to the other hosts before a row is removed.
+	// Nothing waits for it, so that it also allows for hosts that are slow to answer.
+	cleanupPollTimeout = time.Second
 )
 
 // cleanup removes the rows of hosts that have been silent for long. The first live
@@ -33,9 +36,13 @@
 	}
 	addresses := c.mayUsePrimaries(now)
 	go func() {
-		poll := c.askHosts(c.gw.ctx, addresses, request, evidenceTimeout)
+		poll := c.askHosts(c.gw.ctx, addresses, request, cleanupPollTimeout)
+		if !poll.majority() {
+			c.gw.events.log.Info().Int("silent", len(gone)).Int("asked", poll.asked).Int("answered", len(poll.replies)).Msg("rows of silent hosts stay without a majority")
+			return
+		}
 		for name, r := range gone {
-			if _, answered := poll.replies[name]; answered || !poll.majority() {
+			if _, answered := poll.replies[name]; answered {
 				continue
 			}
 			c.gw.events.log.Info().Str("member", name).Int("asked", poll.asked).Int("answered", len(poll.replies)).Msg("removing the row of a silent host")
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -29,6 +29,9 @@
 	primaryUse bool
 	// turn is the place of the work that the connection was taken for.
 	turn admission.Turn
+	// busy connections count against the target's window: from checkout to release, but
+	// not while an open transaction rests between two statements.
+	busy bool
 	// broken connections are closed at release.
 	broken bool
 }
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -205,6 +205,6 @@
 		t.closeIdle()
 		t.limit = h.limit
 	}
-	t.relayed, t.holders = h.relayed, h.holders
+	t.relayed, t.holders, t.window = h.relayed, h.holders, h.window
 	t.limit = min(h.limit, t.limit+1)
 }
--- a/internal/gateway/holder.go
+++ b/internal/gateway/holder.go
@@ -28,6 +28,10 @@
 	// hosts with two connections each lose power before endpoints that allow 283; their
 	// next incarnations found 19 free (lindqvist-vev-grown trouble-1).
 	hostsPerSlot = 8
+	// statementsPerSlot is the number of statements that all hosts together should have
+	// under way at an endpoint for each of its slots: one that runs, and one that follows
+	// without a round trip.
+	statementsPerSlot = 2
 	// relayConnections bounds the requests that a host has under way at one endpoint
 	// through its holders.
 	relayConnections = 12
@@ -36,7 +40,9 @@
 // holding says how a host reaches an endpoint.
 type holding struct {
 	// limit is the number of connections, or of requests through holders.
-	limit   int
+	limit int
+	// window is the number of statements that may be under way at the endpoint.
+	window  int
 	relayed bool
 	// holders are the addresses of the hosts that hold connections.
 	holders []string
@@ -52,20 +58,26 @@
 		if len(hosts) > hostsPerSlot*max(e.Slots, 1) {
 			least = 1
 		}
-		return holding{limit: max(share/restartShare, least)}
+		return holding{limit: max(share/restartShare, least), window: max(windowOf(e, len(hosts)), minConnections)}
 	}
 	ranked := c.rankHolders(hosts, e)
 	few := ranked[:min(fewHolders, len(ranked))]
-	out := holding{limit: relayConnections, relayed: true}
+	out := holding{limit: relayConnections, window: relayConnections, relayed: true}
 	for _, h := range few {
 		if h.Name == c.gw.cfg.Host {
-			return holding{limit: max(free/len(few)/restartShare, 1)}
+			return holding{limit: max(free/len(few)/restartShare, 1), window: windowOf(e, len(few))}
 		}
 		out.holders = append(out.holders, c.members[h.Name].Address)
 	}
 	return out
 }
 
+// windowOf returns the part of one of so many holders in the statements that should be
+// under way at the endpoint.
+func windowOf(e Endpoint, holders int) int {
+	return max(statementsPerSlot*max(e.Slots, 1)/holders, 1)
+}
+
 // fewHold reports whether only some hosts hold connections to the endpoint. The
 // group's mutex must be held.
 func (c *control) fewHold(t *target) bool {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -69,14 +69,17 @@
 	now := boottime.Now()
 	g := t.group
 	g.mu.Lock()
-	if c := t.takeIdle(s); c != nil {
-		g.mu.Unlock()
-		return c, nil
-	}
-	if t.open() < t.limit {
-		t.opening++
-		g.mu.Unlock()
-		return p.open(ctx, t)
+	if t.mayStart(now) {
+		if c := t.takeIdle(s); c != nil {
+			c.busy = true
+			g.mu.Unlock()
+			return c, nil
+		}
+		if t.open() < t.limit {
+			t.opening++
+			g.mu.Unlock()
+			return p.open(ctx, t)
+		}
 	}
 	if now.After(turn.GiveUp()) || turn.Hopeless(now, t.queueWait(t.waiting.ahead(turn, now))) {
 		g.mu.Unlock()
@@ -161,6 +164,7 @@
 	t.group.mu.Lock()
 	t.opening--
 	t.conns[c] = true
+	c.busy = true
 	gone := t.gone
 	t.group.mu.Unlock()
 	if gone {
@@ -232,7 +236,7 @@
 	t.group.mu.Lock()
 	defer t.group.mu.Unlock()
 	t.opening--
-	t.passOn()
+	t.wake()
 }
 
 // release returns a connection after its work.
@@ -242,6 +246,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.since, c.primaryUse = time.Time{}, false
+	c.busy = false
 	_, relay := c.Conn.(RelayConn)
 	if c.broken || t.gone || len(t.conns) > t.limit || relay != t.throughOthers() {
 		t.drop(c)
@@ -258,28 +263,31 @@
 	c.Close()
 }
 
-// wake gives the next waiter a connection or the right to open one. The group's
-// mutex must be held.
-func (t *target) wake() {
-	if t.waiting.len() == 0 {
-		return
-	}
-	if c := t.takeIdle(nil); c != nil {
-		t.waiting.pop(boottime.Now()).ready <- grant{conn: c}
-		return
-	}
-	t.passOn()
+// rest marks that the connection's transaction waits for its caller, so that other work
+// may use the endpoint meanwhile.
+func (p *pool) rest(c *conn) {
+	t := c.target
+	t.group.mu.Lock()
+	defer t.group.mu.Unlock()
+	c.busy = false
+	t.wake()
 }
 
-// passOn lets the next waiter open a connection, if there is room for one. The
-// group's mutex must be held.
-func (t *target) passOn() {
-	if t.open() >= t.limit {
-		return
-	}
-	if w := t.waiting.pop(boottime.Now()); w != nil {
+// wake gives waiters a connection or the right to open one, as far as the window and the
+// connections go. The group's mutex must be held.
+func (t *target) wake() {
+	now := boottime.Now()
+	for t.waiting.len() > 0 && t.mayStart(now) {
+		if c := t.takeIdle(nil); c != nil {
+			c.busy = true
+			t.waiting.pop(now).ready <- grant{conn: c}
+			continue
+		}
+		if t.open() >= t.limit {
+			return
+		}
 		t.opening++
-		w.ready <- grant{open: true}
+		t.waiting.pop(now).ready <- grant{open: true}
 	}
 }
 
@@ -301,6 +309,7 @@
 	g.mu.Lock()
 	c.since = now
 	c.primaryUse = primary
+	c.busy = true
 	c.target.inFlight++
 	g.mu.Unlock()
 	return now
@@ -332,7 +341,10 @@
 		return
 	}
 	p.metrics.Observe(metrics.LatencyEndpoint, now.Sub(began))
-	t.succeeded(now, now.Sub(began))
+	t.succeeded(now)
+	if !reply.Code.NotRun() {
+		t.ran(now.Sub(began))
+	}
 	if reply.Position.Term > g.term {
 		p.onFailure(t)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -113,6 +113,7 @@
 		gw.pool.release(c)
 		return reply, nil
 	}
+	gw.pool.rest(c)
 	gw.keepLease(w.Lease, c)
 	return reply, nil
 }
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -53,6 +53,9 @@
 	limit   int
 	waiting waitQueue
 
+	// window bounds the busy connections.
+	window int
+
 	inFlight int
 	latency  time.Duration
 	lag      routing.Lag
@@ -65,12 +68,31 @@
 
 // newTarget returns the target of an endpoint without connections.
 func newTarget(g *group, e Endpoint) *target {
-	return &target{Endpoint: e, group: g, limit: minConnections, conns: make(map[*conn]bool), holderDown: make(map[string]time.Time), latency: initialLatency}
+	return &target{Endpoint: e, group: g, limit: minConnections, window: minConnections, conns: make(map[*conn]bool), holderDown: make(map[string]time.Time), latency: initialLatency}
 }
 
 // open returns the number of connections that exist or are being opened.
 func (t *target) open() int { return len(t.conns) + t.opening }
 
+// overdueFactor is how many times the mean service time an answer is awaited until the
+// statement no longer counts against the window, as its answer is probably lost.
+const overdueFactor = 4
+
+// mayStart reports whether the window allows another statement.
+//
+// Load: a crest beyond an endpoint's slots. What waits at the endpoint is served in order
+// of arrival, or shed; what waits here is served by its objective and its priority, and
+// refused at once if it is hopeless.
+func (t *target) mayStart(now time.Time) bool {
+	under := t.opening
+	for c := range t.conns {
+		if c.busy && (c.since.IsZero() || now.Sub(c.since) < overdueFactor*t.latency) {
+			under++
+		}
+	}
+	return under < t.window
+}
+
 // leaving reports whether the endpoint should get no new work: it drains, or its
 // entry has been missing for so long that it counts as gone.
 func (t *target) leaving(now time.Time) bool {
@@ -90,13 +112,19 @@
 // queueWait estimates how long new work waits here for one of this host's
 // connections, behind so many others, and then for its answer.
 func (t *target) queueWait(ahead int) time.Duration {
-	return t.latency * time.Duration(ahead+t.limit) / time.Duration(max(t.limit, 1))
+	return t.latency * time.Duration(ahead+t.window) / time.Duration(max(t.window, 1))
 }
 
 // succeeded records an answer.
-func (t *target) succeeded(now time.Time, took time.Duration) {
+func (t *target) succeeded(now time.Time) {
 	t.answered = now
 	t.succeededDial()
+}
+
+// ran records how long the answer to a statement that ran was awaited. Refusals are left
+// out: they come at once. Load: an endpoint whose queue is full sheds half of its work, and
+// would look faster the more it sheds.
+func (t *target) ran(took time.Duration) {
 	t.latency += time.Duration(latencyShare * float64(took-t.latency))
 }
 
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -127,7 +127,9 @@
 		s.pinned = nil
 		tx.Failed = true
 		reply.State = TxFailed
+		return reply
 	}
+	s.gateway.pool.rest(c)
 	return reply
 }
 
