Keep passed-on failed calls out of the ranks

Passing on which hosts do not answer made one slow answer, seen by one host of a large fleet, count for the ranks of readers, hubs and holders on every host.

--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -13,7 +13,7 @@
 func encodeNews(n gateway.News) *fleetv1.News {
 	out := &fleetv1.News{
 		Host: n.Host, Incarnation: n.Incarnation, Leaving: n.Leaving,
-		AgesUs: make(map[string]int64, len(n.Ages)), SilentUs: make(map[string]int64, len(n.Silent)),
+		AgesUs: make(map[string]int64, len(n.Ages)), Silent: n.Silent, UnansweredUs: make(map[string]int64, len(n.Unanswered)),
 		Through: make(map[string]uint64, len(n.Through)),
 	}
 	for table, through := range n.Through {
@@ -22,8 +22,8 @@
 	for table, age := range n.Ages {
 		out.AgesUs[string(table)] = age.Microseconds()
 	}
-	for host, age := range n.Silent {
-		out.SilentUs[host] = age.Microseconds()
+	for host, age := range n.Unanswered {
+		out.UnansweredUs[host] = age.Microseconds()
 	}
 	for _, g := range n.Groups {
 		out.Groups = append(out.Groups, &fleetv1.GroupNews{
@@ -50,7 +50,7 @@
 func decodeNews(m *fleetv1.News) gateway.News {
 	out := gateway.News{
 		Host: m.GetHost(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(),
-		Ages: make(map[gateway.TableName]time.Duration, len(m.GetAgesUs())), Silent: make(map[string]time.Duration, len(m.GetSilentUs())),
+		Ages: make(map[gateway.TableName]time.Duration, len(m.GetAgesUs())), Silent: m.GetSilent(), Unanswered: make(map[string]time.Duration, len(m.GetUnansweredUs())),
 		Through: make(map[gateway.TableName]uint64, len(m.GetThrough())),
 	}
 	for table, through := range m.GetThrough() {
@@ -59,8 +59,8 @@
 	for table, age := range m.GetAgesUs() {
 		out.Ages[gateway.TableName(table)] = time.Duration(age) * time.Microsecond
 	}
-	for host, age := range m.GetSilentUs() {
-		out.Silent[host] = time.Duration(age) * time.Microsecond
+	for host, age := range m.GetUnansweredUs() {
+		out.Unanswered[host] = time.Duration(age) * time.Microsecond
 	}
 	for _, g := range m.GetGroups() {
 		out.Groups = append(out.Groups, gateway.GroupNews{
--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -57,7 +57,7 @@
 	out := make(map[string]rows.Row)
 	for name, m := range c.members {
 		silent := now.Sub(m.known) > memberGoneAfter && now.Sub(m.heard) > memberGoneAfter && now.Sub(m.answered) > memberGoneAfter
-		if r, ok := c.tables[TableState].Get(hostPrefix + name); ok && silent && !m.live(now) {
+		if r, ok := c.tables[TableState].Get(hostPrefix + name); ok && silent && (!m.live(now) || now.Sub(m.unansweredAt()) <= reportHolds) {
 			out[name] = r
 		}
 	}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -25,8 +25,11 @@
 	failed time.Time
 	// failures counts the calls in a row that failed.
 	failures int
-	// reported is when the host last failed to answer some other host.
+	// reported is when another host last told that the host does not answer.
 	reported time.Time
+	// unanswered is when a call to the host last failed at any other host, as far as that
+	// was passed on.
+	unanswered time.Time
 	// called is when the host was last called.
 	called  time.Time
 	leaving bool
@@ -34,18 +37,18 @@
 	through map[TableName]uint64
 }
 
-// reportSilent takes another host's report that the host did not answer at the time. A
-// report from before this host knew the incarnation may be about an earlier one.
-func (m *member) reportSilent(at time.Time) {
-	if at.After(m.known) && at.After(m.reported) {
-		m.reported = at
+// reportUnanswered takes word of a call to the host that failed at the time. Word from
+// before this host knew the incarnation may be about an earlier one.
+func (m *member) reportUnanswered(at time.Time) {
+	if at.After(m.known) && at.After(m.unanswered) {
+		m.unanswered = at
 	}
 }
 
-// silentAt returns when the host last failed to answer, here or elsewhere; zero if it has
-// been heard of since.
-func (m *member) silentAt() time.Time {
-	at := m.reported
+// unansweredAt returns when a call to the host last failed, here or elsewhere; zero if it
+// has been heard of since.
+func (m *member) unansweredAt() time.Time {
+	at := m.unanswered
 	if m.failures >= suspectFailures && m.failed.After(at) {
 		at = m.failed
 	}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -36,9 +36,11 @@
 	// Ages holds how long ago the sender's mirror of each table was complete; tables
 	// that never were are missing.
 	Ages map[TableName]time.Duration
-	// Silent holds the hosts that do not answer, with how long ago the last call to each
-	// failed, at the sender or at a host that told it.
-	Silent map[string]time.Duration
+	// Silent lists the hosts that do not answer the sender.
+	Silent []string
+	// Unanswered holds how long ago the last call failed to each host that does not answer
+	// the sender or a host that told it.
+	Unanswered map[string]time.Duration
 	// Through holds the version that the sender's mirror of each table reaches to.
 	Through map[TableName]uint64
 	Tables  []TableNews
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -83,7 +83,7 @@
 		Host: c.gw.cfg.Host, Incarnation: c.incarnation, Leaving: c.leaving,
 		Through: make(map[TableName]uint64), Ages: make(map[TableName]time.Duration),
 	}
-	n.Silent = c.silent(now)
+	n.Silent, n.Unanswered = c.silent(), c.failedCalls(now)
 	for name, at := range c.asOf {
 		n.Ages[name] = now.Sub(at)
 	}
@@ -123,9 +123,14 @@
 			}
 		}
 	}
-	for name, age := range n.Silent {
+	for _, name := range n.Silent {
 		if m := c.members[name]; m != nil {
-			m.reportSilent(now.Add(-age))
+			m.reported = now
+		}
+	}
+	for name, age := range n.Unanswered {
+		if m := c.members[name]; m != nil {
+			m.reportUnanswered(now.Add(-age))
 		}
 	}
 	for _, t := range n.Tables {
--- a/internal/gateway/partners.go
+++ b/internal/gateway/partners.go
@@ -109,26 +109,34 @@
 	return out[:min(n, len(out))]
 }
 
-// silent returns the hosts that do not answer, with how long ago the last call to each
-// failed. Reports of others are passed on with their age, so that they end unless some
-// host calls in vain again. If so many do not answer this host that it is more likely to
-// be the one that is cut off, it reports none.
+// silent returns the hosts that do not answer this host, unless so many do not that
+// this host is more likely to be the one that is cut off.
+func (c *control) silent() []string {
+	var out []string
+	for name, m := range c.members {
+		if m.failures >= suspectFailures {
+			out = append(out, name)
+		}
+	}
+	if 2*len(out) >= len(c.members) {
+		return nil
+	}
+	return out
+}
+
+// failedCalls returns how long ago the last call failed to each host that does not answer
+// some host, for the host that removes the rows of lost hosts. What others have told is
+// passed on with its age, so that it ends unless some host calls in vain again. It does
+// not make a host count as lost here: one slow answer would change the ranks everywhere.
 //
 // Load: a host of a large fleet is lost, and the few hosts that pass news on do not call
 // it themselves.
-func (c *control) silent(now time.Time) map[string]time.Duration {
+func (c *control) failedCalls(now time.Time) map[string]time.Duration {
 	out := make(map[string]time.Duration)
-	unanswered := 0
 	for name, m := range c.members {
-		if m.failures >= suspectFailures {
-			unanswered++
-		}
-		if age := now.Sub(m.silentAt()); age <= reportHolds {
+		if age := now.Sub(m.unansweredAt()); age <= reportHolds {
 			out[name] = age
 		}
 	}
-	if 2*unanswered >= len(c.members) {
-		return nil
-	}
 	return out
 }
