--- a/internal/gateway/holder.go
+++ b/internal/gateway/holder.go
@@ -72,8 +72,8 @@
 	return out
 }
 
-// windowOf returns the part of one of so many holders in the statements that should be
-// under way at the endpoint.
+// windowOf returns how many statements each of so many holders may have under way at the
+// endpoint.
 func windowOf(e Endpoint, holders int) int {
 	return max(statementsPerSlot*max(e.Slots, 1)/holders, 1)
 }
