--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -206,6 +206,5 @@
 		t.limit = h.limit
 	}
 	t.relayed, t.holders, t.window = h.relayed, h.holders, h.window
-	t.relays.Keep(h.holders)
 	t.limit = min(h.limit, t.limit+1)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -184,7 +184,7 @@
 	now := boottime.Now()
 	t.group.mu.Lock()
 	switch {
-	case c.via != "" && !errors.Is(err, ErrAnswerLost) && t.relays.Failed(now, c.via, t.holders):
+	case c.via != "" && !errors.Is(err, ErrAnswerLost) && t.holderFailed(now, c.via):
 		// The other holders may reach the endpoint.
 	case !isTimeout(err):
 		t.failed(now)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -247,9 +247,8 @@
 	defer g.mu.Unlock()
 	c.since, c.primaryUse = time.Time{}, false
 	c.busy = false
-	// A way through another host costs nothing to open, so that it is chosen anew for
-	// each request.
-	if c.broken || t.gone || len(t.conns) > t.limit || c.via != "" || t.throughOthers() {
+	_, relay := c.Conn.(RelayConn)
+	if c.broken || t.gone || len(t.conns) > t.limit || relay != t.throughOthers() {
 		t.drop(c)
 		t.wake()
 		return
@@ -312,9 +311,6 @@
 	c.primaryUse = primary
 	c.busy = true
 	c.target.inFlight++
-	if c.via != "" {
-		c.target.relays.Began(c.via)
-	}
 	g.mu.Unlock()
 	return now
 }
@@ -328,9 +324,6 @@
 	defer g.mu.Unlock()
 	c.since = time.Time{}
 	t.inFlight--
-	if c.via != "" {
-		t.relays.Ended(now, c.via, now.Sub(began))
-	}
 	if err != nil || !reply.ByHolder {
 		took := now.Sub(began)
 		g.health.Observe(t.ID, took, 0, err != nil || reply.Code == CodeFailed)
@@ -343,7 +336,7 @@
 		if reply.Code == CodeMisrouted {
 			// The holder does not reach the endpoint either; a probe is due.
 			t.failures++
-			t.relays.Failed(now, c.via, t.holders)
+			t.holderFailed(now, c.via)
 		}
 		return
 	}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/routing"
@@ -17,6 +19,9 @@
 	// tried again.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
+	// holderBackoff is how long a holder that failed gets no work: about the time until
+	// other hosts know that it is gone and another one holds connections.
+	holderBackoff = 500 * time.Millisecond
 )
 
 // target is an endpoint with its connections and what traffic has shown of it.
@@ -34,8 +39,8 @@
 	// relayed targets are reached through one of the holders, given by address.
 	relayed bool
 	holders []string
-	// relays chooses among the holders.
-	relays routing.Relays
+	// holderDown holds until when holders get no work, by their addresses.
+	holderDown map[string]time.Time
 	// detour leads through other hosts while this one is cut off from the endpoint.
 	detour routing.Detour
 
@@ -63,7 +68,7 @@
 
 // newTarget returns the target of an endpoint without connections.
 func newTarget(g *group, e Endpoint) *target {
-	return &target{Endpoint: e, group: g, limit: minConnections, window: minConnections, conns: make(map[*conn]bool), latency: initialLatency}
+	return &target{Endpoint: e, group: g, limit: minConnections, window: minConnections, conns: make(map[*conn]bool), holderDown: make(map[string]time.Time), latency: initialLatency}
 }
 
 // open returns the number of connections that exist or are being opened.
@@ -138,7 +143,38 @@
 	if t.detour.Active() {
 		return t.detour.Next(), true
 	}
-	return t.relays.Pick(now, t.holders, rand.IntN)
+	up := make([]string, 0, len(t.holders))
+	for _, address := range t.holders {
+		if !now.Before(t.holderDown[address]) {
+			up = append(up, address)
+		}
+	}
+	if len(up) == 0 {
+		up = t.holders
+	}
+	if len(up) == 0 {
+		return "", false
+	}
+	return up[rand.N(len(up))], true
+}
+
+// holderFailed keeps work away from a holder that did not answer or does not reach the
+// endpoint. It returns false if no other holder is left. Load: half of the hosts are
+// killed at once, a third of the calls go to a dead holder, and the endpoint itself would
+// count as down.
+func (t *target) holderFailed(now time.Time, address string) bool {
+	maps.DeleteFunc(t.holderDown, func(_ string, until time.Time) bool { return !now.Before(until) })
+	t.holderDown[address] = now.Add(holderBackoff)
+	kept := t.idle[:0]
+	for _, c := range t.idle {
+		if c.via == address {
+			t.drop(c)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	t.idle = kept
+	return slices.ContainsFunc(t.holders, func(other string) bool { return t.holderDown[other].IsZero() })
 }
 
 // failed records a failed dial or a lost connection.
--- a/internal/gateway/target_test.go
+++ b/internal/gateway/target_test.go
@@ -31,20 +31,23 @@
 	gr := newGroup("g", gw.pool)
 	tg := newTarget(gr, Endpoint{ID: "e", Group: "g"})
 	tg.relayed, tg.holders = true, []string{"a", "b"}
-	// The next request must be free to go elsewhere.
-	used := &closedRelay{}
-	gw.pool.release(&conn{Conn: used, target: tg, via: "a"})
-	g.Expect(used.closed).To(BeTrue())
-	g.Expect(tg.idle).To(BeEmpty())
+	dead, alive := &closedRelay{}, &closedRelay{}
+	for via, raw := range map[string]*closedRelay{"a": dead, "b": alive} {
+		c := &conn{Conn: raw, target: tg, via: via}
+		tg.conns[c] = true
+		tg.idle = append(tg.idle, c)
+	}
 	gw.lost(&conn{Conn: &closedRelay{}, target: tg, via: "a"}, io.ErrUnexpectedEOF)
 	now := boottime.Now()
 	g.Expect(tg.usable(now)).To(BeTrue())
+	g.Expect(dead.closed).To(BeTrue())
+	g.Expect(alive.closed).To(BeFalse())
 	for range 20 {
 		via, ok := tg.via(now)
 		g.Expect(ok).To(BeTrue())
 		g.Expect(via).To(Equal("b"))
 	}
-	via, _ := tg.via(now.Add(time.Minute))
+	via, _ := tg.via(now.Add(holderBackoff + time.Second))
 	g.Expect(tg.holders).To(ContainElement(via))
 	gw.lost(&conn{Conn: &closedRelay{}, target: tg, via: "b"}, io.ErrUnexpectedEOF)
 	g.Expect(tg.usable(boottime.Now())).To(BeFalse())
