--- a/internal/gateway/holder.go
+++ b/internal/gateway/holder.go
@@ -48,17 +48,22 @@
 	holders []string
 }
 
-// holding decides whether this host, one of the live hosts, holds connections to the endpoint: all hosts
-// do if the limit allows it, otherwise the few that are ranked first, hosts in the
-// endpoint's availability zone before others.
+// holding decides whether this host, one of the live hosts, holds connections to the
+// endpoint: all hosts do if the limit allows it for every listed host, otherwise the few
+// live ones that are ranked first, hosts in the endpoint's availability zone before others.
+//
+// Load: a host that is cut off or overloaded hears from few others. It must not take their
+// shares: endpoints then reset connections over their limit, and the hosts, which open them
+// again, become slower still (svfb-trestle-grown trouble-1).
 func (c *control) holding(hosts []placement.Host, config Group, e Endpoint) holding {
 	free := config.MaxConnections - connectionReserve
-	if share := free / len(hosts); share >= minConnections {
+	listed := len(c.members) + 1
+	if share := free / listed; share >= minConnections {
 		least := minConnections
-		if len(hosts) > hostsPerSlot*max(e.Slots, 1) {
+		if listed > hostsPerSlot*max(e.Slots, 1) {
 			least = 1
 		}
-		return holding{limit: max(share/restartShare, least), window: max(windowOf(e, len(hosts)), minConnections)}
+		return holding{limit: max(share/restartShare, least), window: max(windowOf(e, listed), minConnections)}
 	}
 	ranked := c.rankHolders(hosts, e)
 	few := ranked[:min(fewHolders, len(ranked))]
--- a/internal/gateway/member_test.go
+++ b/internal/gateway/member_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -44,3 +45,27 @@
 	c.heard(News{Host: "h1", Unanswered: map[string]time.Duration{"h2": time.Second, "h3": time.Second}}, time.Time{})
 	g.Expect(c.failedCalls(boottime.Now())).To(BeEmpty())
 }
+
+// Guards against a host that takes the shares of hosts which do not answer it, so that the
+// endpoints' limits are exceeded (svfb-trestle-grown trouble-1: 17,009 connections reset).
+func TestSilentHostsKeepTheirShares(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	var names []string
+	for n := range 132 {
+		names = append(names, fmt.Sprintf("h%d", n+1))
+	}
+	c := withMembers(now.Add(-time.Minute), names...)
+	for _, name := range names[:110] {
+		c.members[name].failures = suspectFailures
+	}
+	holds := 0
+	for n := range 100 {
+		h := c.holding(c.liveHosts(now), Group{MaxConnections: 83}, Endpoint{ID: fmt.Sprintf("e%d", n), Slots: 5})
+		if !h.relayed {
+			holds++
+		}
+	}
+	// Three of the 23 live hosts hold connections to each endpoint.
+	g.Expect(holds).To(BeNumerically("<", 40))
+}
