Bound the failed calls that one message of news tells of

Suspected: during a split every message names half of the hosts, and grows beyond the size from which messages are compressed.

--- a/internal/gateway/member_test.go
+++ b/internal/gateway/member_test.go
@@ -69,3 +69,15 @@
 	// Three of the 23 live hosts hold connections to each endpoint.
 	g.Expect(holds).To(BeNumerically("<", 40))
 }
+
+// Guards against news that name half of a large fleet during a split.
+func TestNewsTellFewFailedCalls(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	c := withMembers(now.Add(-time.Minute), "h1")
+	for n := range 60 {
+		name := fmt.Sprintf("lost%d", n)
+		c.members[name] = &member{hostRecord: hostRecord{Name: name}, unanswered: now}
+	}
+	g.Expect(c.failedCalls(now)).To(HaveLen(maxFailedCalls))
+}
--- a/internal/gateway/partners.go
+++ b/internal/gateway/partners.go
@@ -20,6 +20,10 @@
 	// probeRounds is the number of rounds after which one more host is called, so
 	// that every host is called by some other about once a second.
 	probeRounds = 4
+	// maxFailedCalls bounds the hosts that one message of news tells failed calls of. In a
+	// split every message would name half of the fleet, and grow beyond the size from
+	// which messages are compressed.
+	maxFailedCalls = 8
 )
 
 // partners returns the hosts to call in this round.
@@ -134,6 +138,9 @@
 func (c *control) failedCalls(now time.Time) map[string]time.Duration {
 	out := make(map[string]time.Duration)
 	for name, m := range c.members {
+		if len(out) == maxFailedCalls {
+			break
+		}
 		if age := now.Sub(m.unansweredAt()); age <= reportHolds {
 			out[name] = age
 		}
