Use the project's wait and log position in the soak

The soak had its own copy of wait.For and of logpos.Position, and looked for the newest primary a second time beside group.leader. Behaviour is the same.

--- a/deploy/soak/caller.go
+++ b/deploy/soak/caller.go
@@ -9,6 +9,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 // Databases of the configuration, by the consistency of their reads.
@@ -67,7 +69,7 @@
 func (c *caller) work(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !c.session(ctx) {
-			pause(ctx, 50*time.Millisecond)
+			wait.For(ctx, 50*time.Millisecond)
 		}
 	}
 }
@@ -97,7 +99,7 @@
 		if ctx.Err() != nil || !c.operation(s) {
 			return true
 		}
-		pause(ctx, time.Duration(c.random.Int64N(int64(2*operationPause))))
+		wait.For(ctx, time.Duration(c.random.Int64N(int64(2*operationPause))))
 	}
 	_, _ = io.WriteString(conn, "TERMINATE\r\n")
 	return true
@@ -244,13 +246,3 @@
 	c.run.record.saw(d)
 	return r.state == "I"
 }
-
-// pause waits for the time or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/deploy/soak/endpoint_conn.go
+++ b/deploy/soak/endpoint_conn.go
@@ -9,6 +9,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
 )
 
 // longestRun bounds the time of one statement at an endpoint.
@@ -109,7 +111,7 @@
 	case c.inTx:
 		state = "T"
 	}
-	return fmt.Sprintf("READY %s %s\r\n", state, c.endpoint.end())
+	return fmt.Sprintf("READY %s %s\r\n", state, onWire(c.endpoint.end()))
 }
 
 // answer runs a statement and renders its whole answer.
@@ -135,12 +137,12 @@
 func (c *endpointConn) run(id, text string) (row, code string) {
 	verb, rest, _ := strings.Cut(text, " ")
 	if verb == "AFTER" {
-		var want position
+		var want logpos.Position
 		at, statement, _ := strings.Cut(rest, " ")
-		if _, err := fmt.Sscanf(at, "%d.%d", &want.term, &want.number); err != nil {
+		if _, err := fmt.Sscanf(at, "%d.%d", &want.Term, &want.Offset); err != nil {
 			return "", "MALFORMED"
 		}
-		if c.endpoint.end().compare(want) < 0 {
+		if !c.endpoint.end().Covers(want) {
 			return "", "LAGGING"
 		}
 		verb, rest, _ = strings.Cut(statement, " ")
@@ -240,5 +242,5 @@
 	if e.primary {
 		role = "primary"
 	}
-	return fmt.Sprintf("%s %d %s 0 0 0 %d", role, e.term, e.end(), e.open)
+	return fmt.Sprintf("%s %d %s 0 0 0 %d", role, e.term, onWire(e.end()), e.open)
 }
--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"syscall"
 	"time"
+
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 const (
@@ -31,13 +33,13 @@
 		if h.stop(ctx) && ctx.Err() == nil {
 			r.record.violation("DRAIN: %s did not end within its grace", h.name)
 		}
-		pause(ctx, restartDelay)
+		wait.For(ctx, restartDelay)
 		r.restart(h)
 	}},
 	{"kill a host", func(ctx context.Context, r *Run, random *rand.Rand, lasts time.Duration) {
 		h := r.anyHost(random)
 		h.kill()
-		pause(ctx, lasts/4)
+		wait.For(ctx, lasts/4)
 		r.restart(h)
 	}},
 	{"kill most hosts at once", func(ctx context.Context, r *Run, random *rand.Rand, lasts time.Duration) {
@@ -46,7 +48,7 @@
 				h.signal(syscall.SIGKILL)
 			}
 		}
-		pause(ctx, lasts/4)
+		wait.For(ctx, lasts/4)
 		for _, h := range r.hosts {
 			r.restart(h)
 		}
@@ -54,7 +56,7 @@
 	{"pause a host", func(ctx context.Context, r *Run, random *rand.Rand, lasts time.Duration) {
 		h := r.anyHost(random)
 		h.signal(syscall.SIGSTOP)
-		pause(ctx, lasts)
+		wait.For(ctx, lasts)
 		h.signal(syscall.SIGCONT)
 	}},
 	{"signal new settings", func(_ context.Context, r *Run, random *rand.Rand, _ time.Duration) {
@@ -68,7 +70,7 @@
 				defer r.store.setFault(h.name, storeUp)
 			}
 		}
-		pause(ctx, lasts)
+		wait.For(ctx, lasts)
 	}},
 	{"store fails for all hosts", func(ctx context.Context, r *Run, random *rand.Rand, lasts time.Duration) {
 		f := storeFault(1 + random.IntN(int(storeFaults)-1))
@@ -76,12 +78,12 @@
 			r.store.setFault(h.name, f)
 			defer r.store.setFault(h.name, storeUp)
 		}
-		pause(ctx, lasts)
+		wait.For(ctx, lasts)
 	}},
 	{"path to an endpoint", func(ctx context.Context, r *Run, random *rand.Rand, lasts time.Duration) {
 		p := r.paths[random.IntN(len(r.paths))]
 		p.setFault(pathFault(1 + random.IntN(int(pathFaults)-1)))
-		pause(ctx, lasts)
+		wait.For(ctx, lasts)
 		p.setFault(pathUp)
 	}},
 	{"reset connections to an endpoint", func(_ context.Context, r *Run, random *rand.Rand, _ time.Duration) {
@@ -95,7 +97,7 @@
 			return
 		}
 		r.group.crash(e)
-		pause(ctx, lasts)
+		wait.For(ctx, lasts)
 		r.group.restart(e)
 	}},
 	{"replica receives nothing", func(ctx context.Context, r *Run, random *rand.Rand, lasts time.Duration) {
@@ -106,7 +108,7 @@
 			e.deaf = deaf
 		}
 		setDeaf(true)
-		pause(ctx, lasts)
+		wait.For(ctx, lasts)
 		setDeaf(false)
 	}},
 	{"change the configuration", func(_ context.Context, r *Run, random *rand.Rand, _ time.Duration) {
@@ -124,7 +126,7 @@
 		gap := time.Duration(random.Int64N(int64(2 * meanFaultGap)))
 		r.log.Info().Str("fault", f.name).Dur("lasts_ms", lasts).Msg("fault begins")
 		r.injected.Go(func() { f.do(ctx, r, own, lasts) })
-		pause(ctx, gap)
+		wait.For(ctx, gap)
 	}
 	r.injected.Wait()
 }
--- a/deploy/soak/group.go
+++ b/deploy/soak/group.go
@@ -1,10 +1,11 @@
 package soak
 
 import (
-	"cmp"
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
 )
 
 const (
@@ -16,20 +17,12 @@
 	oldPrimaryLeads = time.Second
 )
 
-// position is a place in a log.
-type position struct{ term, number uint64 }
-
-// compare orders positions.
-func (p position) compare(other position) int {
-	return cmp.Or(cmp.Compare(p.term, other.term), cmp.Compare(p.number, other.number))
-}
-
-// String renders the position as on the wire.
-func (p position) String() string { return fmt.Sprintf("%d.%d", p.term, p.number) }
+// onWire renders a position as the platform's line protocol does.
+func onWire(p logpos.Position) string { return fmt.Sprintf("%d.%d", p.Term, p.Offset) }
 
 // commit is one entry of a log. IDs are those of the statements that wrote.
 type commit struct {
-	at   position
+	at   logpos.Position
 	ids  []string
 	data map[string]string
 	made time.Time
@@ -50,9 +43,9 @@
 }
 
 // end returns the end of the endpoint's log.
-func (e *endpoint) end() position {
+func (e *endpoint) end() logpos.Position {
 	if len(e.log) == 0 {
-		return position{term: 1}
+		return logpos.Position{Term: 1}
 	}
 	return e.log[len(e.log)-1].at
 }
@@ -100,21 +93,17 @@
 	return best
 }
 
-// commit appends the writes to the endpoint's log. The mutex must be held.
+// commit appends the writes to the log of the endpoint, which takes itself for the
+// primary. The mutex must be held.
 func (g *group) commit(e *endpoint, ids []string, data map[string]string) {
-	newest := e.term
-	for _, other := range g.endpoints {
-		if other.primary {
-			newest = max(newest, other.term)
-		}
-	}
+	leader := g.leader()
 	for _, id := range ids {
 		g.stored[id]++
-		if newest > e.term {
+		if leader.term > e.term {
 			g.deposed[id] = true
 		}
 	}
-	at := position{term: e.term, number: e.end().number + 1}
+	at := logpos.Position{Term: e.term, Offset: e.end().Offset + 1}
 	e.log = append(e.log, commit{at: at, ids: ids, data: data, made: time.Now()})
 }
 
@@ -188,7 +177,7 @@
 	}
 	// The first entry of a term tells where the earlier ones end.
 	next.primary, next.term = true, term+1
-	next.log = append(next.log, commit{at: position{term: next.term, number: next.end().number + 1}, made: time.Now()})
+	next.log = append(next.log, commit{at: logpos.Position{Term: next.term, Offset: next.end().Offset + 1}, made: time.Now()})
 	return true
 }
 
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 const (
@@ -198,7 +200,7 @@
 func (r *Run) every(ctx context.Context, d time.Duration, f func()) {
 	for ctx.Err() == nil {
 		f()
-		pause(ctx, d)
+		wait.For(ctx, d)
 	}
 }
 
@@ -300,7 +302,7 @@
 				r.log.Warn().Str("host", h.name).Msg("host does not serve")
 				return false
 			}
-			pause(ctx, 50*time.Millisecond)
+			wait.For(ctx, 50*time.Millisecond)
 		}
 	}
 	return true
