State once who holds connections and which hosts were asked

holding and fewHold each computed the share of an endpoint's connections, and polledAll and othersMayUse each compared the hosts that may use primaries with those that were asked. Group.share and poll.askedAll serve both. Behaviour is the same.

--- a/internal/gateway/holder.go
+++ b/internal/gateway/holder.go
@@ -56,9 +56,8 @@
 // shares: endpoints then reset connections over their limit, and the hosts, which open them
 // again, become slower still (svfb-trestle-grown trouble-1).
 func (c *control) holding(hosts []placement.Host, config Group, e Endpoint) holding {
-	free := config.MaxConnections - connectionReserve
 	listed := len(c.members) + 1
-	if share := free / listed; share >= minConnections {
+	if share := config.share(listed); share >= minConnections {
 		least := minConnections
 		if listed > hostsPerSlot*max(e.Slots, 1) {
 			least = 1
@@ -70,13 +69,16 @@
 	out := holding{limit: relayConnections, window: relayConnections, relayed: true}
 	for _, h := range few {
 		if h.Name == c.gw.cfg.Host {
-			return holding{limit: max(free/len(few)/restartShare, 1), window: windowOf(e, len(few))}
+			return holding{limit: max(config.share(len(few))/restartShare, 1), window: windowOf(e, len(few))}
 		}
 		out.holders = append(out.holders, c.members[h.Name].Address)
 	}
 	return out
 }
 
+// share returns the part of each of so many hosts in the connections to an endpoint.
+func (g Group) share(hosts int) int { return (g.MaxConnections - connectionReserve) / hosts }
+
 // windowOf returns how many statements each of so many holders may have under way at the
 // endpoint.
 func windowOf(e Endpoint, holders int) int {
@@ -86,8 +88,7 @@
 // fewHold reports whether only some hosts hold connections to the endpoint. The
 // group's mutex must be held.
 func (c *control) fewHold(t *target) bool {
-	free := t.group.config.MaxConnections - connectionReserve
-	return free < minConnections*int(c.fleetSize.Load())
+	return t.group.config.share(int(c.fleetSize.Load())) < minConnections
 }
 
 // liveHosts returns the hosts that are thought to run, this one included.
--- a/internal/gateway/poll.go
+++ b/internal/gateway/poll.go
@@ -40,6 +40,16 @@
 	return p.majority() || p.tieBreaker && 2*p.agreed() == p.asked+1
 }
 
+// askedAll reports whether all of the addresses were asked.
+func (p *poll) askedAll(addresses map[string]string) bool {
+	for _, address := range addresses {
+		if !p.addresses[address] {
+			return false
+		}
+	}
+	return true
+}
+
 // complete reports whether no host is left that may still use the primary.
 func (p *poll) complete() bool { return len(p.replies)+p.stopped == p.asked }
 
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -210,10 +210,7 @@
 	others := false
 	ch.c.ask(func() {
 		now := boottime.Now()
-		others = now.Sub(ch.c.began) < permission.Duration
-		for _, address := range ch.c.mayUsePrimaries(now) {
-			others = others || !p.addresses[address]
-		}
+		others = now.Sub(ch.c.began) < permission.Duration || !p.askedAll(ch.c.mayUsePrimaries(now))
 	})
 	return others
 }
@@ -223,10 +220,7 @@
 	all := false
 	ch.c.ask(func() {
 		addresses := ch.c.mayUsePrimaries(boottime.Now())
-		all = len(addresses) == p.asked
-		for _, address := range addresses {
-			all = all && p.addresses[address]
-		}
+		all = len(addresses) == p.asked && p.askedAll(addresses)
 	})
 	return all
 }
