--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -8,6 +8,7 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
 const (
@@ -60,6 +61,8 @@
 	// fleetSize is the number of listed hosts, including this one. It may be read from
 	// any goroutine.
 	fleetSize atomic.Int64
+	// lateMirrors holds the tables whose mirror was late when it was last checked.
+	lateMirrors map[TableName]bool
 	// departedHosts holds, by address, when the row of a host was removed. An address
 	// is kept for as long as the host may still use primaries.
 	departedHosts map[string]time.Time
@@ -73,7 +76,7 @@
 		gw: gw, tasks: make(chan func(), 256), incarnation: rand.Uint64() >> 1,
 		tables: make(map[TableName]*rows.Table), members: make(map[string]*member),
 		monitors: make(map[string]*groupMonitor), completeAsOf: make(map[TableName]time.Time),
-		departedHosts: make(map[string]time.Time), startedAt: boottime.Now(),
+		lateMirrors: make(map[TableName]bool), departedHosts: make(map[string]time.Time), startedAt: boottime.Now(),
 	}
 	c.fleetSize.Store(1)
 	for _, name := range Tables {
@@ -118,7 +121,9 @@
 func (c *controller) submitAndWait(f func()) bool {
 	var taken atomic.Bool
 	done := make(chan struct{})
+	began := boottime.Now()
 	run := func() {
+		c.gw.metrics.Observe(metrics.LatencyControl, boottime.Now().Sub(began))
 		if taken.CompareAndSwap(false, true) {
 			f()
 			close(done)
@@ -153,6 +158,7 @@
 	if now.Sub(c.lastSweep) >= endpointSweepInterval {
 		c.lastSweep = now
 		c.updateGroups()
+		c.checkMirrorAges(now)
 	}
 	for name, g := range *c.gw.currentGroups.Load() {
 		c.checkGroup(now, name, g)
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
 const (
@@ -23,7 +24,9 @@
 	everyone := c.lastGossip.IsZero()
 	c.lastGossip = now
 	c.gossipRound++
-	for _, m := range c.gossipTargets(now, everyone) {
+	targets := c.gossipTargets(now, everyone)
+	c.countCalls(now, len(targets))
+	for _, m := range targets {
 		m.calledAt = now
 		go c.exchange(m.Name, m.Address, c.gossipMessage(now, m.mirrorVersions))
 	}
@@ -33,6 +36,14 @@
 	}
 }
 
+// countCalls counts the calls of a gossip round.
+func (c *controller) countCalls(now time.Time, calls int) {
+	c.gw.metrics.Add(metrics.GossipCalls, int64(calls))
+	if c.claimsTooOld(now) {
+		c.gw.metrics.Add(metrics.GossipDirect, int64(calls))
+	}
+}
+
 // recordFailedCall records a failed call to a host. A refused connection shows that the
 // host's process is not running.
 func (c *controller) recordFailedCall(name string, began time.Time, err error) {
@@ -59,6 +70,7 @@
 	theirs, err := c.gw.cfg.Peers.Exchange(ctx, address, msg)
 	c.submit(func() {
 		if err != nil {
+			c.gw.metrics.Inc(metrics.GossipFailed)
 			c.recordFailedCall(name, began, err)
 			return
 		}
--- a/internal/gateway/gossip_targets.go
+++ b/internal/gateway/gossip_targets.go
@@ -36,7 +36,7 @@
 	switch {
 	case everyone:
 		return c.leastRecentlyCalled(now, len(c.members))
-	case now.Sub(c.completeAsOf[TableState]) >= claimsMaxAge:
+	case c.claimsTooOld(now):
 		// While the store is out of reach, a majority must answer within
 		// permission.Duration.
 		rounds := int(permission.Duration/gossipInterval) - 2
@@ -51,6 +51,12 @@
 	return out
 }
 
+// claimsTooOld reports whether this host's mirror of the claims will soon no longer
+// support its permission to use primaries.
+func (c *controller) claimsTooOld(now time.Time) bool {
+	return now.Sub(c.completeAsOf[TableState]) >= claimsMaxAge
+}
+
 // aggregatorTargets returns a zone aggregator of this host's zone. If this host is an
 // aggregator itself, it returns the other aggregators of the zone, one aggregator of
 // each other zone, and the first reader of the store.
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -90,6 +90,22 @@
 	RetryAnswerLost       Name = "retry.answer_lost"
 	RetryNoConnection     Name = "retry.no_connection"
 	StoreReads            Name = "store.reads"
+	// GossipCalls counts the calls of gossip rounds and GossipFailed those that failed.
+	GossipCalls  Name = "gossip.calls"
+	GossipFailed Name = "gossip.failed"
+	// GossipDirect counts the calls to hosts beyond the usual ones, made because the
+	// claims are too old.
+	GossipDirect Name = "gossip.direct"
+)
+
+// Histograms of the gateway's control goroutine.
+const (
+	// LatencyControl is how long a task waits for the control goroutine.
+	LatencyControl Name = "latency.control"
+	// AgeCatalog, AgeEndpoints and AgeState are the ages of the table mirrors.
+	AgeCatalog   Name = "age.catalog"
+	AgeEndpoints Name = "age.endpoints"
+	AgeState     Name = "age.state"
 )
 
 // Metrics of group control and of the manifest.
