Let only zone aggregators ask the majority while the claims are too old

Cause: a host whose claims were older than 1.15 s called a quarter of all hosts each 250 ms. Claims behind an aggregator are about 1 s old in the normal case, so slow answers alone made them too old, and the calls made all answers slower.

Change: in a large fleet only the zone aggregators ask all live hosts, within three rounds. The permission to use primaries may rest on relayed evidence: the message carries the age of the sender's evidence, and counts only if this host made the call, if it covers all groups of this host and if the sender's host list is as new. Fences are applied before the permission is extended.

Ruled out: a majority per host at a lower rate, as 67 answers in 1.5 s from each of 133 hosts are 6,000 calls a second; longer permissions, as each failover waits for them.

TestLateGossipDoesNotMultiplyCalls failed before (40 hosts: 400 calls a round, 320 allowed).

--- a/coord/permission/permission.go
+++ b/coord/permission/permission.go
@@ -9,12 +9,16 @@
 //
 //   - read the claim records from the store, or received them from a host that had read
 //     them, or
-//   - received an answer from a majority of the hosts.
+//   - received an answer from a majority of the hosts, or
+//   - received the evidence of another host that one of these conditions holds there,
+//     together with the claims that the other host knew.
 //
 // In the first case it knows every claim that was written more than Duration ago. In the
 // second case one of the hosts that answered had acknowledged the claim and reported it.
-// In both cases the host has stopped using the primary before the promotion takes
-// effect.
+// In the third case the other host knew the claim by one of the first two and passed it
+// on. In all cases the host has stopped using the primary before the promotion takes
+// effect. Relayed evidence lets a few hosts ask the majority for all others, so that the
+// number of calls grows with the number of hosts and not with its square.
 //
 // A call counts from its start, by a clock that also runs while the host is paused, so
 // that late answers and pauses only shorten a permission.
@@ -31,7 +35,7 @@
 const Duration = 1500 * time.Millisecond
 
 // Until returns when the permission ends; zero if there is none. claims is the time as of
-// which this host knows every claim. answered has an entry for each other host: the start
+// which this host knows every claim, from the store or from relayed evidence. answered has an entry for each other host: the start
 // of the last call that the host answered, or that showed that it does not run. The slice
 // is sorted in place.
 func Until(claims time.Time, answered []time.Time) time.Time {
--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
@@ -25,6 +27,9 @@
 	for host, age := range msg.FailedCallAges {
 		out.UnansweredUs[host] = age.Microseconds()
 	}
+	if msg.EvidenceAge != nil {
+		out.EvidenceAgeUs = proto.Int64(msg.EvidenceAge.Microseconds())
+	}
 	for _, g := range msg.Groups {
 		out.Groups = append(out.Groups, &fleetv1.GroupNews{
 			Group: g.Group, Term: g.Term, Primary: g.Primary, Fence: encodeFence(g.Fence), AgeUs: g.Age.Microseconds(),
@@ -62,6 +67,11 @@
 	for host, age := range m.GetUnansweredUs() {
 		out.FailedCallAges[host] = time.Duration(age) * time.Microsecond
 	}
+	if m.EvidenceAgeUs != nil {
+		// Encoding rounds down to microseconds, and evidence must not look newer.
+		age := time.Duration(m.GetEvidenceAgeUs()+1) * time.Microsecond
+		out.EvidenceAge = &age
+	}
 	for _, g := range m.GetGroups() {
 		out.Groups = append(out.Groups, gateway.GroupState{
 			Group: g.GetGroup(), Term: g.GetTerm(), Primary: g.GetPrimary(), Fence: decodeFence(g.GetFence()),
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -99,7 +99,11 @@
 	for _, m := range c.members {
 		answered = append(answered, m.answeredAt)
 	}
-	until := permission.Until(c.completeAsOf[TableState], answered)
+	claims := c.completeAsOf[TableState]
+	if c.relayedEvidence.After(claims) {
+		claims = c.relayedEvidence
+	}
+	until := permission.Until(claims, answered)
 	if !c.isListed() {
 		until = time.Time{}
 	}
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -52,6 +52,9 @@
 	// completeAsOf is the time as of which the mirror of each table is complete. The
 	// permission to use primaries depends on that of TableState.
 	completeAsOf map[TableName]time.Time
+	// relayedEvidence is the time as of which the newest evidence of another host for the
+	// permission to use primaries was true.
+	relayedEvidence time.Time
 	// permittedUntil is when the permission to use primaries ends.
 	permittedUntil time.Time
 	readingClaims  bool
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -191,6 +191,8 @@
 	// partition assigns hosts to network partitions: hosts reach only those with the
 	// same number.
 	partition map[string]int
+	// exchanges counts the gossip calls of all hosts.
+	exchanges int
 	store     *fakeStore
 	group     *fakeGroup
 	logs      map[string]*logBuffer
@@ -310,6 +312,9 @@
 
 // Exchange implements gateway.PeerClient.
 func (p *fakePeerClient) Exchange(_ context.Context, address string, msg gateway.GossipMessage) (gateway.GossipMessage, error) {
+	p.fleet.mu.Lock()
+	p.fleet.exchanges++
+	p.fleet.mu.Unlock()
 	gw, err := p.reach(address)
 	if err != nil {
 		return gateway.GossipMessage{}, err
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -97,6 +97,7 @@
 		MirrorVersions: make(map[TableName]uint64), MirrorAges: make(map[TableName]time.Duration),
 	}
 	msg.Unresponsive, msg.FailedCallAges = c.unresponsiveHosts(), c.failedCallAges(now)
+	msg.EvidenceAge = c.evidenceAge(now)
 	for name, at := range c.completeAsOf {
 		msg.MirrorAges[name] = now.Sub(at)
 	}
@@ -154,12 +155,14 @@
 			c.markComplete(name, began.Add(-age))
 		}
 	}
-	c.updatePermission()
+	// The fences come first: the permission may last longer only once they are known.
 	for _, state := range msg.Groups {
 		if g := c.gw.group(state.Group); g != nil {
 			c.applyGroupState(g, state, began)
 		}
 	}
+	c.applyEvidence(msg, began)
+	c.updatePermission()
 }
 
 // applyGroupState applies another host's view of a group. The age of the position is
--- a/internal/gateway/gossip_targets.go
+++ b/internal/gateway/gossip_targets.go
@@ -23,6 +23,10 @@
 	// called as well, aggregator or not, so that every host is called by some host
 	// about once a second.
 	probeRounds = 4
+	// pollRounds is the number of rounds in which a zone aggregator calls every live host
+	// while the claims are too old. What is left of permission.Duration is for the way
+	// of the evidence to the other hosts.
+	pollRounds = 3
 	// maxReportedFailures limits the failed calls in one gossip message. In a network
 	// partition every message would otherwise name half of the fleet and exceed the
 	// size from which messages are compressed.
@@ -30,27 +34,57 @@
 )
 
 // gossipTargets returns the hosts to call in this round: all hosts if everyone is set,
-// the least recently called ones in a small fleet or while the store is out of reach,
-// otherwise zone aggregators.
+// otherwise the least recently called ones in a small fleet and zone aggregators in a large
+// one. More hosts are called while the claims are too old, since a majority must then
+// answer within permission.Duration: in a small fleet by each host, in a large one only by
+// the zone aggregators, which pass the evidence on.
+//
+// In a large fleet the calls per host must not depend on the number of hosts. Hosts that
+// answer slowly make the claims too old on the hosts behind them; if each of these then
+// called a share of all hosts, the calls would slow all hosts down and the claims would
+// stay too old even after the cause has ended.
 func (c *controller) gossipTargets(now time.Time, everyone bool) []*member {
 	switch {
 	case everyone:
 		return c.leastRecentlyCalled(now, len(c.members))
+	case len(c.members) > smallFleetSize:
+		return c.largeFleetTargets(now)
 	case c.claimsTooOld(now):
-		// While the store is out of reach, a majority must answer within
-		// permission.Duration.
 		rounds := int(permission.Duration/gossipInterval) - 2
 		return c.leastRecentlyCalled(now, max(smallFanout, len(c.members)/rounds+1))
-	case len(c.members) <= smallFleetSize:
-		return c.leastRecentlyCalled(now, smallFanout)
 	}
-	out := c.aggregatorTargets(now)
-	if c.gossipRound%probeRounds == 0 {
+	return c.leastRecentlyCalled(now, smallFanout)
+}
+
+// largeFleetTargets returns the hosts to call in this round in a large fleet.
+func (c *controller) largeFleetTargets(now time.Time) []*member {
+	out, isAggregator := c.aggregatorTargets(now)
+	switch {
+	case c.claimsTooOld(now) && isAggregator:
+		out = append(out, c.leastRecentlyCalledLive(now)...)
+	case c.claimsTooOld(now):
+		// The aggregators may be out of reach, and any other host may have evidence.
+		out = append(out, c.leastRecentlyCalled(now, smallFanout-1)...)
+	case c.gossipRound%probeRounds == 0:
 		out = append(out, c.leastRecentlyCalled(now, 1)...)
 	}
 	return out
 }
 
+// leastRecentlyCalledLive returns a share of the hosts that answer, so that all of them
+// are called within pollRounds, and one other host, which may answer again.
+func (c *controller) leastRecentlyCalledLive(now time.Time) []*member {
+	var live, silent []*member
+	for _, m := range c.leastRecentlyCalled(now, len(c.members)) {
+		if m.failures < failuresUntilUnresponsive {
+			live = append(live, m)
+		} else {
+			silent = append(silent, m)
+		}
+	}
+	return append(live[:min(len(live)/pollRounds+1, len(live))], silent[:min(1, len(silent))]...)
+}
+
 // claimsTooOld reports whether this host's mirror of the claims will soon no longer
 // support its permission to use primaries.
 func (c *controller) claimsTooOld(now time.Time) bool {
@@ -58,9 +92,9 @@
 }
 
 // aggregatorTargets returns a zone aggregator of this host's zone. If this host is an
-// aggregator itself, it returns the other aggregators of the zone, one aggregator of
+// aggregator itself, it returns true, the other aggregators of the zone, one aggregator of
 // each other zone, and the first reader of the store.
-func (c *controller) aggregatorTargets(now time.Time) []*member {
+func (c *controller) aggregatorTargets(now time.Time) ([]*member, bool) {
 	ranked := placement.Rank(storeReadersGroup, c.liveHosts(now), len(c.members)+1)
 	aggregators := make(map[string][]string)
 	for _, h := range ranked {
@@ -71,7 +105,8 @@
 	}
 	own := c.zoneOf(c.gw.cfg.Host)
 	chosen := []string{rotate(aggregators[own], c.gossipRound)}
-	if slices.Contains(aggregators[own], c.gw.cfg.Host) {
+	isAggregator := slices.Contains(aggregators[own], c.gw.cfg.Host)
+	if isAggregator {
 		chosen = append(slices.Clone(aggregators[own]), ranked[0].Name)
 		for zone, names := range aggregators {
 			if zone != own {
@@ -86,7 +121,7 @@
 			out = append(out, m)
 		}
 	}
-	return out
+	return out, isAggregator
 }
 
 // rotate returns a different name each round.
--- /dev/null
+++ b/internal/gateway/gossip_targets_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
+)
+
+// controllersOfFleet returns the controllers of all hosts of a fleet in three
+// availability zones. Each knows all others and last read the claims at the given time.
+func controllersOfFleet(size int, claimsAsOf time.Time) []*controller {
+	zone := func(n int) string { return fmt.Sprintf("z%d", n%3) }
+	var out []*controller
+	for n := range size {
+		c := newController(New(Config{Host: fmt.Sprintf("h%d", n), AvailabilityZone: zone(n)}))
+		c.completeAsOf[TableState] = claimsAsOf
+		for other := range size {
+			if other != n {
+				name := fmt.Sprintf("h%d", other)
+				c.members[name] = &member{hostRecord: hostRecord{Name: name, AvailabilityZone: zone(other)}}
+			}
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// Guards against calls that grow with the square of the number of hosts once gossip is
+// late. The calls make all hosts slow, so that gossip stays late and configurations are in
+// force after their bound (seen on svfb-trestle-grown trouble-1 until long after a network
+// partition).
+func TestLateGossipDoesNotMultiplyCalls(t *testing.T) {
+	g := NewWithT(t)
+	const maxCallsPerHost = 8
+	now := boottime.Now()
+	for _, size := range []int{40, 80, 160} {
+		calls := 0
+		for _, c := range controllersOfFleet(size, now.Add(-2*time.Second)) {
+			calls += len(c.gossipTargets(now, false))
+		}
+		g.Expect(calls).To(BeNumerically("<=", maxCallsPerHost*size), "%d hosts", size)
+	}
+}
--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -63,6 +63,7 @@
 	if len(created) > 0 {
 		// Earlier answers of the other hosts could not include claims on the new
 		// groups.
+		c.relayedEvidence = time.Time{}
 		for _, m := range c.members {
 			m.answeredAt = time.Time{}
 		}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -47,6 +47,10 @@
 	// complete.
 	MirrorVersions map[TableName]uint64
 	Tables         []TableChanges
+	// EvidenceAge is how long ago the evidence for the sender's permission to use
+	// primaries was true; nil if the sender has none. The claims that the sender knew
+	// are the fences of Groups.
+	EvidenceAge *time.Duration
 }
 
 // FenceRequest asks a host to stop using a primary, or to report on it.
