Do not call all hosts after a pause or an aborted failover

Cause: a tick that came more than 300 ms late counted as a pause of the process, and each pause, like each failover that ended, made the next gossip round call all hosts and each pause made the host survey all endpoints. A host without enough processor time is late on most ticks. Besides, a host was called again each 250 ms although the last call to it was not answered.

Change: a pause refreshes the state at most once in 5 s, and in a large fleet by an ordinary round; a failover announces its end to all hosts only if it wrote a claim; a host with an unanswered call is left out of ordinary rounds.

Ruled out: a longer threshold for pauses, since a suspended host should refresh soon; safety does not depend on it.

With the change undone in a copy, TestStarvedHostDoesNotCallAllHosts sees 79 calls where 8 are allowed and TestHostWithUnansweredCallIsNotCalledAgain fails.

--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -20,6 +20,10 @@
 	// pauseThreshold is the time between two ticks above which the process counts as
 	// paused, so that its state may be out of date.
 	pauseThreshold = 300 * time.Millisecond
+	// minResumeInterval is the minimum time between two refreshes of the state after a
+	// pause. A host without enough processor time appears to be paused all the time, and
+	// must not answer that with more calls.
+	minResumeInterval = 5 * time.Second
 )
 
 // controller holds this host's view of the other hosts, the configuration and the
@@ -45,6 +49,10 @@
 	endpointRows map[string]endpointRow
 	lastTick     time.Time
 	lastGossip   time.Time
+	// gossipToAll makes the next gossip round call every host.
+	gossipToAll bool
+	// resumedAt is when this host last refreshed its state after a pause.
+	resumedAt time.Time
 	// gossipRound counts the gossip rounds.
 	gossipRound int
 	// lastSweep is when endpoints without a row were last removed.
@@ -168,10 +176,16 @@
 	}
 }
 
-// handlePause refreshes state that may be out of date because the process was paused.
+// handlePause refreshes state that may be out of date because the process was paused. It
+// affects only how soon this host serves again: what it may still use is decided by the
+// ages of what it knows, which count pauses.
 func (c *controller) handlePause(now time.Time) {
 	c.gw.events.log.Warn().Dur("paused_ms", now.Sub(c.lastTick)).Msg("host was paused")
-	c.lastGossip = time.Time{}
+	if now.Sub(c.resumedAt) < minResumeInterval {
+		return
+	}
+	c.resumedAt = now
+	c.startGossipRound(len(c.members) <= smallFleetSize)
 	for _, g := range *c.gw.currentGroups.Load() {
 		go c.survey(g, nil)
 	}
@@ -181,6 +195,6 @@
 func (c *controller) announceLeaving() {
 	c.submitAndWait(func() {
 		c.leaving = true
-		c.lastGossip = time.Time{}
+		c.startGossipRound(true)
 	})
 }
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -88,7 +88,8 @@
 		m := c.monitors[g.name]
 		m.failoverRunning = false
 		m.unreachableEndpoint, m.unreachableSince = "", time.Time{}
-		c.lastGossip = time.Time{}
+		// Without a claim no other host has learned of this attempt.
+		c.startGossipRound(f.claimVersion > 0)
 		if err != nil {
 			m.failoverAbortedAt = boottime.Now()
 		}
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -16,18 +16,24 @@
 	gossipTimeout = 400 * time.Millisecond
 )
 
+// startGossipRound makes the next tick start a gossip round, with all hosts if toAll is
+// set. In a large fleet only changes that every host must learn of at once justify that.
+func (c *controller) startGossipRound(toAll bool) {
+	c.lastGossip = time.Time{}
+	c.gossipToAll = c.gossipToAll || toAll
+}
+
 // gossip starts a gossip round if one is due.
 func (c *controller) gossip(now time.Time) {
 	if now.Sub(c.lastGossip) < gossipInterval {
 		return
 	}
-	everyone := c.lastGossip.IsZero()
 	c.lastGossip = now
 	c.gossipRound++
-	targets := c.gossipTargets(now, everyone)
+	targets := c.nextGossipTargets(now)
 	c.countCalls(now, len(targets))
 	for _, m := range targets {
-		m.calledAt = now
+		m.calledAt, m.callInFlight = now, true
 		go c.exchange(m.Name, m.Address, c.gossipMessage(now, m.mirrorVersions))
 	}
 	if len(c.members) == 0 && len(c.gw.cfg.Seeds) > 0 {
@@ -36,6 +42,13 @@
 	}
 }
 
+// nextGossipTargets returns the hosts to call in the round that starts now.
+func (c *controller) nextGossipTargets(now time.Time) []*member {
+	toAll := c.gossipToAll
+	c.gossipToAll = false
+	return c.gossipTargets(now, toAll)
+}
+
 // countCalls counts the calls of a gossip round.
 func (c *controller) countCalls(now time.Time, calls int) {
 	c.gw.metrics.Add(metrics.GossipCalls, int64(calls))
@@ -69,6 +82,9 @@
 	began := boottime.Now()
 	theirs, err := c.gw.cfg.Peers.Exchange(ctx, address, msg)
 	c.submit(func() {
+		if m := c.members[name]; m != nil {
+			m.callInFlight = false
+		}
 		if err != nil {
 			c.gw.metrics.Inc(metrics.GossipFailed)
 			c.recordFailedCall(name, began, err)
--- a/internal/gateway/gossip_targets.go
+++ b/internal/gateway/gossip_targets.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -46,7 +47,7 @@
 func (c *controller) gossipTargets(now time.Time, everyone bool) []*member {
 	switch {
 	case everyone:
-		return c.leastRecentlyCalled(now, len(c.members))
+		return slices.DeleteFunc(slices.Collect(maps.Values(c.members)), func(m *member) bool { return m.failedRecently(now) })
 	case len(c.members) > smallFleetSize:
 		return c.largeFleetTargets(now)
 	case c.claimsTooOld(now):
@@ -117,7 +118,7 @@
 	slices.Sort(chosen)
 	var out []*member
 	for _, name := range slices.Compact(chosen) {
-		if m := c.members[name]; m != nil {
+		if m := c.members[name]; m != nil && !m.callInFlight {
 			out = append(out, m)
 		}
 	}
@@ -141,11 +142,13 @@
 }
 
 // leastRecentlyCalled returns the n hosts that were called least recently. Hosts whose
-// last call failed come first after memberRetryDelay, until they count as unresponsive.
+// last call failed come first after memberRetryDelay, until they count as unresponsive. A
+// host that has not answered the last call yet is left out: further calls would only add to
+// the load that makes it slow.
 func (c *controller) leastRecentlyCalled(now time.Time, n int) []*member {
 	var out []*member
 	for _, m := range c.members {
-		if m.failures == 0 || now.Sub(m.failedAt) >= memberRetryDelay {
+		if !m.callInFlight && !m.failedRecently(now) {
 			out = append(out, m)
 		}
 	}
--- a/internal/gateway/gossip_targets_test.go
+++ b/internal/gateway/gossip_targets_test.go
@@ -45,3 +45,35 @@
 		g.Expect(calls).To(BeNumerically("<=", maxCallsPerHost*size), "%d hosts", size)
 	}
 }
+
+// Guards against a host without enough processor time that calls all hosts again and again
+// because it appears to be paused (seen on svfb-trestle-grown trouble-1: 132 calls a round
+// from hosts that were late by a second).
+func TestStarvedHostDoesNotCallAllHosts(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	c := controllersOfFleet(80, now)[0]
+	for range 10 {
+		now = now.Add(time.Second)
+		c.lastTick = now.Add(-time.Second)
+		c.handlePause(now)
+		g.Expect(len(c.nextGossipTargets(now))).To(BeNumerically("<=", 8))
+	}
+	c.startGossipRound(true)
+	g.Expect(c.nextGossipTargets(now)).To(HaveLen(79))
+	g.Expect(len(c.nextGossipTargets(now))).To(BeNumerically("<=", 8))
+}
+
+// Guards against calls that pile up at a host which answers more slowly than it is called.
+func TestHostWithUnansweredCallIsNotCalledAgain(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	c := controllersOfFleet(14, now)[0]
+	for _, m := range c.members {
+		m.callInFlight = m.Name != "h5"
+	}
+	g.Expect(c.nextGossipTargets(now)).To(ConsistOf(c.members["h5"]))
+	// A change that every host must learn of is sent nevertheless.
+	c.startGossipRound(true)
+	g.Expect(c.nextGossipTargets(now)).To(HaveLen(13))
+}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -34,7 +34,9 @@
 	reportedFailureAt time.Time
 	// calledAt is when the host was last called.
 	calledAt time.Time
-	leaving  bool
+	// callInFlight is true while a gossip call to the host is not answered.
+	callInFlight bool
+	leaving      bool
 	// mirrorVersions holds the versions up to which the host's mirrors are complete.
 	mirrorVersions map[TableName]uint64
 }
@@ -61,6 +63,11 @@
 	return at
 }
 
+// failedRecently reports whether the last call to the host has just failed.
+func (m *member) failedRecently(now time.Time) bool {
+	return m.failures > 0 && now.Sub(m.failedAt) < memberRetryDelay
+}
+
 // alive reports whether the host is considered to be running: calls to it have not
 // failed, here or on another host, since its last contact.
 func (m *member) alive(now time.Time) bool {
--- a/internal/gateway/promote.go
+++ b/internal/gateway/promote.go
@@ -106,7 +106,7 @@
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		s, err := f.controller.queryStatus(t)
 		if err == nil && s.Primary && s.Term > f.term {
-			f.controller.submit(func() { f.controller.lastGossip = time.Time{} })
+			f.controller.submit(func() { f.controller.startGossipRound(true) })
 			return nil
 		}
 		wait.Sleep(ctx, statusPollInterval)
