Rank only as many hosts as a connection plan needs

A group without a usable primary did so on each tick, with the group's mutex held.

Ruled out: a cache of plans, which would have to be dropped at each change of a member's state.

TestDirectHostsFollowOneRanking compares with the earlier ranking.

--- a/coord/placement/rank.go
+++ b/coord/placement/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -35,6 +36,24 @@
 	return ranked
 }
 
+// Position returns the number of hosts that rank before the named host for the group, or -1
+// if the host is not among them. It takes O(len(hosts)) time and allocates nothing.
+func Position(group string, hosts []Host, name string) int {
+	own := slices.IndexFunc(hosts, func(h Host) bool { return h.Name == name })
+	if own < 0 {
+		return -1
+	}
+	seed := xxhash.Sum64String(group)
+	scoredAt := func(i int) scored { return scored{score(uniform(seed, &hosts[i]), &hosts[i]), i} }
+	before, self := 0, scoredAt(own)
+	for i := range hosts {
+		if i != own && better(scoredAt(i), self, hosts) {
+			before++
+		}
+	}
+	return before
+}
+
 // insertRanked inserts s into top in order. If top is full, the last of them drops out.
 func insertRanked(top []scored, s scored, hosts []Host) []scored {
 	if len(top) == cap(top) {
--- a/coord/placement/rank_test.go
+++ b/coord/placement/rank_test.go
@@ -90,3 +90,17 @@
 		})
 	}
 }
+
+// Guards against hosts that disagree on which of them goes first because one of them has
+// the ranking and another only its own position.
+func TestPositionAgreesWithRank(t *testing.T) {
+	g := NewWithT(t)
+	all := hosts(30)
+	for i := range 50 {
+		group := fmt.Sprintf("pool-%d", i)
+		for at, h := range placement.Rank(group, all, len(all)) {
+			g.Expect(placement.Position(group, all, h.Name)).To(Equal(at))
+		}
+	}
+	g.Expect(placement.Position("pool", all, "unknown")).To(Equal(-1))
+}
--- a/internal/gateway/conn_plan.go
+++ b/internal/gateway/conn_plan.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/placement"
@@ -59,7 +57,7 @@
 // off or overloaded hears from few others, but must not take their shares. Endpoints
 // would reset connections beyond their limit, and the hosts would slow down further by
 // reopening them (seen on svfb-trestle-grown trouble-1).
-func (c *controller) planConnections(hosts []placement.Host, config Group, e Endpoint) connPlan {
+func (c *controller) planConnections(hosts hostsByZone, config Group, e Endpoint) connPlan {
 	listed := len(c.members) + 1
 	if share := config.connectionShare(listed); share >= minConnections {
 		least := minConnections
@@ -68,8 +66,7 @@
 		}
 		return connPlan{limit: max(share/restartDivisor, least), window: max(windowFor(e, listed), minConnections)}
 	}
-	ranked := c.rankDirectHosts(hosts, e)
-	direct := ranked[:min(directHosts, len(ranked))]
+	direct := hosts.rankDirectHosts(e, directHosts)
 	out := connPlan{limit: maxRelayedRequests, window: maxRelayedRequests, viaRelays: true}
 	for _, h := range direct {
 		if h.Name == c.gw.cfg.Host {
@@ -98,7 +95,8 @@
 
 // liveHosts returns the hosts that are considered alive, including this one.
 func (c *controller) liveHosts(now time.Time) []placement.Host {
-	hosts := []placement.Host{{Name: c.gw.cfg.Host}}
+	hosts := make([]placement.Host, 1, len(c.members)+1)
+	hosts[0].Name = c.gw.cfg.Host
 	for _, m := range c.members {
 		if m.alive(now) {
 			hosts = append(hosts, placement.Host{Name: m.Name})
@@ -107,20 +105,46 @@
 	return hosts
 }
 
-// rankDirectHosts ranks the hosts for direct connections to the endpoint: those in its
-// availability zone first, then by placement rank.
-func (c *controller) rankDirectHosts(hosts []placement.Host, e Endpoint) []placement.Host {
-	ranked := placement.Rank(e.ID, hosts, len(hosts))
-	slices.SortStableFunc(ranked, func(a, b placement.Host) int {
-		return cmp.Compare(c.zoneRank(a.Name, e), c.zoneRank(b.Name, e))
-	})
-	return ranked
+// hostsByZone groups hosts by their availability zone.
+type hostsByZone map[string][]placement.Host
+
+// liveHostsByZone returns the hosts that are considered alive, including this one.
+func (c *controller) liveHostsByZone(now time.Time) hostsByZone {
+	out := make(hostsByZone)
+	for _, h := range c.liveHosts(now) {
+		zone := c.zoneOf(h.Name)
+		out[zone] = append(out[zone], h)
+	}
+	return out
+}
+
+// outside returns the hosts of all other availability zones.
+func (z hostsByZone) outside(zone string) []placement.Host {
+	var out []placement.Host
+	for name, hosts := range z {
+		if name != zone {
+			out = append(out, hosts...)
+		}
+	}
+	return out
+}
+
+// rankDirectHosts returns the n hosts that rank first for direct connections to the
+// endpoint: those in its availability zone first, then by placement rank.
+func (z hostsByZone) rankDirectHosts(e Endpoint, n int) []placement.Host {
+	ranked := placement.Rank(e.ID, z[e.AvailabilityZone], n)
+	if len(ranked) == n {
+		return ranked
+	}
+	return append(ranked, placement.Rank(e.ID, z.outside(e.AvailabilityZone), n-len(ranked))...)
 }
 
-// zoneRank returns 0 for hosts in the endpoint's availability zone and 1 for others.
-func (c *controller) zoneRank(host string, e Endpoint) int {
-	if c.zoneOf(host) == e.AvailabilityZone {
-		return 0
+// directPosition returns the number of hosts that rank before the named host for direct
+// connections to the endpoint.
+func (z hostsByZone) directPosition(e Endpoint, name string) int {
+	inZone := z[e.AvailabilityZone]
+	if at := placement.Position(e.ID, inZone, name); at >= 0 {
+		return at
 	}
-	return 1
+	return len(inZone) + placement.Position(e.ID, z.outside(e.AvailabilityZone), name)
 }
--- a/internal/gateway/conn_plan_test.go
+++ b/internal/gateway/conn_plan_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -24,7 +27,7 @@
 				c.members[other.Name] = &member{hostRecord: hostRecord{Name: other.Name, Address: other.Name}}
 			}
 		}
-		if plan := c.planConnections(fleet, Group{MaxConnections: maxConnections}, Endpoint{ID: "e", Slots: slots}); !plan.viaRelays {
+		if plan := c.planConnections(hostsByZone{"": fleet}, Group{MaxConnections: maxConnections}, Endpoint{ID: "e", Slots: slots}); !plan.viaRelays {
 			limits[h.Name] = plan.limit
 		}
 	}
@@ -47,3 +50,47 @@
 		}
 	}
 }
+
+// Guards against hosts that disagree on who connects directly to an endpoint: the first
+// hosts and a host's own position must follow from one ranking of all hosts, those in the
+// endpoint's availability zone before the others.
+func TestDirectHostsFollowOneRanking(t *testing.T) {
+	g := NewWithT(t)
+	hosts := make(hostsByZone)
+	var all []placement.Host
+	zones := make(map[string]string)
+	for n := range 30 {
+		h, zone := placement.Host{Name: fmt.Sprint("h", n)}, fmt.Sprint("z", n%4)
+		hosts[zone] = append(hosts[zone], h)
+		all, zones[h.Name] = append(all, h), zone
+	}
+	for n := range 40 {
+		e := Endpoint{ID: fmt.Sprint("e", n), AvailabilityZone: fmt.Sprint("z", n%5)}
+		ranked := placement.Rank(e.ID, all, len(all))
+		slices.SortStableFunc(ranked, func(a, b placement.Host) int {
+			outside := func(h placement.Host) int {
+				if zones[h.Name] == e.AvailabilityZone {
+					return 0
+				}
+				return 1
+			}
+			return cmp.Compare(outside(a), outside(b))
+		})
+		g.Expect(hosts.rankDirectHosts(e, directHosts)).To(Equal(ranked[:directHosts]))
+		for at, h := range ranked {
+			g.Expect(hosts.directPosition(e, h.Name)).To(Equal(at))
+		}
+	}
+}
+
+// BenchmarkPlanConnections measures the planning for all endpoints that follows each change
+// of the endpoints table, on one of 133 hosts with 24 endpoints.
+func BenchmarkPlanConnections(b *testing.B) {
+	c := controllersOfFleet(133, time.Time{})[0]
+	for b.Loop() {
+		hosts := c.liveHostsByZone(time.Time{})
+		for n := range 24 {
+			c.planConnections(hosts, Group{MaxConnections: 83}, Endpoint{ID: fmt.Sprint("e", n), AvailabilityZone: fmt.Sprint("z", n%3), Slots: 5})
+		}
+	}
+}
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -213,7 +212,7 @@
 		rank = c.rankInGroup(now, group)
 	} else {
 		// Only hosts with direct connections notice that the primary does not answer.
-		rank = c.ownIndex(c.rankDirectHosts(c.liveHosts(now), primary.Endpoint))
+		rank = c.liveHostsByZone(now).directPosition(primary.Endpoint, c.gw.cfg.Host)
 	}
 	holder := m.claim.Holder
 	switch {
@@ -227,12 +226,5 @@
 
 // rankInGroup returns the number of live hosts that rank before this one for the group.
 func (c *controller) rankInGroup(now time.Time, group string) int {
-	hosts := c.liveHosts(now)
-	ranked := placement.Rank(group, hosts, len(hosts))
-	return c.ownIndex(ranked)
-}
-
-// ownIndex returns the index of this host in the ranking.
-func (c *controller) ownIndex(ranked []placement.Host) int {
-	return slices.IndexFunc(ranked, func(h placement.Host) bool { return h.Name == c.gw.cfg.Host })
+	return placement.Position(group, c.liveHosts(now), c.gw.cfg.Host)
 }
--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/beryltrestle/beryltrestle/coord/placement"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
@@ -46,7 +45,7 @@
 		listed[e.Group][e.ID] = e
 	}
 	now := boottime.Now()
-	hosts := c.liveHosts(now)
+	hosts := c.liveHostsByZone(now)
 	groups := maps.Clone(*c.gw.currentGroups.Load())
 	var created []string
 	for name, config := range catalog.Groups {
@@ -113,7 +112,7 @@
 }
 
 // updateGroup adds, updates and removes the group's targets.
-func (c *controller) updateGroup(now time.Time, g *group, config Group, listed map[string]Endpoint, hosts []placement.Host) {
+func (c *controller) updateGroup(now time.Time, g *group, config Group, listed map[string]Endpoint, hosts hostsByZone) {
 	var toQuery, retired []*target
 	g.mu.Lock()
 	g.config = config
--- a/internal/gateway/member_test.go
+++ b/internal/gateway/member_test.go
@@ -62,7 +62,7 @@
 	}
 	direct := 0
 	for n := range 100 {
-		plan := c.planConnections(c.liveHosts(now), Group{MaxConnections: 83}, Endpoint{ID: fmt.Sprintf("e%d", n), Slots: 5})
+		plan := c.planConnections(c.liveHostsByZone(now), Group{MaxConnections: 83}, Endpoint{ID: fmt.Sprintf("e%d", n), Slots: 5})
 		if !plan.viaRelays {
 			direct++
 		}
--- a/internal/gateway/relay_route.go
+++ b/internal/gateway/relay_route.go
@@ -72,8 +72,7 @@
 func (c *controller) relayCandidates(e Endpoint, scarce bool) map[string]string {
 	addresses := make(map[string]string)
 	if scarce {
-		ranked := c.rankDirectHosts(c.liveHosts(boottime.Now()), e)
-		for _, h := range ranked[:min(directHosts, len(ranked))] {
+		for _, h := range c.liveHostsByZone(boottime.Now()).rankDirectHosts(e, directHosts) {
 			if m := c.members[h.Name]; m != nil {
 				addresses[h.Name] = m.Address
 			}
