Deny a database only by a configuration that is current

Cause: a host that does not know a database said that it does not exist, also while its configuration was 7.5 s old or after a start without any configuration. This is one class with the stale read: an answer about the present from a view of the past.

Change: the gateway gets the bound within which a configuration must be in force, and says NODB only if its mirror of the configuration was complete within that time. Otherwise it refuses at once with BUSY and a time to come back, which is true (nothing ran) and lets the caller go to another host.

Ruled out: leaving the rotation, as all hosts would leave it while the store is away; refusing all work, for the same reason. A removed database is still served by such a host.

In the fakes, a refused caller now gets the refusal.

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -88,8 +88,11 @@
 		return
 	}
 	c.completeAsOf[name] = asOf
-	if name == TableState {
+	switch name {
+	case TableState:
 		c.updatePermission()
+	case TableCatalog:
+		c.gw.catalogAsOf.Store(asOf.UnixNano())
 	}
 }
 
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -395,7 +395,7 @@
 	select {
 	case c.statements <- st:
 	case <-c.ended:
-		return gateway.Reply{Code: gateway.CodeOther}
+		return c.refusal()
 	}
 	select {
 	case r := <-c.replies:
@@ -405,6 +405,16 @@
 	}
 }
 
+// refusal returns the answer that ended the session before a statement.
+func (c *fakeCaller) refusal() gateway.Reply {
+	select {
+	case r := <-c.replies:
+		return r
+	default:
+		return gateway.Reply{Code: gateway.CodeOther}
+	}
+}
+
 // Database implements gateway.Caller.
 func (c *fakeCaller) Database() string { return c.database }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,9 @@
 	Seeds []string
 	// Grace is the time between the stop signal and the forced end of the process.
 	Grace time.Duration
+	// ConfigurationBound is the time within which an accepted configuration must be in
+	// force. Zero means defaultConfigurationBound.
+	ConfigurationBound time.Duration
 	// ZoneDistance is added to the expected response time of endpoints in other
 	// availability zones: such an endpoint is chosen only if it saves more than that.
 	ZoneDistance time.Duration
@@ -66,6 +69,10 @@
 	budgetMu sync.Mutex
 	budget   *admission.RetryBudget
 
+	// catalogAsOf is the time as of which the configuration is known to be the newest, in
+	// nanoseconds of the boot clock; 0 if it was never read.
+	catalogAsOf atomic.Int64
+
 	// permittedUntil is when this host's permission to use primaries ends, in
 	// nanoseconds of the boot clock.
 	permittedUntil atomic.Int64
@@ -78,6 +85,9 @@
 
 // New returns a Gateway. It serves callers once Run is called.
 func New(cfg Config) *Gateway {
+	if cfg.ConfigurationBound <= 0 {
+		cfg.ConfigurationBound = defaultConfigurationBound
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	gw := &Gateway{
 		cfg: cfg, ctx: ctx, cancel: cancel, metrics: cfg.Metrics,
@@ -108,8 +118,7 @@
 // message once the caller's database is known to be configured.
 func (gw *Gateway) Serve(caller Caller, welcome func() error) {
 	if !gw.awaitDatabase(caller) {
-		gw.metrics.Inc(metrics.RefusedUnknownPool)
-		_ = caller.Refuse(noDatabase)
+		_ = caller.Refuse(gw.refuseUnknownDatabase())
 		caller.Close()
 		return
 	}
--- a/internal/gateway/session_server.go
+++ b/internal/gateway/session_server.go
@@ -122,7 +122,7 @@
 		return s.runInTransaction(st, arrived)
 	}
 	if !s.loadDatabase() {
-		return noDatabase
+		return s.gateway.refuseUnknownDatabase()
 	}
 	return s.runSingle(st, arrived)
 }
@@ -134,15 +134,12 @@
 		return s.failStatement(CodeMalformed, "a transaction is open")
 	}
 	if !s.loadDatabase() {
-		return noDatabase
+		return s.gateway.refuseUnknownDatabase()
 	}
 	s.state.Begin(st.Op == session.OpBeginRead, arrived)
 	return s.newReply(CodeNone, "")
 }
 
-// noDatabase is the answer outside a transaction if the database is not configured.
-var noDatabase = Reply{Code: CodeNoDatabase, Detail: "no database of this name is configured"}
-
 // loadDatabase loads the current configuration of the caller's database. It returns
 // false if the database is not configured.
 func (s *sessionServer) loadDatabase() bool {
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -32,6 +32,9 @@
 	RefusedIdleTransaction  Name = "refused.idle_transaction"
 	RefusedReadLost         Name = "refused.read_lost"
 	UnknownTimeout          Name = "unknown.timeout"
+	// RefusedOutdatedConfiguration counts callers whose database is not in a configuration
+	// that may be outdated.
+	RefusedOutdatedConfiguration Name = "refused.outdated_configuration"
 )
 
 // Retries, by reason. Only requests that have had no effect are retried.
