Keep the connection to a host that is merely slow

Cause: each call that timed out after 0.2 to 0.4 s replaced the connection to the host, if it was older than 0.3 s, although other calls on it were answered. A slow host got a new HTTP/2 connection from every caller with each timeout. The class is that of gossip: slowness answered with more work.

Change: a connection is replaced only if nothing on it has been answered since the call began, and connections in a row without any answer are kept twice as long each, up to 2.4 s. A dead connection is replaced as soon as before.

TestSlowHostKeepsItsConnection opened 4 connections before, where 1 is enough.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -27,9 +27,10 @@
 // Exchange implements gateway.PeerClient.
 func (c *Client) Exchange(ctx context.Context, address string, msg gateway.GossipMessage) (gateway.GossipMessage, error) {
 	peer := c.connTo(address)
+	began := time.Now()
 	response, err := peer.client.Exchange(ctx, connect.NewRequest(&fleetv1.ExchangeRequest{News: encodeGossip(msg)}))
+	c.recordResult(address, peer, began, err)
 	if err != nil {
-		c.replaceAfterTimeout(address, peer, err)
 		return gateway.GossipMessage{}, err
 	}
 	return decodeGossip(response.Msg.GetNews()), nil
@@ -38,11 +39,12 @@
 // Fence implements gateway.PeerClient.
 func (c *Client) Fence(ctx context.Context, address string, r gateway.FenceRequest) (gateway.FenceReply, error) {
 	peer := c.connTo(address)
+	began := time.Now()
 	response, err := peer.client.Fence(ctx, connect.NewRequest(&fleetv1.FenceRequest{
 		Group: r.Group, Fence: encodeFence(r.Fence), Ask: r.QueryOnly, GraceUs: r.Grace.Microseconds(),
 	}))
+	c.recordResult(address, peer, began, err)
 	if err != nil {
-		c.replaceAfterTimeout(address, peer, err)
 		return gateway.FenceReply{}, err
 	}
 	return gateway.FenceReply{
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -52,9 +52,10 @@
 	request.TransactionID, request.Group, request.Endpoint, request.InTransaction = r.transactionID, r.group, r.endpoint, r.inTransaction
 	request.Timeout = max(time.Until(deadline)-relayMargin, 0)
 	peer := r.client.connTo(r.address)
+	began := time.Now()
 	response, err := peer.client.Relay(ctx, connect.NewRequest(encodeRelayRequest(request)))
+	r.client.recordResult(r.address, peer, began, err)
 	if err != nil {
-		r.client.replaceAfterTimeout(r.address, peer, err)
 		if r.notRunning(err) {
 			return gateway.Reply{}, errors.WithSecondaryError(gateway.ErrNotSent, err)
 		}
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -16,6 +16,8 @@
 	// on it timed out, so that a series of slow answers does not open a connection
 	// each.
 	minReplaceAge = 300 * time.Millisecond
+	// maxReplaceAge limits the growth of that age while nothing is answered.
+	maxReplaceAge = 2400 * time.Millisecond
 	// compressMinBytes is the message size in bytes from which messages are compressed.
 	// Most table changes are larger, most statements and answers smaller.
 	compressMinBytes = 1024
--- a/internal/fleet/transport_test.go
+++ b/internal/fleet/transport_test.go
@@ -129,6 +129,44 @@
 	g.Expect(time.Since(began)).To(BeNumerically("<", 1500*time.Millisecond))
 }
 
+// Guards against a slow host that gets a new connection for each call that times out: the
+// connections cost it processor time and make it slower (seen on svfb-trestle-grown
+// trouble-1, where up to 1,187 descriptors were open in one process).
+func TestSlowHostKeepsItsConnection(t *testing.T) {
+	g := NewWithT(t)
+	const slow = 250 * time.Millisecond
+	p := &countingPeer{}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(slow)
+		w.Header().Set("Content-Type", "application/proto")
+	}))
+	server.Config.Protocols = fleet.Protocols()
+	server.Listener = &countingListener{Listener: server.Listener, peer: p}
+	server.Start()
+	t.Cleanup(server.Close)
+	c := fleet.NewClient()
+	call := func(timeout time.Duration) error {
+		relay := c.Relay(strings.TrimPrefix(server.URL, "http://"), gateway.Endpoint{ID: "e", Group: "g"})
+		_, err := relay.Run(time.Now().Add(timeout), readRequest())
+		return err
+	}
+	for range 4 {
+		// Another call is answered while the impatient one waits.
+		var wg sync.WaitGroup
+		wg.Go(func() { g.Expect(call(5 * time.Second)).To(Succeed()) })
+		time.Sleep(slow / 2)
+		g.Expect(call(slow * 9 / 10)).NotTo(Succeed())
+		wg.Wait()
+	}
+	g.Expect(p.connections.Load()).To(Equal(int64(1)))
+
+	// While nothing is answered, connections are opened ever more rarely.
+	for range 20 {
+		g.Expect(call(100 * time.Millisecond)).NotTo(Succeed())
+	}
+	g.Expect(p.connections.Load()).To(BeNumerically("<=", 4))
+}
+
 // proxy forwards connections until they are blackholed.
 type proxy struct {
 	address string
