--- a/internal/gateway/gossip_targets.go
+++ b/internal/gateway/gossip_targets.go
@@ -24,8 +24,8 @@
 	// called as well, aggregator or not, so that every host is called by some host
 	// about once a second.
 	probeRounds = 4
-	// pollRounds is the number of rounds in which a zone aggregator calls every live host
-	// while the claims are too old. What is left of permission.Duration is for the way
+	// pollRounds is the number of rounds in which a host that asks the majority calls every
+	// live host. What is left of permission.Duration is for the way
 	// of the evidence to the other hosts.
 	pollRounds = 3
 	// maxReportedFailures limits the failed calls in one gossip message. In a network
@@ -38,7 +38,7 @@
 // otherwise the least recently called ones in a small fleet and zone aggregators in a large
 // one. More hosts are called while the claims are too old, since a majority must then
 // answer within permission.Duration: in a small fleet by each host, in a large one only by
-// the zone aggregators, which pass the evidence on.
+// the first hosts of each availability zone, which pass the evidence on.
 //
 // In a large fleet the calls per host must not depend on the number of hosts. Hosts that
 // answer slowly make the claims too old on the hosts behind them; if each of these then
@@ -59,9 +59,9 @@
 
 // largeFleetTargets returns the hosts to call in this round in a large fleet.
 func (c *controller) largeFleetTargets(now time.Time) []*member {
-	out, isAggregator := c.aggregatorTargets(now)
+	out := c.aggregatorTargets(now)
 	switch {
-	case c.claimsTooOld(now) && isAggregator:
+	case c.claimsTooOld(now) && c.asksMajority():
 		out = append(out, c.leastRecentlyCalledLive(now)...)
 	case c.claimsTooOld(now):
 		// The aggregators may be out of reach, and any other host may have evidence.
@@ -72,6 +72,21 @@
 	return out
 }
 
+// asksMajority reports whether this host asks the majority while the claims are too old:
+// the hosts that rank first in their availability zone do. Only hosts that do not answer
+// this host are skipped. If reports of other hosts counted as well, many hosts would ask
+// at once while slow answers cause such reports.
+func (c *controller) asksMajority() bool {
+	zone := c.zoneOf(c.gw.cfg.Host)
+	candidates := []placement.Host{{Name: c.gw.cfg.Host}}
+	for _, m := range c.members {
+		if m.AvailabilityZone == zone && !m.leaving && m.failures < failuresUntilUnresponsive {
+			candidates = append(candidates, placement.Host{Name: m.Name})
+		}
+	}
+	return placement.Position(storeReadersGroup, candidates, c.gw.cfg.Host) < aggregatorsPerZone
+}
+
 // leastRecentlyCalledLive returns a share of the hosts that answer, so that all of them
 // are called within pollRounds, and one other host, which may answer again.
 func (c *controller) leastRecentlyCalledLive(now time.Time) []*member {
@@ -93,9 +108,9 @@
 }
 
 // aggregatorTargets returns a zone aggregator of this host's zone. If this host is an
-// aggregator itself, it returns true, the other aggregators of the zone, one aggregator of
+// aggregator itself, it returns the other aggregators of the zone, one aggregator of
 // each other zone, and the first reader of the store.
-func (c *controller) aggregatorTargets(now time.Time) ([]*member, bool) {
+func (c *controller) aggregatorTargets(now time.Time) []*member {
 	ranked := placement.Rank(storeReadersGroup, c.liveHosts(now), len(c.members)+1)
 	aggregators := make(map[string][]string)
 	for _, h := range ranked {
@@ -106,8 +121,7 @@
 	}
 	own := c.zoneOf(c.gw.cfg.Host)
 	chosen := []string{rotate(aggregators[own], c.gossipRound)}
-	isAggregator := slices.Contains(aggregators[own], c.gw.cfg.Host)
-	if isAggregator {
+	if slices.Contains(aggregators[own], c.gw.cfg.Host) {
 		chosen = append(slices.Clone(aggregators[own]), ranked[0].Name)
 		for zone, names := range aggregators {
 			if zone != own {
@@ -122,7 +136,7 @@
 			out = append(out, m)
 		}
 	}
-	return out, isAggregator
+	return out
 }
 
 // rotate returns a different name each round.
--- a/internal/gateway/gossip_targets_test.go
+++ b/internal/gateway/gossip_targets_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// Guards against reports of unresponsive hosts that make many hosts ask the majority,
+// because each considers those unresponsive that would do so before it.
+func TestReportsDoNotMultiplyCalls(t *testing.T) {
+	g := NewWithT(t)
+	const size, maxCallsPerHost = 160, 8
+	now := boottime.Now()
+	calls := 0
+	for _, c := range controllersOfFleet(size, now.Add(-2*time.Second)) {
+		for _, m := range c.members {
+			m.reportedUnresponsiveAt = now
+		}
+		calls += len(c.gossipTargets(now, false))
+	}
+	g.Expect(calls).To(BeNumerically("<=", maxCallsPerHost*size))
+}
+
 // Guards against a host without enough processor time that calls all hosts again and again
 // because it appears to be paused (seen on svfb-trestle-grown trouble-1: 132 calls a round
 // from hosts that were late by a second).
