--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -53,7 +53,7 @@
 func (c *controller) countCalls(now time.Time, calls int) {
 	c.gw.metrics.Add(metrics.GossipCalls, int64(calls))
 	if c.claimsTooOld(now) {
-		c.gw.metrics.Add(metrics.GossipDirect, int64(calls))
+		c.gw.metrics.Add(metrics.GossipClaimsLate, int64(calls))
 	}
 }
 
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -96,9 +96,9 @@
 	// GossipCalls counts the calls of gossip rounds and GossipFailed those that failed.
 	GossipCalls  Name = "gossip.calls"
 	GossipFailed Name = "gossip.failed"
-	// GossipDirect counts the calls to hosts beyond the usual ones, made because the
-	// claims are too old.
-	GossipDirect Name = "gossip.direct"
+	// GossipClaimsLate counts the calls made while the claims are too old. They go to more
+	// hosts than usual.
+	GossipClaimsLate Name = "gossip.claims_late"
 )
 
 // Histograms of the gateway's control goroutine.
