--- a/coord/permission/permission.go
+++ b/coord/permission/permission.go
@@ -35,9 +35,9 @@
 const Duration = 1500 * time.Millisecond
 
 // Until returns when the permission ends; zero if there is none. claims is the time as of
-// which this host knows every claim, from the store or from relayed evidence. answered has an entry for each other host: the start
-// of the last call that the host answered, or that showed that it does not run. The slice
-// is sorted in place.
+// which this host knows every claim, from the store or from relayed evidence. answered has
+// an entry for each other host: the start of the last call that the host answered, or that
+// showed that it does not run. The slice is sorted in place.
 func Until(claims time.Time, answered []time.Time) time.Time {
 	at := claims
 	if m := majorityAnsweredAt(answered); m.After(at) {
