Ask the majority before the permission can lapse at the start of a store outage

Cause: the hosts of a large fleet that ask the majority began at a claims' age of 1.15 s and in their next round, and needed two rounds for a majority. The permission of 1.5 s ended before, and the other hosts got the evidence a round later.

Change: they begin at 0.85 s, without waiting for the next round, and call a majority in the first round. A host is called once a round.

--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -25,8 +25,22 @@
 
 // gossip starts a gossip round if one is due.
 func (c *controller) gossip(now time.Time) {
-	if now.Sub(c.lastGossip) < gossipInterval {
-		return
+	for _, m := range c.dueGossipTargets(now) {
+		go c.exchange(m.Name, m.Address, c.gossipMessage(now, m.mirrorVersions))
+	}
+	if c.lastGossip.Equal(now) && len(c.members) == 0 && len(c.gw.cfg.Seeds) > 0 {
+		seed := c.gw.cfg.Seeds[rand.N(len(c.gw.cfg.Seeds))]
+		go c.exchange("", seed, c.gossipMessage(now, nil))
+	}
+}
+
+// dueGossipTargets returns the hosts to call now and marks them as called: those of the
+// next round if it is due, otherwise none. A host that must begin to ask the majority does
+// not wait for the next round, since its permission would end meanwhile.
+func (c *controller) dueGossipTargets(now time.Time) []*member {
+	beginsToAsk := !c.askingMajority && c.mustAskMajority(now)
+	if now.Sub(c.lastGossip) < gossipInterval && !beginsToAsk {
+		return nil
 	}
 	c.lastGossip = now
 	c.gossipRound++
@@ -34,12 +48,8 @@
 	c.countCalls(now, len(targets))
 	for _, m := range targets {
 		m.calledAt, m.callInFlight = now, true
-		go c.exchange(m.Name, m.Address, c.gossipMessage(now, m.mirrorVersions))
-	}
-	if len(c.members) == 0 && len(c.gw.cfg.Seeds) > 0 {
-		seed := c.gw.cfg.Seeds[rand.N(len(c.gw.cfg.Seeds))]
-		go c.exchange("", seed, c.gossipMessage(now, nil))
 	}
+	return targets
 }
 
 // nextGossipTargets returns the hosts to call in the round that starts now.
--- a/internal/gateway/gossip_targets.go
+++ b/internal/gateway/gossip_targets.go
@@ -25,9 +25,14 @@
 	// about once a second.
 	probeRounds = 4
 	// pollRounds is the number of rounds in which a host that asks the majority calls every
-	// live host. What is left of permission.Duration is for the way
-	// of the evidence to the other hosts.
+	// live host, after a first round that calls a majority at once. What is left of
+	// permission.Duration is for the way of the evidence to the other hosts.
 	pollRounds = 3
+	// askMajorityAge is the age of the claims at which the first hosts of each availability
+	// zone of a large fleet ask the majority. While the store answers, gossip keeps the
+	// claims of these hosts younger. The rest of permission.Duration must suffice for their
+	// calls, and then for one gossip round of the other hosts, which get the evidence.
+	askMajorityAge = 850 * time.Millisecond
 	// maxReportedFailures limits the failed calls in one gossip message. In a network
 	// partition every message would otherwise name half of the fleet and exceed the
 	// size from which messages are compressed.
@@ -60,16 +65,35 @@
 // largeFleetTargets returns the hosts to call in this round in a large fleet.
 func (c *controller) largeFleetTargets(now time.Time) []*member {
 	out := c.aggregatorTargets(now)
+	began := !c.askingMajority
+	c.askingMajority = c.mustAskMajority(now)
 	switch {
-	case c.claimsTooOld(now) && c.asksMajority():
-		out = append(out, c.leastRecentlyCalledLive(now)...)
+	case c.askingMajority && began:
+		out = append(out, c.leastRecentlyCalledLive(now, len(c.members)/2+1)...)
+	case c.askingMajority:
+		out = append(out, c.leastRecentlyCalledLive(now, len(c.members)/pollRounds+1)...)
 	case c.claimsTooOld(now):
 		// The aggregators may be out of reach, and any other host may have evidence.
 		out = append(out, c.leastRecentlyCalled(now, smallFanout-1)...)
 	case c.gossipRound%probeRounds == 0:
 		out = append(out, c.leastRecentlyCalled(now, 1)...)
 	}
-	return out
+	return distinct(out)
+}
+
+// distinct removes repeated members.
+func distinct(members []*member) []*member {
+	seen := make(map[*member]bool, len(members))
+	return slices.DeleteFunc(members, func(m *member) bool {
+		repeated := seen[m]
+		seen[m] = true
+		return repeated
+	})
+}
+
+// mustAskMajority reports whether this host asks the majority of a large fleet now.
+func (c *controller) mustAskMajority(now time.Time) bool {
+	return len(c.members) > smallFleetSize && now.Sub(c.completeAsOf[TableState]) >= askMajorityAge && c.asksMajority()
 }
 
 // asksMajority reports whether this host asks the majority while the claims are too old:
@@ -87,9 +111,9 @@
 	return placement.Position(storeReadersGroup, candidates, c.gw.cfg.Host) < aggregatorsPerZone
 }
 
-// leastRecentlyCalledLive returns a share of the hosts that answer, so that all of them
-// are called within pollRounds, and one other host, which may answer again.
-func (c *controller) leastRecentlyCalledLive(now time.Time) []*member {
+// leastRecentlyCalledLive returns n of the hosts that answer, and one other host, which may
+// answer again.
+func (c *controller) leastRecentlyCalledLive(now time.Time, n int) []*member {
 	var live, silent []*member
 	for _, m := range c.leastRecentlyCalled(now, len(c.members)) {
 		if m.failures < failuresUntilUnresponsive {
@@ -98,7 +122,7 @@
 			silent = append(silent, m)
 		}
 	}
-	return append(live[:min(len(live)/pollRounds+1, len(live))], silent[:min(1, len(silent))]...)
+	return append(live[:min(n, len(live))], silent[:min(1, len(silent))]...)
 }
 
 // claimsTooOld reports whether this host's mirror of the claims will soon no longer
--- a/internal/gateway/gossip_targets_test.go
+++ b/internal/gateway/gossip_targets_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
 // controllersOfFleet returns the controllers of all hosts of a fleet in three
@@ -16,7 +17,7 @@
 	zone := func(n int) string { return fmt.Sprintf("z%d", n%3) }
 	var out []*controller
 	for n := range size {
-		c := newController(New(Config{Host: fmt.Sprintf("h%d", n), AvailabilityZone: zone(n)}))
+		c := newController(New(Config{Host: fmt.Sprintf("h%d", n), AvailabilityZone: zone(n), Metrics: metrics.NewRegistry()}))
 		c.completeAsOf[TableState] = claimsAsOf
 		for other := range size {
 			if other != n {
