Call further hosts in a store outage only without fresh evidence

Cause: every host of a large fleet called two further hosts in each round of a store outage, also while the evidence of the zone aggregators kept its permission.

Change: it does so only if the evidence is as old as the claims would have to be.

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -96,17 +96,22 @@
 	}
 }
 
+// knownClaimsAsOf returns the time as of which this host knows every claim, from the store
+// or from the evidence of another host.
+func (c *controller) knownClaimsAsOf() time.Time {
+	if asOf := c.completeAsOf[TableState]; asOf.After(c.relayedEvidence) {
+		return asOf
+	}
+	return c.relayedEvidence
+}
+
 // updatePermission recomputes until when this host may use primaries.
 func (c *controller) updatePermission() {
 	answered := make([]time.Time, 0, len(c.members))
 	for _, m := range c.members {
 		answered = append(answered, m.answeredAt)
 	}
-	claims := c.completeAsOf[TableState]
-	if c.relayedEvidence.After(claims) {
-		claims = c.relayedEvidence
-	}
-	until := permission.Until(claims, answered)
+	until := permission.Until(c.knownClaimsAsOf(), answered)
 	if !c.isListed() {
 		until = time.Time{}
 	}
--- a/internal/gateway/gossip_targets.go
+++ b/internal/gateway/gossip_targets.go
@@ -72,7 +72,7 @@
 		out = append(out, c.leastRecentlyCalledLive(now, len(c.members)/2+1)...)
 	case c.askingMajority:
 		out = append(out, c.leastRecentlyCalledLive(now, len(c.members)/pollRounds+1)...)
-	case c.claimsTooOld(now):
+	case now.Sub(c.knownClaimsAsOf()) >= claimsMaxAge:
 		// The aggregators may be out of reach, and any other host may have evidence.
 		out = append(out, c.leastRecentlyCalled(now, smallFanout-1)...)
 	case c.gossipRound%probeRounds == 0:
