Soak: accept the read of a write that was committed late, with an unknown outcome

The check took the order of the values for that of the commits.

Ruled out: a broken promise. Both commits are in the log that the read saw.

Change: a lower value is accepted only if its write has an unknown outcome and follows the acknowledged write in the log of the primary. The new test fails with the old check and with one that accepts every value of unknown outcome.

--- a/deploy/soak/check.go
+++ b/deploy/soak/check.go
@@ -29,6 +29,26 @@
 	own int
 }
 
+// outcomeUnknown reports whether the write may still be committed after the caller got its
+// answer or gave up.
+func (w write) outcomeUnknown() bool { return w.acknowledged.IsZero() && !w.refused }
+
+// committed reports whether the log with the given places contains the statement.
+func committed(places map[string]int, id string) bool {
+	_, ok := places[id]
+	return ok
+}
+
+// committedAfter reports whether the log contains both statements, and the first one after
+// the second.
+//
+// A caller writes increasing values one after the other, so that a read of a lower value
+// than an acknowledged one is stale. The exception is a lower value whose own write has an
+// unknown outcome: a host that was paused may commit it after the caller's next write.
+func committedAfter(places map[string]int, first, second string) bool {
+	return committed(places, first) && committed(places, second) && places[first] > places[second]
+}
+
 // recorder collects the operations of callers with their outcomes. It is safe for
 // concurrent use.
 type recorder struct {
@@ -98,23 +118,31 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	violations := r.violations
-	kept := make(map[string]bool)
+	// kept holds the place of each statement in the primary's log.
+	kept := make(map[string]int)
 	if primary := g.currentPrimary(); primary != nil {
-		for _, c := range primary.log {
+		for at, c := range primary.log {
 			for _, id := range c.ids {
-				kept[id] = true
+				kept[id] = at
 			}
 		}
 	}
 	written := make(map[string]bool)
 	byItem := make(map[string][]write)
+	unknown := make(map[string]map[int]string)
 	for _, w := range r.writes {
 		written[w.id] = true
+		if w.outcomeUnknown() {
+			if unknown[w.item] == nil {
+				unknown[w.item] = make(map[int]string)
+			}
+			unknown[w.item][w.value] = w.id
+		}
 		acknowledged := !w.acknowledged.IsZero()
 		switch {
 		case acknowledged && g.committedByOldPrimary[w.id]:
 			violations = append(violations, fmt.Sprintf("ONE: %s was acknowledged by a replaced primary", w.id))
-		case acknowledged && !kept[w.id] && !g.rolledBack[w.id]:
+		case acknowledged && !committed(kept, w.id) && !g.rolledBack[w.id]:
 			violations = append(violations, fmt.Sprintf("LOST: %s was acknowledged and is gone", w.id))
 		case w.refused && g.commitCounts[w.id] > 0:
 			violations = append(violations, fmt.Sprintf("REFUSED: %s was refused and is stored", w.id))
@@ -133,7 +161,8 @@
 	}
 	for _, rd := range r.reads {
 		for _, w := range byItem[rd.item] {
-			if w.value > rd.value && (w.acknowledged.Before(rd.freshAt) || w.value <= rd.own) {
+			required := w.acknowledged.Before(rd.freshAt) || w.value <= rd.own
+			if w.value > rd.value && required && !committedAfter(kept, unknown[rd.item][rd.value], w.id) {
 				violations = append(violations, fmt.Sprintf("STALE: %s of %s saw %d after %d (%s)", rd.id, rd.session, rd.value, w.value, w.id))
 				break
 			}
