Check the numbers in messages of other hosts where they are decoded

Cause: an age below zero made data look newer than it is, a version or term near the end of uint64 stopped a mirror or fenced a group for good, and durations wrapped around.

Change: ranges where messages are decoded. Parts out of range are left out, counted (gossip.invalid) and logged; fence and relay calls are rejected. A mirror's age counts only together with its version.

--- a/coord/logpos/position.go
+++ b/coord/logpos/position.go
@@ -6,6 +6,13 @@
 	"fmt"
 )
 
+// Limits of terms and offsets from outside. Counting reaches neither, and a value near the
+// end of uint64 would make every later one look old.
+const (
+	MaxTerm   = 1 << 40
+	MaxOffset = 1 << 56
+)
+
 // Position is a place in a group's log. Positions are ordered by term first. Offsets of
 // different terms cannot be compared, since an endpoint that follows a new primary may
 // truncate its log.
@@ -30,6 +37,9 @@
 // Covers reports whether a log that ends at p contains everything up to o.
 func (p Position) Covers(o Position) bool { return p.Compare(o) >= 0 }
 
+// InRange reports whether the term and the offset are within their limits.
+func (p Position) InRange() bool { return p.Term <= MaxTerm && p.Offset <= MaxOffset }
+
 // IsZero reports whether p is the start of an empty log.
 func (p Position) IsZero() bool { return p == Position{} }
 
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
 	fleetv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/fleet/v1"
 )
@@ -21,6 +22,9 @@
 	peers map[string]*peerConn
 }
 
+// errMalformedAnswer means that another host's answer has numbers out of range.
+var errMalformedAnswer = errors.New("the answer of the host is malformed")
+
 // NewClient returns a client. It connects to a host at the first call.
 func NewClient() *Client { return &Client{peers: make(map[string]*peerConn)} }
 
@@ -47,9 +51,12 @@
 	if err != nil {
 		return gateway.FenceReply{}, err
 	}
+	if response.Msg.GetTerm() > logpos.MaxTerm {
+		return gateway.FenceReply{}, errMalformedAnswer
+	}
 	return gateway.FenceReply{
 		Term:               response.Msg.GetTerm(),
-		PrimaryAnsweredAgo: time.Duration(response.Msg.GetAnsweredAgoUs()) * time.Microsecond,
+		PrimaryAnsweredAgo: micros(response.Msg.GetAnsweredAgoUs()),
 		Direct:             response.Msg.GetDirect(),
 	}, nil
 }
--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -51,7 +51,8 @@
 	return out
 }
 
-// decodeGossip converts a gossip message from protobuf.
+// decodeGossip converts a gossip message from protobuf. It leaves out the parts whose numbers
+// are out of range, and counts them.
 func decodeGossip(m *fleetv1.News) gateway.GossipMessage {
 	out := gateway.GossipMessage{
 		Host: m.GetHost(), Incarnation: m.GetIncarnation(), Leaving: m.GetLeaving(),
@@ -59,28 +60,42 @@
 		MirrorVersions: make(map[gateway.TableName]uint64, len(m.GetThrough())),
 	}
 	for table, through := range m.GetThrough() {
-		out.MirrorVersions[gateway.TableName(table)] = through
+		if out.CountInvalid(through <= maxVersion) {
+			out.MirrorVersions[gateway.TableName(table)] = through
+		}
 	}
-	for table, age := range m.GetAgesUs() {
-		out.MirrorAges[gateway.TableName(table)] = time.Duration(age) * time.Microsecond
+	for table, us := range m.GetAgesUs() {
+		if age, ok := decodeAge(us); out.CountInvalid(ok) {
+			out.MirrorAges[gateway.TableName(table)] = age
+		}
 	}
-	for host, age := range m.GetUnansweredUs() {
-		out.FailedCallAges[host] = time.Duration(age) * time.Microsecond
+	for host, us := range m.GetUnansweredUs() {
+		if age, ok := decodeAge(us); out.CountInvalid(ok) {
+			out.FailedCallAges[host] = age
+		}
 	}
 	if m.EvidenceAgeUs != nil {
 		// Encoding rounds down to microseconds, and evidence must not look newer.
-		age := time.Duration(m.GetEvidenceAgeUs()+1) * time.Microsecond
-		out.EvidenceAge = &age
+		if age, ok := decodeAge(m.GetEvidenceAgeUs()); out.CountInvalid(ok) {
+			age += time.Microsecond
+			out.EvidenceAge = &age
+		}
 	}
 	for _, g := range m.GetGroups() {
+		if !out.CountInvalid(validGroup(g)) {
+			continue
+		}
+		age, _ := decodeAge(g.GetAgeUs())
 		out.Groups = append(out.Groups, gateway.GroupState{
 			Group: g.GetGroup(), Term: g.GetTerm(), Primary: g.GetPrimary(), Fence: decodeFence(g.GetFence()),
 			Position: decodePosition(g.GetPosition()),
-			Age:      time.Duration(g.GetAgeUs()) * time.Microsecond,
+			Age:      age,
 		})
 	}
 	for _, t := range m.GetTables() {
-		out.Tables = append(out.Tables, decodeTableChanges(t))
+		if out.CountInvalid(validChanges(t)) {
+			out.Tables = append(out.Tables, decodeTableChanges(t))
+		}
 	}
 	return out
 }
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -64,6 +64,9 @@
 	if response.Msg.GetLost() {
 		return gateway.Reply{}, gateway.ErrAnswerLost
 	}
+	if !validReply(response.Msg) {
+		return gateway.Reply{}, errMalformedAnswer
+	}
 	reply := decodeReply(response.Msg)
 	r.inTransaction = reply.State != gateway.TxIdle
 	return reply, nil
@@ -90,6 +93,9 @@
 
 // Relay implements fleetv1connect.FleetServiceHandler.
 func (s *Server) Relay(ctx context.Context, r *connect.Request[fleetv1.RelayRequest]) (*connect.Response[fleetv1.RelayResponse], error) {
+	if !validPosition(r.Msg.GetAfter()) {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("the log position is out of range"))
+	}
 	reply, err := s.Gateway.Relay(ctx, decodeRelayRequest(r.Msg))
 	if err != nil {
 		return connect.NewResponse(&fleetv1.RelayResponse{Lost: true}), nil
@@ -115,8 +121,8 @@
 func decodeRelayRequest(m *fleetv1.RelayRequest) gateway.RelayRequest {
 	r := gateway.RelayRequest{
 		TransactionID: m.GetLease(), Group: m.GetGroup(), Endpoint: m.GetEndpoint(), SessionValues: m.GetValues(),
-		PrimaryOnly: m.GetPrimary(), Timeout: time.Duration(m.GetTimeoutUs()) * time.Microsecond, Rollback: m.GetAbandon(), InTransaction: m.GetContinues(),
-		Priority: int(m.GetPriority()), TimeToObjective: time.Duration(m.GetObjectiveUs()) * time.Microsecond,
+		PrimaryOnly: m.GetPrimary(), Timeout: clampedMicros(m.GetTimeoutUs(), maxRelayTimeout), Rollback: m.GetAbandon(), InTransaction: m.GetContinues(),
+		Priority: int(m.GetPriority()), TimeToObjective: clampedMicros(m.GetObjectiveUs(), maxRelayTimeout),
 		Request: gateway.Request{
 			Statement: session.Statement{
 				ID: m.GetId(), Text: m.GetText(), Op: session.Op(m.GetOp()),
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
 	fleetv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/fleet/v1"
@@ -30,9 +30,12 @@
 
 // Fence implements fleetv1connect.FleetServiceHandler.
 func (s *Server) Fence(_ context.Context, r *connect.Request[fleetv1.FenceRequest]) (*connect.Response[fleetv1.FenceResponse], error) {
+	if !validFence(r.Msg.GetFence()) {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("the fence is out of range"))
+	}
 	reply, err := s.Gateway.Fence(gateway.FenceRequest{
 		Group: r.Msg.GetGroup(), Fence: decodeFence(r.Msg.GetFence()), QueryOnly: r.Msg.GetAsk(),
-		Grace: time.Duration(r.Msg.GetGraceUs()) * time.Microsecond,
+		Grace: clampedMicros(r.Msg.GetGraceUs(), maxFenceGrace),
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeNotFound, err)
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -153,6 +153,10 @@
 // exchange in which the message arrived, or zero if the other host made the call.
 func (c *controller) applyGossip(msg GossipMessage, began time.Time) {
 	now := boottime.Now()
+	if msg.Invalid > 0 {
+		c.gw.metrics.Add(metrics.GossipInvalid, int64(msg.Invalid))
+		c.gw.events.request.Warn().Str("member", msg.Host).Int("parts", msg.Invalid).Msg("parts of a gossip message are out of range")
+	}
 	if m := c.members[msg.Host]; m != nil {
 		if m.Incarnation == msg.Incarnation {
 			m.lastContact, m.failedAt, m.failures = now, time.Time{}, 0
@@ -177,7 +181,8 @@
 		c.applyChanges(t)
 	}
 	for name, age := range msg.MirrorAges {
-		if !began.IsZero() && c.tables[name] != nil && c.tables[name].Through() >= msg.MirrorVersions[name] {
+		version, known := msg.MirrorVersions[name]
+		if !began.IsZero() && known && c.tables[name] != nil && c.tables[name].Through() >= version {
 			c.markComplete(name, began.Add(-age))
 		}
 	}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -51,6 +51,17 @@
 	// primaries was true; nil if the sender has none. The claims that the sender knew
 	// are the fences of Groups.
 	EvidenceAge *time.Duration
+	// Invalid is the number of parts that were left out because their numbers are out of
+	// range. It is not sent.
+	Invalid int
+}
+
+// CountInvalid counts a part of the message that is not valid, and returns valid.
+func (m *GossipMessage) CountInvalid(valid bool) bool {
+	if !valid {
+		m.Invalid++
+	}
+	return valid
 }
 
 // FenceRequest asks a host to stop using a primary, or to report on it.
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -99,6 +99,11 @@
 	// GossipClaimsLate counts the calls made while the claims are too old. They go to more
 	// hosts than usual.
 	GossipClaimsLate Name = "gossip.claims_late"
+	// GossipInvalid counts parts of gossip messages that were left out because their
+	// numbers are out of range.
+	GossipInvalid Name = "gossip.invalid"
+	// Panics counts panics in the work on one connection, call or row.
+	Panics Name = "panics"
 )
 
 // Histograms of the gateway's control goroutine.
