Check the records of hosts and claims, and never lower a fence

Cause: a claim row of another writer with term 2^64-1 fenced its group for good (TestOddRowsOfAnotherWriter on: no write is confirmed any more), and a claim that was removed or could not be decoded made the next promotion start again at fence 1.

Change: ranges for records; without a claim that can be decoded the fence starts at the store's version, which grows at least as fast.

--- a/internal/gateway/failover_claim.go
+++ b/internal/gateway/failover_claim.go
@@ -44,7 +44,11 @@
 	return nil
 }
 
-// readClaim reads the group's claim from the store.
+// readClaim reads the group's claim and its row version from the store.
+//
+// If there is no claim that can be decoded, an earlier one may have been removed or
+// overwritten. Its fence is then assumed to be the store's version: the fence increases by
+// one at most with each write of the claim, and the version with each write of any row.
 func (f *failover) readClaim(ctx context.Context, key string) (claimRecord, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -56,12 +60,12 @@
 	f.controller.submitAndWait(func() { f.controller.applyListing(TableState, listing, listed) })
 	r := findRow(listing, key)
 	if r.Version == 0 {
-		return claimRecord{}, 0, nil
+		return claimRecord{Fence: listed}, 0, nil
 	}
 	claim, err := decodeRecord[claimRecord](r)
 	if err != nil {
-		// A claim that cannot be decoded is replaced, conditional on its version.
-		return claimRecord{}, r.Version, nil
+		f.controller.gw.events.log.Warn().Err(err).Msg("claim row cannot be decoded and is replaced")
+		return claimRecord{Fence: listed}, r.Version, nil
 	}
 	return claim, r.Version, nil
 }
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 )
 
@@ -40,13 +41,45 @@
 	Withdrawn bool `json:"withdrawn,omitempty"`
 }
 
-// decodeRecord decodes the value of a row of TableState.
-func decodeRecord[T any](r rows.Row) (T, error) {
+// Ranges of the fields of records. Other writers may leave rows in TableState as well.
+const (
+	// maxAddressBytes limits the address of a host.
+	maxAddressBytes = 200
+	// maxFence limits fencing tokens. A token near the end of uint64 could not increase.
+	maxFence = 1 << 56
+)
+
+// record is the value of a row of TableState.
+type record interface {
+	// check returns an error if the record cannot be the value of the row with the key.
+	check(key string) error
+}
+
+// check implements record.
+func (h hostRecord) check(key string) error {
+	name, _ := hostOfKey(key)
+	if h.Name != name || h.Address == "" || len(h.Address) > maxAddressBytes || len(h.AvailabilityZone) > maxAddressBytes {
+		return errors.New("name, address or availability zone is not valid")
+	}
+	return nil
+}
+
+// check implements record.
+func (c claimRecord) check(string) error {
+	if c.Term > logpos.MaxTerm || c.Fence > maxFence {
+		return errors.Newf("term %d or fence %d is out of range", c.Term, c.Fence)
+	}
+	return nil
+}
+
+// decodeRecord decodes and checks the value of a row of TableState.
+func decodeRecord[T record](r rows.Row) (T, error) {
 	var out T
-	if err := json.Unmarshal(r.Value, &out); err != nil {
-		return out, errors.Wrapf(err, "row %q", r.Key)
+	err := json.Unmarshal(r.Value, &out)
+	if err == nil {
+		err = out.check(r.Key)
 	}
-	return out, nil
+	return out, errors.Wrapf(err, "row %q", r.Key)
 }
 
 // encodeRecord encodes the value of a row of TableState.
