Keep a panic in one session, call or row from ending the process

Cause: a panic on any goroutine that handles a caller, an endpoint, the store or another host ended the process (no recover anywhere outside net/http), and one error of Accept, such as too many open files, did the same.

Change: internal/recovery turns a panic into an error, a counter (panics) and a log line with the stack. The implementations behind the gateway's interfaces are guarded, so that a panic there takes the path of an ordinary failure: no lock stays held, no slot taken. A panic in a session closes it and rolls its transaction back. After one on the control goroutine, or on a goroutine of it, state may be damaged: the host stops gracefully and its process ends.

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -21,7 +21,7 @@
 		return
 	}
 	c.readingClaims = true
-	go func() {
+	c.spawn("read claims", func() {
 		ctx, cancel := context.WithTimeout(c.gw.ctx, readTimeout)
 		defer cancel()
 		c.gw.metrics.Inc(metrics.StoreReads)
@@ -38,7 +38,7 @@
 			c.applyListing(TableState, listing, version)
 			c.markComplete(TableState, now)
 		})
-	}()
+	})
 }
 
 // claimsReadDue reports whether this host should read the claims. The first reader does
--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -36,7 +36,7 @@
 		request = FenceRequest{Group: group, QueryOnly: true}
 	}
 	addresses := c.primaryUsers(now)
-	go func() {
+	c.spawn("remove rows", func() {
 		poll := c.pollHosts(c.gw.ctx, addresses, request, cleanupPollTimeout)
 		if !poll.majority() {
 			c.gw.events.log.Info().Int("silent", len(unresponsive)).Int("asked", poll.asked).Int("answered", len(poll.replies)).Msg("rows of unresponsive hosts kept: no majority of the hosts answered")
@@ -49,7 +49,7 @@
 			c.gw.events.log.Info().Str("member", name).Int("asked", poll.asked).Int("answered", len(poll.replies)).Msg("removing the row of an unresponsive host")
 			c.deleteStateRow(r.Key, r.Version, writeTimeout)
 		}
-	}()
+	})
 }
 
 // unresponsiveMemberRows returns the rows of hosts that neither answer nor call. In
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -81,6 +82,12 @@
 	departedHosts map[string]time.Time
 	// startedAt is when this host started.
 	startedAt time.Time
+
+	// failed is closed once the controller or a goroutine of it has panicked; failure is
+	// the reason. They may be used from any goroutine.
+	failed   chan struct{}
+	failOnce sync.Once
+	failure  error
 }
 
 // newController returns a controller that does not know any other host yet.
@@ -90,6 +97,7 @@
 		tables: make(map[TableName]*rows.Table), members: make(map[string]*member),
 		monitors: make(map[string]*groupMonitor), completeAsOf: make(map[TableName]time.Time),
 		lateMirrors: make(map[TableName]bool), departedHosts: make(map[string]time.Time), startedAt: boottime.Now(),
+		failed: make(chan struct{}),
 	}
 	c.fleetSize.Store(1)
 	for _, name := range Tables {
@@ -98,39 +106,66 @@
 	return c
 }
 
-// run processes tasks and ticks until ctx ends.
-func (c *controller) run(ctx context.Context) {
-	go c.mirrorTable(ctx, TableCatalog)
-	go c.mirrorTable(ctx, TableEndpoints)
+// run processes tasks and ticks until ctx ends. It returns an error if the controller or one
+// of its goroutines panics.
+func (c *controller) run(ctx context.Context) error {
+	c.spawn("mirror catalog", func() { c.mirrorTable(ctx, TableCatalog) })
+	c.spawn("mirror endpoints", func() { c.mirrorTable(ctx, TableEndpoints) })
 	c.registering = true
-	go c.register(ctx)
+	c.spawn("register", func() { c.register(ctx) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case f := <-c.tasks:
-			f()
+			c.guarded("control task", f)()
 		case <-ticker.C:
-			c.tick(boottime.Now())
+			c.guarded("control tick", func() { c.tick(boottime.Now()) })()
+		case <-c.failed:
+			return c.failure
 		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// spawn runs f on a goroutine of its own. It may be called from any goroutine.
+func (c *controller) spawn(work string, f func()) { go c.guarded(work, f)() }
+
+// guarded returns a function that runs f. If f panics, the controller fails, since f may
+// have left its state incomplete.
+func (c *controller) guarded(work string, f func()) func() {
+	return func() {
+		err := c.gw.guard.Run(work, func() error {
+			f()
+			return nil
+		})
+		if err == nil {
 			return
 		}
+		c.failOnce.Do(func() {
+			c.failure = err
+			close(c.failed)
+		})
 	}
 }
 
 // submit queues f to run on the controller goroutine and does not wait for it. It must
-// be called from another goroutine. It returns false if the gateway has ended.
+// be called from another goroutine. It returns false if the gateway or the controller has
+// ended.
 func (c *controller) submit(f func()) bool {
 	select {
 	case c.tasks <- f:
 		return true
+	case <-c.failed:
 	case <-c.gw.ctx.Done():
-		return false
 	}
+	return false
 }
 
 // submitAndWait runs f on the controller goroutine and waits until it is done. It
-// returns false if the gateway has ended; f has then not run and will not run.
+// returns false if the gateway or the controller has ended; f has then not run and will not
+// run.
 func (c *controller) submitAndWait(f func()) bool {
 	var taken atomic.Bool
 	done := make(chan struct{})
@@ -138,8 +173,8 @@
 	run := func() {
 		c.gw.metrics.Observe(metrics.LatencyControl, boottime.Now().Sub(began))
 		if taken.CompareAndSwap(false, true) {
+			defer close(done)
 			f()
-			close(done)
 		}
 	}
 	if !c.submit(run) {
@@ -148,6 +183,7 @@
 	select {
 	case <-done:
 		return true
+	case <-c.failed:
 	case <-c.gw.ctx.Done():
 	}
 	if taken.CompareAndSwap(false, true) {
@@ -189,7 +225,7 @@
 	c.resumedAt = now
 	c.startGossipRound(len(c.members) <= smallFleetSize)
 	for _, g := range *c.gw.currentGroups.Load() {
-		go c.survey(g, nil)
+		c.spawn("survey", func() { c.survey(g, nil) })
 	}
 }
 
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -101,7 +101,7 @@
 // failover.
 func (f *failover) run(ctx context.Context) error {
 	found := make(chan map[string]Status, 1)
-	go func() { found <- f.survey() }()
+	f.controller.spawn("survey", func() { found <- f.survey() })
 	if err := f.checkPeerReports(ctx); err != nil {
 		return err
 	}
@@ -163,13 +163,13 @@
 	request := FenceRequest{Group: f.group.name, Fence: f.fenceState(), Grace: grace}
 	began := boottime.Now()
 	var wg sync.WaitGroup
-	wg.Go(func() {
+	wg.Go(f.controller.guarded("fence", func() {
 		if _, err := f.controller.gw.Fence(request); err != nil {
 			f.controller.gw.events.log.Warn().Err(err).Msg("fencing the old primary on this host failed")
 		}
-	})
+	}))
 	refreshed := false
-	wg.Go(func() { refreshed = f.refreshHosts(ctx, fenceTimeout+grace) })
+	wg.Go(f.controller.guarded("refresh hosts", func() { refreshed = f.refreshHosts(ctx, fenceTimeout+grace) }))
 	poll := f.pollHosts(ctx, request, fenceTimeout+grace)
 	wg.Wait()
 	f.controller.gw.events.log.Info().Str("group", f.group.name).Int("hosts", poll.asked).Int("answered", len(poll.replies)).
@@ -182,10 +182,10 @@
 		return errNoQuorum
 	}
 	demoted := make(chan struct{})
-	go func() {
+	f.controller.spawn("demote", func() {
 		defer close(demoted)
 		f.demote(ctx)
-	}()
+	})
 	if !poll.accountsForAll() || !refreshed || f.unaskedHostMayUsePrimary(&poll) {
 		wait.Sleep(ctx, permission.Duration-boottime.Now().Sub(poll.quorumAt))
 	}
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -196,6 +196,8 @@
 	store     *fakeStore
 	group     *fakeGroup
 	logs      map[string]*logBuffer
+	// configure changes the configuration of hosts that start later, unless it is nil.
+	configure func(*gateway.Config)
 }
 
 // logBuffer collects the log lines of a host.
@@ -271,12 +273,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.logs[name] = &logBuffer{}
-	gw := gateway.New(gateway.Config{
+	cfg := gateway.Config{
 		Host: name, Address: name, AvailabilityZone: zoneOfHost(name), Grace: 2 * time.Second,
 		Dialer: &fakeDialer{host: name, group: f.group}, Store: storeClient{f.store, name},
 		Decoder: fakeDecoder{}, Promoter: f.group, Peers: &fakePeerClient{fleet: f, host: name},
 		ParseStatus: parseFakeStatus, Metrics: metrics.NewRegistry(), Log: zerolog.New(f.logs[name]),
-	})
+	}
+	if f.configure != nil {
+		f.configure(&cfg)
+	}
+	gw := gateway.New(cfg)
 	f.hosts[name] = gw
 	go func() { _ = gw.Run(ctx) }()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/recovery"
 	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
@@ -61,6 +62,7 @@
 	pool       *pool
 	metrics    *metrics.Registry
 	events     *eventLog
+	guard      recovery.Guard
 	controller *controller
 
 	currentCatalog atomic.Pointer[Catalog]
@@ -89,8 +91,10 @@
 		cfg.ConfigurationBound = defaultConfigurationBound
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	guard := recovery.NewGuard(cfg.Metrics, cfg.Log)
+	cfg = guardConfig(cfg, guard)
 	gw := &Gateway{
-		cfg: cfg, ctx: ctx, cancel: cancel, metrics: cfg.Metrics,
+		cfg: cfg, ctx: ctx, cancel: cancel, metrics: cfg.Metrics, guard: guard,
 		budget: admission.NewRetryBudget(retryShare, retryBurst),
 		events: newEventLog(cfg.Log),
 	}
@@ -106,12 +110,18 @@
 	return gw
 }
 
-// Run runs the controller until ctx ends.
+// Run runs the controller until ctx ends. After a panic of the controller, its state may be
+// damaged: Run then stops the host gracefully and returns an error, so that the process ends
+// and a new one starts without that state.
 func (gw *Gateway) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, gw.cancel)
 	defer stop()
-	gw.controller.run(gw.ctx)
-	return nil
+	err := gw.controller.run(gw.ctx)
+	if err != nil {
+		gw.events.log.Error().Err(err).Msg("control state may be damaged; the host stops")
+		gw.Drain()
+	}
+	return err
 }
 
 // Serve serves a caller until its session ends. It calls welcome to answer the startup
@@ -129,7 +139,11 @@
 	s := &sessionServer{gateway: gw, caller: caller, state: session.New()}
 	gw.sessions.add(s)
 	defer gw.sessions.remove(s)
-	s.serve()
+	// The guard logs a panic, and s has closed the caller's connection.
+	_ = gw.guard.Run("session", func() error {
+		s.serve()
+		return nil
+	})
 }
 
 // catalogWait limits how long a caller waits for a host that has just started to load
@@ -194,15 +208,20 @@
 func (gw *Gateway) connectionLost(c *conn, err error) {
 	t := c.target
 	now := boottime.Now()
+	t.recordLostConnection(now, c, err)
+	gw.controller.requestProbe(t)
+}
+
+// recordLostConnection records that a connection to the target failed at the given time.
+func (t *target) recordLostConnection(now time.Time, c *conn, err error) {
 	t.group.mu.Lock()
+	defer t.group.mu.Unlock()
 	switch {
 	case c.relayAddress != "" && !errors.Is(err, ErrAnswerLost) && t.relayFailed(now, c.relayAddress):
 		// Other relay hosts may still reach the endpoint.
 	case !isTimeout(err):
 		t.recordFailure(now)
 	}
-	t.group.mu.Unlock()
-	gw.controller.requestProbe(t)
 }
 
 // Delays after which callers are advised to retry, by reason of refusal.
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -26,14 +26,19 @@
 // gossip starts a gossip round if one is due.
 func (c *controller) gossip(now time.Time) {
 	for _, m := range c.dueGossipTargets(now) {
-		go c.exchange(m.Name, m.Address, c.gossipMessage(now, m.mirrorVersions))
+		c.startExchange(m.Name, m.Address, c.gossipMessage(now, m.mirrorVersions))
 	}
 	if c.lastGossip.Equal(now) && len(c.members) == 0 && len(c.gw.cfg.Seeds) > 0 {
 		seed := c.gw.cfg.Seeds[rand.N(len(c.gw.cfg.Seeds))]
-		go c.exchange("", seed, c.gossipMessage(now, nil))
+		c.startExchange("", seed, c.gossipMessage(now, nil))
 	}
 }
 
+// startExchange starts an exchange of gossip with one host.
+func (c *controller) startExchange(name, address string, msg GossipMessage) {
+	c.spawn("gossip", func() { c.exchange(name, address, msg) })
+}
+
 // dueGossipTargets returns the hosts to call now and marks them as called: those of the
 // next round if it is due, otherwise none. A host that must begin to ask the majority does
 // not wait for the next round, since its permission would end meanwhile.
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -45,10 +45,12 @@
 // requestProbe requests a probe of the primary of the target's group. It may be called
 // from any goroutine.
 func (c *controller) requestProbe(t *target) {
-	go c.submit(func() {
-		if m := c.monitors[t.group.name]; m != nil {
-			c.probe(boottime.Now(), t.group, m)
-		}
+	c.spawn("request probe", func() {
+		c.submit(func() {
+			if m := c.monitors[t.group.name]; m != nil {
+				c.probe(boottime.Now(), t.group, m)
+			}
+		})
 	})
 }
 
@@ -62,7 +64,7 @@
 	if reason := succession.Decide(v); reason != succession.ReasonNone && !c.leaving {
 		m.failoverRunning = true
 		c.gw.events.log.Info().Str("group", name).Str("reason", string(reason)).Int("rank", v.Rank).Msg("replacing the primary")
-		go c.runFailover(g, reason)
+		c.spawn("failover", func() { c.runFailover(g, reason) })
 	}
 }
 
@@ -114,10 +116,10 @@
 		return
 	}
 	m.surveying, m.lastSurvey = true, now
-	go func() {
+	c.spawn("survey", func() {
 		c.survey(g, nil)
 		c.submit(func() { m.surveying = false })
-	}()
+	})
 }
 
 // probeIfUnresponsive probes the primary if an answer is overdue or a connection to it
@@ -144,13 +146,13 @@
 		return
 	}
 	m.probing, m.lastProbe = true, now
-	go func() {
+	c.spawn("probe", func() {
 		_, err := c.queryStatus(t)
 		if err != nil && !errors.Is(err, errStatusRefused) && !errors.Is(err, errRelayRefused) {
 			c.probeFailed(t, now)
 		}
 		c.submit(func() { c.recordProbe(g, m, t, now, err) })
-	}()
+	})
 }
 
 // probeFailed looks for relay hosts to an endpoint that has not answered since began.
--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -173,10 +173,10 @@
 	g.notify()
 	g.mu.Unlock()
 	for _, t := range toQuery {
-		go func() {
+		c.spawn("query status", func() {
 			// A failure is logged and recorded on the target.
 			_, _ = c.queryStatus(t)
-		}()
+		})
 	}
 }
 
--- a/internal/gateway/host_poll.go
+++ b/internal/gateway/host_poll.go
@@ -102,7 +102,7 @@
 		out.quorumAt = boottime.Now()
 	}
 	for name, address := range addresses {
-		wg.Go(func() {
+		wg.Go(c.guarded("poll hosts", func() {
 			reply, err := c.gw.cfg.Peers.Fence(ctx, address, r)
 			mu.Lock()
 			defer mu.Unlock()
@@ -118,7 +118,7 @@
 			if out.quorumAt.IsZero() && out.quorum() {
 				out.quorumAt = boottime.Now()
 			}
-		})
+		}))
 	}
 	wg.Wait()
 	return out
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -174,5 +174,5 @@
 		return
 	}
 	c.registering = true
-	go c.register(c.gw.ctx)
+	c.spawn("register", func() { c.register(c.gw.ctx) })
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -68,28 +68,33 @@
 // acquire takes an idle connection, opens one, or waits for one.
 func (p *pool) acquire(ctx context.Context, t *target, s *session.State, queued admission.QueuedRequest) (*conn, error) {
 	now := boottime.Now()
-	g := t.group
-	g.mu.Lock()
+	got, w := t.grantOrQueue(now, s, queued)
+	if w == nil {
+		return p.useGrant(ctx, t, got)
+	}
+	defer func() { p.metrics.Observe(metrics.LatencyConnection, boottime.Now().Sub(now)) }()
+	return p.await(ctx, t, w)
+}
+
+// grantOrQueue grants the request a connection or the right to open one, refuses it, or adds
+// it to the queue. It returns a waiter only in the last case.
+func (t *target) grantOrQueue(now time.Time, s *session.State, queued admission.QueuedRequest) (grant, *waiter) {
+	t.group.mu.Lock()
+	defer t.group.mu.Unlock()
 	if t.mayStart(now) {
 		if c := t.takeIdle(s); c != nil {
 			c.busy = true
-			g.mu.Unlock()
-			return c, nil
+			return grant{conn: c}, nil
 		}
 		if t.connCount() < t.limit {
 			t.opening++
-			g.mu.Unlock()
-			return p.open(ctx, t)
+			return grant{mayOpen: true}, nil
 		}
 	}
 	if now.After(queued.WaitDeadline()) || queued.ShouldRefuse(now, t.queueWait(t.waiting.countAhead(queued, now))) {
-		g.mu.Unlock()
-		return nil, errNoConnection
+		return grant{err: errNoConnection}, nil
 	}
-	w := t.waiting.push(queued)
-	g.mu.Unlock()
-	defer func() { p.metrics.Observe(metrics.LatencyConnection, boottime.Now().Sub(now)) }()
-	return p.await(ctx, t, w)
+	return grant{}, t.waiting.push(queued)
 }
 
 // await waits in the target's queue for a connection.
@@ -258,6 +263,17 @@
 	t.grantWaiters()
 }
 
+// releaseAfterPanic closes the connection if the calling function panics. It must be called
+// by defer, while the connection belongs to the session. The connection may be released
+// again afterwards.
+func (p *pool) releaseAfterPanic(c *conn) {
+	if value := recover(); value != nil {
+		c.broken = true
+		p.release(c)
+		panic(value)
+	}
+}
+
 // drop closes a connection and forgets it. The group's mutex must be held.
 func (t *target) drop(c *conn) {
 	delete(t.conns, c)
--- a/internal/gateway/relay_route.go
+++ b/internal/gateway/relay_route.go
@@ -101,7 +101,7 @@
 		return
 	}
 	e := t.Endpoint
-	go func() {
+	c.spawn("try direct connection", func() {
 		ctx, cancel := context.WithTimeout(c.gw.ctx, dialTimeout)
 		defer cancel()
 		conn, err := c.gw.cfg.Dialer.Dial(ctx, e)
@@ -117,5 +117,5 @@
 		t.group.mu.Lock()
 		defer t.group.mu.Unlock()
 		t.clearRelayRoute()
-	}()
+	})
 }
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -102,12 +102,7 @@
 // host is cut off from the primary or ctx ends.
 func (s *sessionServer) awaitEndpoint(ctx context.Context, g *group, req requirement) (choice, bool) {
 	for {
-		g.mu.Lock()
-		now := boottime.Now()
-		chosen := g.choose(now, req)
-		changed := g.changed
-		cutOff := g.cutOff(now)
-		g.mu.Unlock()
+		chosen, changed, cutOff := g.chooseNow(req)
 		if chosen.target != nil {
 			return chosen, true
 		}
@@ -127,6 +122,15 @@
 	}
 }
 
+// chooseNow chooses an endpoint. It also returns the channel that is closed at the next
+// change of the group, and whether this host is cut off from the primary.
+func (g *group) chooseNow(req requirement) (chosen choice, changed <-chan struct{}, cutOff bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	return g.choose(now, req), g.changed, g.cutOff(now)
+}
+
 // sendOnce sends the statement to the endpoint once.
 func (s *sessionServer) sendOnce(ctx context.Context, st session.Statement, chosen choice, primary bool, arrived time.Time) attempt {
 	c, err := s.gateway.pool.checkout(ctx, chosen.target, s.state, s.db.queuedRequest(arrived))
@@ -144,6 +148,7 @@
 // send runs the request on the connection and records the connection as lost if no
 // answer came.
 func (s *sessionServer) send(c *conn, primary bool, deadline time.Time, inTransaction bool, r Request) (Reply, error) {
+	defer s.gateway.pool.releaseAfterPanic(c)
 	reply, waited, err := s.gateway.pool.run(c, primary, deadline, s.state, inTransaction, r)
 	if err != nil {
 		s.gateway.events.answerLost(r.ID, s.db.Name, c.target, waited, err)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -110,7 +110,7 @@
 		if t == except {
 			continue
 		}
-		wg.Go(func() {
+		wg.Go(c.guarded("survey", func() {
 			s, err := c.queryStatus(t)
 			if err != nil {
 				return
@@ -118,7 +118,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			found[t.ID] = s
-		})
+		}))
 	}
 	wg.Wait()
 	return found
