Contain panics in the PostgreSQL face as well

A panic on the connection of a caller closes it; one in a request of another daemon is answered as unknown, since the request may have run. The rest of the daemon goes on.

--- a/internal/daemon/create_parts.go
+++ b/internal/daemon/create_parts.go
@@ -7,6 +7,7 @@
 	"github.com/beryltrestle/beryltrestle/internal/entry"
 	"github.com/beryltrestle/beryltrestle/internal/owner"
 	"github.com/beryltrestle/beryltrestle/internal/peer"
+	"github.com/beryltrestle/beryltrestle/internal/recovery"
 )
 
 // createParts creates the parts of the daemon. None of them is running
@@ -21,6 +22,7 @@
 	if err != nil {
 		return err
 	}
+	guard := recovery.NewGuard(d.metrics, d.cfg.Log)
 	peerCfg := peer.Config{
 		Address:           s.PeerAddress,
 		TLS:               peerTLSConfig,
@@ -58,6 +60,7 @@
 		Peers:            d.exchangeClient,
 		Views:            d.loop,
 		Metrics:          d.metrics,
+		Guard:            guard,
 		TLS:              callerTLSConfig,
 		AvailabilityZone: s.AvailabilityZone,
 		MaxMessageBytes:  s.Limits.MessageBytes,
@@ -69,6 +72,7 @@
 		ControlHandler: peerControlHandler{d.loop, d.manifestSyncer},
 		TLS:            peerTLSConfig,
 		Metrics:        d.metrics,
+		Guard:          guard,
 		Generation:     d.generation,
 	})
 	d.admin = d.newAdmin()
--- a/internal/entry/caller_conn.go
+++ b/internal/entry/caller_conn.go
@@ -128,7 +128,15 @@
 		return
 	}
 	events := make(chan readEvent)
-	go c.reader.run(c.ctx, events, c.cancel)
+	go func() {
+		err := c.server.cfg.Guard.Run("read of a caller's messages", func() error {
+			c.reader.run(c.ctx, events, c.cancel)
+			return nil
+		})
+		if err != nil {
+			c.cancel()
+		}
+	}()
 	c.serve(events)
 }
 
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -15,6 +15,7 @@
 	"github.com/beryltrestle/beryltrestle/internal/control"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 	"github.com/beryltrestle/beryltrestle/internal/peer"
+	"github.com/beryltrestle/beryltrestle/internal/recovery"
 )
 
 // Defaults of Config.
@@ -44,6 +45,8 @@
 	Views ViewSource
 	// Metrics receives the counters; nil discards them.
 	Metrics *metrics.Registry
+	// Guard handles panics in the work on one connection.
+	Guard recovery.Guard
 	// TLS is offered to callers; nil means that callers cannot use TLS (SSLRequest is
 	// answered with "N").
 	TLS *tls.Config
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -128,7 +128,11 @@
 	}
 	s.connections.Go(func() {
 		defer s.openConns.Add(-1)
-		newCallerConn(s, conn).run()
+		// The guard logs a panic, and run has closed the connection.
+		_ = s.cfg.Guard.Run("connection of a caller", func() error {
+			newCallerConn(s, conn).run()
+			return nil
+		})
 	})
 }
 
--- a/internal/peer/server_stream.go
+++ b/internal/peer/server_stream.go
@@ -194,11 +194,15 @@
 	return nil
 }
 
-// serve runs one request. If the handler returns without Finish, which is a
-// bug, the entry gets the outcome unknown instead of no answer.
+// serve runs one request. If the handler panics or returns without Finish, which are
+// bugs, the entry gets the outcome unknown instead of no answer.
 func (s *serverStream) serve(ctx context.Context, req *peerv1.Request, w *answerWriter) {
 	defer w.cancel()
-	s.cfg.RequestHandler.Serve(ctx, req, w)
+	// The guard logs a panic.
+	_ = s.cfg.Guard.Run("request of another daemon", func() error {
+		s.cfg.RequestHandler.Serve(ctx, req, w)
+		return nil
+	})
 	w.Finish(&peerv1.Answer{
 		Outcome: peerv1.Outcome_OUTCOME_UNKNOWN,
 		Reason:  string(metrics.UnknownOwnerLost),
--- a/internal/peer/service_config.go
+++ b/internal/peer/service_config.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/recovery"
 )
 
 // ServiceConfig configures a Service.
@@ -17,6 +18,8 @@
 	TLS *tls.Config
 	// Metrics receives the counters; nil discards them.
 	Metrics *metrics.Registry
+	// Guard handles panics in the work on one request.
+	Guard recovery.Guard
 	// Generation returns the manifest generation that this daemon applies.
 	Generation func() uint64
 }
--- a/internal/recovery/guard.go
+++ b/internal/recovery/guard.go
@@ -16,7 +16,8 @@
 // ErrPanic means that a call panicked. Its effects are not known.
 var ErrPanic = errors.New("panic")
 
-// Guard turns panics into errors, counts them and logs them with their stack.
+// Guard turns panics into errors, counts them and logs them with their stack. The zero Guard
+// neither counts nor logs them.
 type Guard struct {
 	metrics *metrics.Registry
 	log     zerolog.Logger
@@ -55,7 +56,9 @@
 
 // report counts and logs a panic, and returns the error for it.
 func (g Guard) report(work string, value any) error {
-	g.metrics.Inc(metrics.Panics)
+	if g.metrics != nil {
+		g.metrics.Inc(metrics.Panics)
+	}
 	g.log.Error().Str("work", work).Str("panic", fmt.Sprint(value)).Bytes("stack", debug.Stack()).Msg("work ended by a panic")
 	return errors.Wrapf(ErrPanic, "%s: %v", work, value)
 }
