Keep the newer answer of a request whose outcome was unknown before

Cause: the expiry entry of the replaced record removed the newer one, so that a caller who asked again got no answer of a write that was done.

Change: an entry removes only the record it was made for. Result: TestReplacedUnknownOutcomeDoesNotShortenTheAnswer failed before.

--- a/coord/outcomes/table.go
+++ b/coord/outcomes/table.go
@@ -36,12 +36,18 @@
 	states       map[ID]state
 	recordExpiry expiryQueue
 	// details holds the records with the answers that are still kept.
-	details      map[ID]Record
+	details      map[ID]details
 	detailExpiry expiryQueue
 	// answerBytes is the total size of the kept answers.
 	answerBytes int
 }
 
+// details is a record that is kept until expiresAt.
+type details struct {
+	Record
+	expiresAt time.Time
+}
+
 // state is an Outcome, or neverRun for an ID that has not begun and must never run.
 type state uint8
 
@@ -57,7 +63,7 @@
 		retention:      retention,
 		lifetime:       max(retention, MaxLifetime),
 		states:         make(map[ID]state),
-		details:        make(map[ID]Record),
+		details:        make(map[ID]details),
 	}
 	for _, o := range options {
 		o(t)
@@ -106,8 +112,8 @@
 	case s == neverRun:
 		return Record{Outcome: NotRun}
 	}
-	if r, kept := t.details[id]; kept {
-		return r
+	if d, kept := t.details[id]; kept {
+		return d.Record
 	}
 	return Record{Outcome: Outcome(s)}
 }
@@ -116,7 +122,10 @@
 // their total size is above the limit. It returns how many records it removed.
 func (t *Table) Expire(now time.Time) int {
 	for !t.detailExpiry.empty() && (t.answerBytes > t.maxAnswerBytes || !t.detailExpiry.first().expiresAt.After(now)) {
-		t.forgetDetails(t.detailExpiry.first().id)
+		// An entry of details that were replaced since then says nothing about the newer ones.
+		if e := t.detailExpiry.first(); t.details[e.id].expiresAt.Equal(e.expiresAt) {
+			t.forgetDetails(e.id)
+		}
 		t.detailExpiry.pop()
 	}
 	n := 0
@@ -151,9 +160,10 @@
 		r.Answer, r.HasAnswer = nil, false
 	}
 	t.forgetDetails(id)
-	t.details[id] = r
+	expiresAt := now.Add(t.retention)
+	t.details[id] = details{r, expiresAt}
 	t.answerBytes += len(r.Answer)
-	t.detailExpiry.push(expiryEntry{id: id, expiresAt: now.Add(t.retention)})
+	t.detailExpiry.push(expiryEntry{id: id, expiresAt: expiresAt})
 }
 
 func (t *Table) forgetDetails(id ID) {
--- a/coord/outcomes/table_test.go
+++ b/coord/outcomes/table_test.go
@@ -153,3 +153,19 @@
 	b.ReportMetric(perRecord, "bytes/record")
 	b.ReportMetric(float64(table.Len()), "records")
 }
+
+// Guards against the answer of a request that is removed early, because its outcome was
+// unknown before and the earlier record expires: the caller then got no answer for a write
+// that was done.
+func TestReplacedUnknownOutcomeDoesNotShortenTheAnswer(t *testing.T) {
+	g := NewWithT(t)
+	const retention = 10 * time.Second
+	table := outcomes.New(100, retention)
+	id := idOf(1)
+	g.Expect(table.Begin(id, at(0))).To(BeTrue())
+	table.Finish(id, at(0), outcomes.Record{Outcome: outcomes.Unknown})
+	table.Finish(id, at(8), outcomes.Record{Outcome: outcomes.Done, Answer: []byte("1234"), HasAnswer: true})
+	g.Expect(string(table.Query(id, at(17)).Answer)).To(Equal("1234"))
+	g.Expect(table.Query(id, at(19)).HasAnswer).To(BeFalse())
+	g.Expect(table.AnswerBytes()).To(BeZero())
+}
