Report a write as not run if its request key could not be recorded

Cause: only a unique violation counted as a rollback; after any other error of the insert the write was rolled back and reported as done.

Change: every such error is answered as not run, with the SQLSTATE of the database (refused.request_key).

--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -21,6 +21,7 @@
 	RefusedTransactionLost  Name = "refused.transaction_lost"
 	RefusedConnect          Name = "refused.connect"
 	RefusedNeverRun         Name = "refused.never_run"
+	RefusedRequestKey       Name = "refused.request_key"
 	UnknownOwnerLost        Name = "unknown.owner_lost"
 	UnknownTermChanged      Name = "unknown.term_changed"
 	UnknownEndpointLost     Name = "unknown.endpoint_lost"
--- a/internal/owner/request_key.go
+++ b/internal/owner/request_key.go
@@ -39,10 +39,10 @@
 		return r.retryRejectedWrite(pool, c, true)
 	}
 	pool.put(c)
-	// The output is empty only if recording the key has failed. A unique violation of the
-	// batch itself is in the output, for the caller.
-	if res.sqlstate == stateUniqueViolation && r.output.size == 0 {
-		return &attemptResult{refusal: notRun(metrics.RetryKeyRace, stateSerialization, "another request with the same key was running"), retryReason: metrics.RetryKeyRace}
+	// The output is empty only if recording the key has failed and the transaction was
+	// rolled back. An error of the batch itself is in the output, for the caller.
+	if res.sqlstate != "" && r.output.size == 0 {
+		return keyNotRecorded(res.sqlstate)
 	}
 	conf.write.Upper = res.position
 	conf.write.UpperKnown = true
@@ -50,6 +50,15 @@
 	return r.finishBatch(ctx, conf, res, c.address, true)
 }
 
+// keyNotRecorded returns the result of a request whose key could not be recorded, with the
+// SQLSTATE of the database.
+func keyNotRecorded(sqlstate string) *attemptResult {
+	if sqlstate == stateUniqueViolation {
+		return &attemptResult{refusal: notRun(metrics.RetryKeyRace, stateSerialization, "another request with the same key was running"), retryReason: metrics.RetryKeyRace}
+	}
+	return refused(notRun(metrics.RefusedRequestKey, sqlstate, "the request key could not be recorded"))
+}
+
 // runKeyTransaction returns the recorded answer of the key if there is one. Otherwise
 // it runs the batch and records the key and the answer in one transaction.
 func (r *request) runKeyTransaction(c *conn) (batchResult, error) {
