Do not bring back a removed row from the mirror of another host

Cause: a host that has just started may ask another host, list the table, and then get the answer of that host. A row that was removed in between was merged again, without a tombstone, and stayed for good: an endpoint that had left was in use again.

Change: a mirror that is complete up to a version ignores changes up to it. Result: TestRemovedRowOfAnOldMirrorDoesNotReturn failed before.

--- a/coord/rows/table.go
+++ b/coord/rows/table.go
@@ -20,10 +20,13 @@
 // Apply merges all changes after the version from and up to the version through. It
 // returns the rows that changed. If from is above Through, the changes are merged but do
 // not advance Through, since other changes may be missing in the gap.
+//
+// Changes up to Through are ignored, since the mirror has them: a row among them that is not
+// in the mirror has been removed, and a listing does not tell at which version.
 func (t *Table) Apply(changes []Row, from, through uint64) []Row {
 	var changed []Row
 	for _, r := range changes {
-		if t.merge(r) {
+		if r.Version > t.through && t.merge(r) {
 			changed = append(changed, r)
 		}
 	}
--- a/coord/rows/table_test.go
+++ b/coord/rows/table_test.go
@@ -54,3 +54,18 @@
 	g.Expect(m.Through()).To(Equal(uint64(9)))
 	g.Expect(m.Live()).To(HaveLen(2))
 }
+
+// Guards against a row that comes back after its removal: a host that has just started asks
+// another one, lists the table, which no longer has the row, and then gets the answer of the
+// other host, which still had it.
+func TestRemovedRowOfAnOldMirrorDoesNotReturn(t *testing.T) {
+	g := NewWithT(t)
+	m := rows.NewTable()
+	m.Replace([]rows.Row{row("a", 10, "x")}, 100)
+	g.Expect(m.Apply([]rows.Row{row("a", 10, "x"), row("left", 50, "x")}, 0, 60)).To(BeEmpty())
+	_, ok := m.Get("left")
+	g.Expect(ok).To(BeFalse())
+	g.Expect(m.Apply([]rows.Row{row("left", 50, "x"), row("new", 120, "x")}, 0, 120)).To(HaveLen(1))
+	g.Expect(m.Through()).To(Equal(uint64(120)))
+	g.Expect(m.Live()).To(HaveLen(2))
+}
