--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,7 +98,7 @@
 		budget: admission.NewRetryBudget(retryShare, retryBurst),
 		events: newEventLog(cfg.Log),
 	}
-	gw.sessions.open = make(map[*sessionServer]bool)
+	gw.sessions.open = make(map[*sessionServer]activity)
 	gw.relayedTransactions.open = make(map[uint64]*relayedTransaction)
 	gw.currentCatalog.Store(&Catalog{})
 	gw.currentGroups.Store(&map[string]*group{})
@@ -132,6 +132,13 @@
 		caller.Close()
 		return
 	}
+	if gw.sessions.isClosing() {
+		// The load balancer still sends sessions if too few hosts are ready.
+		gw.metrics.Inc(metrics.RefusedDraining)
+		_ = caller.Refuse(Reply{Code: CodeBusy, Detail: gw.retryHint(metrics.RefusedDraining)})
+		caller.Close()
+		return
+	}
 	if err := welcome(); err != nil {
 		caller.Close()
 		return
--- a/internal/gateway/session_set.go
+++ b/internal/gateway/session_set.go
@@ -7,20 +7,39 @@
 	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
+// activity is what a session does.
+type activity uint8
+
+const (
+	// busy sessions handle a statement.
+	busy activity = iota
+	// idle sessions wait for a statement outside a transaction.
+	idle
+	// idleInTransaction sessions wait for the next statement of their transaction.
+	idleInTransaction
+)
+
 // sessionSet holds the open sessions. It lets a draining host end each session between
-// two requests. The map's value is true while the session is idle.
+// two requests.
 type sessionSet struct {
 	mu   sync.Mutex
-	open map[*sessionServer]bool
+	open map[*sessionServer]activity
 	// closing ends sessions that are idle outside a transaction. closingTransactions
-	// also ends idle sessions whose transaction has failed.
+	// also ends those that are idle in a transaction.
 	closing, closingTransactions bool
 }
 
 func (ss *sessionSet) add(s *sessionServer) {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	ss.open[s] = false
+	ss.open[s] = busy
+}
+
+// isClosing reports whether sessions are being ended.
+func (ss *sessionSet) isClosing() bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return ss.closing
 }
 
 func (ss *sessionSet) remove(s *sessionServer) {
@@ -36,16 +55,15 @@
 	return len(ss.open)
 }
 
-// close ends the idle sessions now and the others when they become idle. An open
-// transaction of an idle session is rolled back; its session ends only if
-// transactionsToo is set.
+// close ends the idle sessions now and the others when they become idle. Transactions of
+// idle sessions may continue, unless transactionsToo is set: they are then rolled back.
 func (ss *sessionSet) close(transactionsToo bool) {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 	ss.closing = true
 	ss.closingTransactions = ss.closingTransactions || transactionsToo
-	for s, idle := range ss.open {
-		if idle {
+	for s, a := range ss.open {
+		if a == idle || a == idleInTransaction && ss.closingTransactions {
 			s.caller.Interrupt()
 		}
 	}
@@ -57,10 +75,14 @@
 	ss := &gw.sessions
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	if ss.closing && s.state.Transaction() == nil {
+	switch {
+	case s.state.Transaction() != nil:
+		ss.open[s] = idleInTransaction
+	case ss.closing:
 		return false
+	default:
+		ss.open[s] = idle
 	}
-	ss.open[s] = true
 	return true
 }
 
@@ -69,7 +91,7 @@
 	ss := &gw.sessions
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	ss.open[s] = false
+	ss.open[s] = busy
 }
 
 // shouldClose reports whether an idle session that was interrupted should end.
