Finish relayed work before a host stops

Cause: a stopping host waited for its own sessions only. What other hosts relayed through it was cut off when its process ended, so that the outcome of a write was unknown.

Change: the stop also waits for relayed requests and transactions, within the grace period. Result: TestStopWaitsForRelayedTransactions fails without the wait.

--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -41,3 +41,37 @@
 	g.Eventually(drained, time.Second).Should(BeClosed())
 	g.Expect(f.group.openTransactions()).To(BeZero())
 }
+
+// Guards against a stop that cuts off what other hosts relay through the host: the outcome of
+// a write in flight would be unknown.
+func TestStopWaitsForRelayedTransactions(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := startFleet(t, manyConnections, "h2")
+	f.configure = func(cfg *gateway.Config) { cfg.Grace = 6 * time.Second }
+	f.start(t, "h1")
+	writeUntilConfirmed(t, f, "h1", 5*time.Second)
+	relay := func(st session.Statement, inTransaction bool) gateway.Reply {
+		r, err := f.hosts["h1"].Relay(t.Context(), gateway.RelayRequest{
+			TransactionID: 7, Group: "g", Endpoint: "e1", Request: gateway.Request{Statement: st},
+			PrimaryOnly: true, InTransaction: inTransaction, Timeout: time.Second,
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		return r
+	}
+	begun := relay(op(session.OpBegin), false)
+	g.Expect(begun.OK()).To(BeTrue(), begun.Detail)
+	drained := make(chan struct{})
+	go func() {
+		f.hosts["h1"].Drain()
+		close(drained)
+	}()
+	g.Consistently(drained, 2700*time.Millisecond).ShouldNot(BeClosed())
+	st := write("a", "1")
+	written := relay(st, true)
+	g.Expect(written.OK()).To(BeTrue(), written.Detail)
+	committed := relay(op(session.OpCommit), true)
+	g.Expect(committed.OK()).To(BeTrue(), committed.Detail)
+	g.Eventually(drained, time.Second).Should(BeClosed())
+	g.Expect(f.group.hasWrite("e1", st.ID)).To(BeTrue())
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -70,6 +70,27 @@
 type relayedTransactions struct {
 	mu   sync.Mutex
 	open map[uint64]*relayedTransaction
+	// running is the number of requests that this host runs for other hosts.
+	running int
+}
+
+// begin records that a request begins, and returns the function to call at its end.
+func (rt *relayedTransactions) begin() func() {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.running++
+	return func() {
+		rt.mu.Lock()
+		defer rt.mu.Unlock()
+		rt.running--
+	}
+}
+
+// count returns the number of running requests and open transactions.
+func (rt *relayedTransactions) count() int {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.running + len(rt.open)
 }
 
 // relayedTransaction is an open transaction that this host runs for another host.
@@ -87,6 +108,7 @@
 // have run. It may be called from any goroutine.
 func (gw *Gateway) Relay(ctx context.Context, r RelayRequest) (Reply, error) {
 	gw.metrics.Inc(metrics.RelayedRequests)
+	defer gw.relayedTransactions.begin()()
 	held := gw.takeRelayedTransaction(r.TransactionID)
 	if r.Rollback {
 		if held != nil {
--- a/internal/gateway/session_set.go
+++ b/internal/gateway/session_set.go
@@ -116,14 +116,14 @@
 
 // Drain stops the host in order: it serves until the load balancer has stopped sending
 // sessions, then ends idle sessions, and after half of the grace period also sessions
-// with a transaction.
+// with a transaction. What other hosts relay through this one is finished as well.
 func (gw *Gateway) Drain() {
 	began := time.Now()
 	gw.draining.Store(true)
 	gw.controller.announceLeaving()
 	wait.Sleep(gw.ctx, balancerDelay)
 	gw.sessions.close(false)
-	for gw.sessions.count() > 0 && time.Since(began) < gw.cfg.Grace-shutdownReserve {
+	for gw.sessions.count()+gw.relayedTransactions.count() > 0 && time.Since(began) < gw.cfg.Grace-shutdownReserve {
 		if time.Since(began) >= gw.cfg.Grace/2 {
 			gw.sessions.close(true)
 		}
