End sessions of a stopping host only in pauses

Cause: a session ended right after an answer, or whenever it was idle at the moment.

Change: a session ends once it has been idle for 50 ms, from half of the grace period on whenever it is idle.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,7 +98,7 @@
 		budget: admission.NewRetryBudget(retryShare, retryBurst),
 		events: newEventLog(cfg.Log),
 	}
-	gw.sessions.open = make(map[*sessionServer]activity)
+	gw.sessions.open = make(map[*sessionServer]openSession)
 	gw.relayedTransactions.open = make(map[uint64]*relayedTransaction)
 	gw.currentCatalog.Store(&Catalog{})
 	gw.currentGroups.Store(&map[string]*group{})
--- a/internal/gateway/session_set.go
+++ b/internal/gateway/session_set.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
@@ -19,20 +20,45 @@
 	idleInTransaction
 )
 
+// closeAfterIdle is how long a session must be idle before a draining host ends it. It is
+// several round trips to a caller: the next statement of a caller that sends one after the
+// other would cross the end of the connection and get no answer.
+const closeAfterIdle = 50 * time.Millisecond
+
+// openSession is what a session does, and since when.
+type openSession struct {
+	activity activity
+	since    time.Time
+}
+
+// mayEnd reports whether the session may be ended at time now. Once time presses, it may be
+// ended whenever it is idle.
+func (o openSession) mayEnd(now time.Time, pressing bool) bool {
+	if pressing {
+		return o.activity != busy
+	}
+	return o.activity == idle && now.Sub(o.since) >= closeAfterIdle
+}
+
 // sessionSet holds the open sessions. It lets a draining host end each session between
 // two requests.
 type sessionSet struct {
 	mu   sync.Mutex
-	open map[*sessionServer]activity
-	// closing ends sessions that are idle outside a transaction. closingTransactions
-	// also ends those that are idle in a transaction.
+	open map[*sessionServer]openSession
+	// closing ends sessions that stay idle outside a transaction. closingTransactions
+	// ends all idle sessions at once, and rolls their transactions back.
 	closing, closingTransactions bool
 }
 
+// set records what the session does from now on. The mutex must be held.
+func (ss *sessionSet) set(s *sessionServer, a activity) {
+	ss.open[s] = openSession{activity: a, since: boottime.Now()}
+}
+
 func (ss *sessionSet) add(s *sessionServer) {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	ss.open[s] = busy
+	ss.set(s, busy)
 }
 
 // isClosing reports whether sessions are being ended.
@@ -55,15 +81,17 @@
 	return len(ss.open)
 }
 
-// close ends the idle sessions now and the others when they become idle. Transactions of
-// idle sessions may continue, unless transactionsToo is set: they are then rolled back.
+// close ends the sessions that have been idle for closeAfterIdle. Transactions of idle
+// sessions may continue, unless transactionsToo is set: they are then rolled back, and all
+// idle sessions end. It must be called again until no session is left.
 func (ss *sessionSet) close(transactionsToo bool) {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 	ss.closing = true
 	ss.closingTransactions = ss.closingTransactions || transactionsToo
-	for s, a := range ss.open {
-		if a == idle || a == idleInTransaction && ss.closingTransactions {
+	now := boottime.Now()
+	for s, o := range ss.open {
+		if o.mayEnd(now, ss.closingTransactions) {
 			s.caller.Interrupt()
 		}
 	}
@@ -77,11 +105,11 @@
 	defer ss.mu.Unlock()
 	switch {
 	case s.state.Transaction() != nil:
-		ss.open[s] = idleInTransaction
-	case ss.closing:
+		ss.set(s, idleInTransaction)
+	case ss.closingTransactions:
 		return false
 	default:
-		ss.open[s] = idle
+		ss.set(s, idle)
 	}
 	return true
 }
@@ -91,7 +119,7 @@
 	ss := &gw.sessions
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	ss.open[s] = busy
+	ss.set(s, busy)
 }
 
 // shouldClose reports whether an idle session that was interrupted should end.
@@ -122,10 +150,10 @@
 	gw.draining.Store(true)
 	gw.controller.announceLeaving()
 	wait.Sleep(gw.ctx, balancerDelay)
-	gw.sessions.close(false)
-	for gw.sessions.count()+gw.relayedTransactions.count() > 0 && time.Since(began) < gw.cfg.Grace-shutdownReserve {
-		if time.Since(began) >= gw.cfg.Grace/2 {
-			gw.sessions.close(true)
+	for {
+		gw.sessions.close(time.Since(began) >= gw.cfg.Grace/2)
+		if gw.sessions.count()+gw.relayedTransactions.count() == 0 || time.Since(began) >= gw.cfg.Grace-shutdownReserve {
+			break
 		}
 		wait.Sleep(gw.ctx, drainPoll)
 	}
