--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -10,16 +10,25 @@
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
 )
 
+// grace is the grace period of the hosts that stop in these tests, as at the users' sites.
+const grace = 6 * time.Second
+
+// startFleetToStop starts a fleet whose host h1 has this grace period.
+func startFleetToStop(t *testing.T) *fakeFleet {
+	t.Helper()
+	f := startFleet(t, manyConnections, "h2")
+	f.configure = func(cfg *gateway.Config) { cfg.Grace = grace }
+	f.start(t, "h1")
+	writeUntilConfirmed(t, f, "h1", 5*time.Second)
+	return f
+}
+
 // Guards against a stop that rolls back an open transaction before half of the grace period
 // has passed, that lets one go on for longer, and that accepts sessions only to end them.
 func TestTransactionsHaveHalfOfTheGracePeriod(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	const grace = 6 * time.Second
-	f := startFleet(t, manyConnections, "h2")
-	f.configure = func(cfg *gateway.Config) { cfg.Grace = grace }
-	f.start(t, "h1")
-	writeUntilConfirmed(t, f, "h1", 5*time.Second)
+	f := startFleetToStop(t)
 	ends, stays := f.caller("h1", "strict"), f.caller("h1", "strict")
 	for _, c := range []*fakeCaller{ends, stays} {
 		g.Expect(c.do(op(session.OpBegin)).Code).To(Equal(gateway.CodeNone))
@@ -47,10 +56,7 @@
 func TestStopWaitsForRelayedTransactions(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	f := startFleet(t, manyConnections, "h2")
-	f.configure = func(cfg *gateway.Config) { cfg.Grace = 6 * time.Second }
-	f.start(t, "h1")
-	writeUntilConfirmed(t, f, "h1", 5*time.Second)
+	f := startFleetToStop(t)
 	relay := func(st session.Statement, inTransaction bool) gateway.Reply {
 		r, err := f.hosts["h1"].Relay(t.Context(), gateway.RelayRequest{
 			TransactionID: 7, Group: "g", Endpoint: "e1", Request: gateway.Request{Statement: st},
@@ -82,10 +88,7 @@
 func TestStopEndsSessionsOnlyInPauses(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	f := startFleet(t, manyConnections, "h2")
-	f.configure = func(cfg *gateway.Config) { cfg.Grace = 6 * time.Second }
-	f.start(t, "h1")
-	writeUntilConfirmed(t, f, "h1", 5*time.Second)
+	f := startFleetToStop(t)
 	active, resting := f.caller("h1", "strict"), f.caller("h1", "strict")
 	began := time.Now()
 	go f.hosts["h1"].Drain()
