Use no connections to hosts that are no longer relay hosts of an endpoint

Cause: idle relay connections stayed in the pool when other hosts became the relay hosts of an endpoint. Each of the former ones refuses (MISROUTED), and a statement ran out of attempts.

Change: a connection is kept only if its relay host is in the plan. Result: TestConnectionsToFormerRelaysAreNotUsed failed before.

--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -207,4 +207,22 @@
 	}
 	t.viaRelays, t.relays, t.window = plan.viaRelays, plan.relays, plan.window
 	t.limit = min(plan.limit, t.limit+1)
+	t.idle = slices.DeleteFunc(t.idle, func(c *conn) bool {
+		if t.mayReuse(c) {
+			return false
+		}
+		t.drop(c)
+		return true
+	})
+}
+
+// mayReuse reports whether the connection leads to the endpoint in the planned way. A host
+// that is no longer a relay host of the endpoint refuses requests. The group's mutex must be
+// held.
+func (t *target) mayReuse(c *conn) bool {
+	_, relay := c.Conn.(RelayConn)
+	if relay != t.usesRelay() {
+		return false
+	}
+	return !relay || t.relayRoute.Active() || slices.Contains(t.relays, c.relayAddress)
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -253,8 +253,7 @@
 	defer g.mu.Unlock()
 	c.sentAt, c.usesPrimary = time.Time{}, false
 	c.busy = false
-	_, relay := c.Conn.(RelayConn)
-	if c.broken || t.removed || len(t.conns) > t.limit || relay != t.usesRelay() {
+	if c.broken || t.removed || len(t.conns) > t.limit || !t.mayReuse(c) {
 		t.drop(c)
 		t.grantWaiters()
 		return
--- a/internal/gateway/target_test.go
+++ b/internal/gateway/target_test.go
@@ -22,6 +22,36 @@
 	return nil
 }
 
+// Guards against statements that are sent to hosts which were relay hosts before the hosts
+// changed: each of them refuses, and a statement ran out of attempts (reads refused on 40
+// hosts under load, on which only a few statements ran before the last host had joined).
+func TestConnectionsToFormerRelaysAreNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	gw := New(Config{Host: "h1"})
+	tg := newTarget(newGroup("g", gw.pool), Endpoint{ID: "e", Group: "g"})
+	plan := connPlan{limit: 12, window: 12, viaRelays: true, relays: []string{"a", "b"}}
+	tg.applyPlan(plan)
+	open := func(relay string) (*conn, *fakeRelayConn) {
+		raw := &fakeRelayConn{}
+		c := &conn{Conn: raw, target: tg, relayAddress: relay}
+		tg.conns[c] = true
+		return c, raw
+	}
+	idleOld, rawIdleOld := open("a")
+	idleNew, rawIdleNew := open("b")
+	usedOld, rawUsedOld := open("a")
+	tg.idle = []*conn{idleOld, idleNew}
+	plan.relays = []string{"b", "c"}
+	tg.applyPlan(plan)
+	g.Expect(tg.idle).To(ConsistOf(idleNew))
+	g.Expect(rawIdleOld.closed).To(BeTrue())
+	g.Expect(rawIdleNew.closed).To(BeFalse())
+	g.Expect(rawUsedOld.closed).To(BeFalse(), "a statement is still running there")
+	gw.pool.release(usedOld)
+	g.Expect(rawUsedOld.closed).To(BeTrue())
+	g.Expect(tg.idle).To(ConsistOf(idleNew))
+}
+
 // Guards against an endpoint that counts as down, or work that still goes to the killed
 // host, because one of its three relay hosts was killed (seen on svfb-trestle-grown
 // scale-1, herd_kill).
