Take over a stalled claim only at the version that has stalled

The holder of a claim wrote it again and ordered a promotion (15.05 s, takes 1 s there). Another host had not learned of that write, judged the claim as stalled (15.49 s), read the newer version and replaced it all the same; its promotion followed (15.62 s). The first endpoint led for half a second and confirmed writes after the second one had taken over.

Change: the takeover fails if the version in the store is not the one seen to stall. Not covered: a promotion that takes effect more than 2.5 s after the last write of its claim.

--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -56,6 +56,9 @@
 	// term and oldPrimary are the term and the primary that are replaced.
 	term       uint64
 	oldPrimary *target
+	// fenceVersion is the version of the claim that fenced the group when this host decided
+	// to replace the primary.
+	fenceVersion uint64
 	// claim is this host's claim, written at claimedAt with row version claimVersion.
 	claim        claimRecord
 	claimVersion uint64
@@ -71,6 +74,7 @@
 	g.mu.Lock()
 	f.term = max(g.term, g.highestSeenTerm)
 	f.oldPrimary = g.targets[g.primary]
+	f.fenceVersion = g.fence.Version
 	g.mu.Unlock()
 	began := boottime.Now()
 	c.gw.metrics.Inc(metrics.FailoversStarted)
--- a/internal/gateway/failover_claim.go
+++ b/internal/gateway/failover_claim.go
@@ -18,11 +18,8 @@
 	if err != nil {
 		return err
 	}
-	if current.Term > f.term && !current.Withdrawn {
-		return errNewerTerm
-	}
-	if current.Term == f.term && !current.Withdrawn && version > 0 && f.reason != succession.ReasonStalled && current.Holder != f.controller.gw.cfg.Host {
-		return errClaimLost
+	if err := f.checkClaim(current, version); err != nil {
+		return err
 	}
 	f.claim = claimRecord{Holder: f.controller.gw.cfg.Host, Incarnation: f.controller.incarnation, Fence: current.Fence, Term: f.term}
 	if current.Holder != f.claim.Holder || current.Incarnation != f.claim.Incarnation {
@@ -44,6 +41,28 @@
 	return nil
 }
 
+// checkClaim returns an error if the claim that is in the store must not be replaced.
+//
+// A stalled claim may be taken over only at the version that this host has seen stall. Its
+// holder writes it again before it orders a promotion, which takes effect up to a second
+// later; a second promotion in between gives the group two primaries in turn (ONE, seen on
+// shahzad-hq trouble-3).
+func (f *failover) checkClaim(current claimRecord, version uint64) error {
+	if current.Withdrawn || version == 0 {
+		return nil
+	}
+	if current.Term > f.term {
+		return errNewerTerm
+	}
+	if current.Term < f.term || current.Holder == f.controller.gw.cfg.Host {
+		return nil
+	}
+	if f.reason == succession.ReasonStalled && version == f.fenceVersion {
+		return nil
+	}
+	return errClaimLost
+}
+
 // readClaim reads the group's claim and its row version from the store.
 //
 // If there is no claim that can be decoded, an earlier one may have been removed or
