Tests: close a fake connection under the lock of its group

Only the fake is concerned: Close wrote its field without the lock that every other access takes. go test -race ./internal/gateway passes with it.

--- a/internal/gateway/fake_endpoint_test.go
+++ b/internal/gateway/fake_endpoint_test.go
@@ -341,6 +341,8 @@
 
 // Close implements gateway.EndpointConn.
 func (c *fakeConn) Close() error {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
 	c.dead = true
 	return nil
 }
