Do not count an incomplete gossip answer towards the majority

Found in the last read of the change: parts of gossip out of range are left out, fences among them, but the answer still renewed the permission to use primaries, against what docs/design says. Stricter than before, nothing else changes. TestIncompleteAnswerDoesNotCountTowardsTheMajority failed before.

--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -50,3 +50,17 @@
 	c.updatePermission()
 	g.Expect(*c.gossipMessage(now, nil).EvidenceAge).To(Equal(300 * time.Millisecond))
 }
+
+// Guards against an answer whose fences were left out, because a number is out of range, that
+// counts towards the majority: the host would keep its permission without knowing the claim.
+func TestIncompleteAnswerDoesNotCountTowardsTheMajority(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	c := controllersOfFleet(3, now.Add(-time.Minute))[0]
+	answer := GossipMessage{Host: "h1", Invalid: 1}
+	c.applyGossip(answer, now)
+	g.Expect(c.members["h1"].answeredAt).To(BeZero())
+	answer.Invalid = 0
+	c.applyGossip(answer, now)
+	g.Expect(c.members["h1"].answeredAt).To(Equal(now))
+}
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -167,7 +167,8 @@
 			m.lastContact, m.failedAt, m.failures = now, time.Time{}, 0
 			m.leaving = m.leaving || msg.Leaving
 			m.mirrorVersions = msg.MirrorVersions
-			if began.After(m.answeredAt) {
+			// An answer without all fences does not show that the host knows no claim.
+			if msg.Invalid == 0 && began.After(m.answeredAt) {
 				m.answeredAt = began
 			}
 		}
