--- a/internal/entry/caller_conn.go
+++ b/internal/entry/caller_conn.go
@@ -129,10 +129,7 @@
 	}
 	events := make(chan readEvent)
 	go func() {
-		err := c.server.cfg.Guard.Run("read of a caller's messages", func() error {
-			c.reader.run(c.ctx, events, c.cancel)
-			return nil
-		})
+		err := c.server.cfg.Guard.Do("read of a caller's messages", func() { c.reader.run(c.ctx, events, c.cancel) })
 		if err != nil {
 			c.cancel()
 		}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -129,10 +129,7 @@
 	s.connections.Go(func() {
 		defer s.openConns.Add(-1)
 		// The guard logs a panic, and run has closed the connection.
-		_ = s.cfg.Guard.Run("connection of a caller", func() error {
-			newCallerConn(s, conn).run()
-			return nil
-		})
+		_ = s.cfg.Guard.Do("connection of a caller", func() { newCallerConn(s, conn).run() })
 	})
 }
 
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -136,10 +136,7 @@
 // have left its state incomplete.
 func (c *controller) guarded(work string, f func()) func() {
 	return func() {
-		err := c.gw.guard.Run(work, func() error {
-			f()
-			return nil
-		})
+		err := c.gw.guard.Do(work, f)
 		if err == nil {
 			return
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,10 +147,7 @@
 	gw.sessions.add(s)
 	defer gw.sessions.remove(s)
 	// The guard logs a panic, and s has closed the caller's connection.
-	_ = gw.guard.Run("session", func() error {
-		s.serve()
-		return nil
-	})
+	_ = gw.guard.Do("session", s.serve)
 }
 
 // catalogWait limits how long a caller waits for a host that has just started to load
--- a/internal/gateway/guarded.go
+++ b/internal/gateway/guarded.go
@@ -70,10 +70,7 @@
 
 // guardedAlive returns whether the connection is alive; false if the check panics.
 func guardedAlive(guard recovery.Guard, conn Conn) (alive bool) {
-	err := guard.Run("check connection", func() error {
-		alive = conn.Alive()
-		return nil
-	})
+	err := guard.Do("check connection", func() { alive = conn.Alive() })
 	return err == nil && alive
 }
 
--- a/internal/peer/server_stream.go
+++ b/internal/peer/server_stream.go
@@ -199,10 +199,7 @@
 func (s *serverStream) serve(ctx context.Context, req *peerv1.Request, w *answerWriter) {
 	defer w.cancel()
 	// The guard logs a panic.
-	_ = s.cfg.Guard.Run("request of another daemon", func() error {
-		s.cfg.RequestHandler.Serve(ctx, req, w)
-		return nil
-	})
+	_ = s.cfg.Guard.Do("request of another daemon", func() { s.cfg.RequestHandler.Serve(ctx, req, w) })
 	w.Finish(&peerv1.Answer{
 		Outcome: peerv1.Outcome_OUTCOME_UNKNOWN,
 		Reason:  string(metrics.UnknownOwnerLost),
--- a/internal/recovery/guard.go
+++ b/internal/recovery/guard.go
@@ -39,14 +39,18 @@
 	return f()
 }
 
+// Do is Run for a function without an error of its own.
+func (g Guard) Do(work string, f func()) error {
+	return g.Run(work, func() error {
+		f()
+		return nil
+	})
+}
+
 // Handler returns a handler that aborts a request whose handling panics.
 func (g Guard) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		err := g.Run("request "+r.URL.Path, func() error {
-			next.ServeHTTP(w, r)
-			return nil
-		})
-		if err != nil {
+		if err := g.Do("request "+r.URL.Path, func() { next.ServeHTTP(w, r) }); err != nil {
 			// The server closes the stream without an answer, as part of an answer may
 			// have been sent.
 			panic(http.ErrAbortHandler)
