--- a/coord/permission/permission.go
+++ b/coord/permission/permission.go
@@ -20,6 +20,11 @@
 // effect. Relayed evidence lets a few hosts ask the majority for all others, so that the
 // number of calls grows with the number of hosts and not with its square.
 //
+// The second case needs a majority of the same hosts on both sides: those of the electorate
+// (package electorate). While the electorate changes, a majority of both its sets must
+// answer. Only answers of running hosts count. A refused connection shows to the host that
+// replaces the primary that the process does not use it, and tells nothing about claims.
+//
 // A call counts from its start, by a clock that also runs while the host is paused, so
 // that late answers and pauses only shorten a permission.
 package permission
@@ -34,13 +39,22 @@
 // between hosts. A failover waits as long if a host does not answer.
 const Duration = 1500 * time.Millisecond
 
+// Voters is one set of hosts of which a majority must have answered.
+type Voters struct {
+	// Self is true if this host is one of them. A host that has restarted is only once it
+	// has read the claims again, as it may have acknowledged one before.
+	Self bool
+	// Answered has an entry for each other host of the set: the start of the last call
+	// that the host answered. The slice is sorted in place.
+	Answered []time.Time
+}
+
 // Until returns when the permission ends; zero if there is none. claims is the time as of
-// which this host knows every claim, from the store or from relayed evidence. answered has
-// an entry for each other host: the start of the last call that the host answered, or that
-// showed that it does not run. The slice is sorted in place.
-func Until(claims time.Time, answered []time.Time) time.Time {
+// which this host knows every claim, from the store or from relayed evidence. Without a set
+// of voters only the claims count.
+func Until(claims time.Time, sets ...Voters) time.Time {
 	at := claims
-	if m := majorityAnsweredAt(answered); m.After(at) {
+	if m := majorityAnsweredAt(sets); m.After(at) {
 		at = m
 	}
 	if at.IsZero() {
@@ -49,13 +63,33 @@
 	return at.Add(Duration)
 }
 
-// majorityAnsweredAt returns the latest time since which a majority of all hosts, this
-// one included, has answered. It returns zero if no other host is known: this host would
-// be a majority by itself, but it may not know of the others, so that it needs the store.
-func majorityAnsweredAt(answered []time.Time) time.Time {
-	needed := lease.Majority(len(answered)+1) - 1
+// majorityAnsweredAt returns the latest time since which a majority of each set has
+// answered. It returns zero if no other host needs to answer, so that a single host needs
+// the store.
+func majorityAnsweredAt(sets []Voters) time.Time {
+	var oldest time.Time
+	for _, set := range sets {
+		at := set.majorityAnsweredAt()
+		if at.IsZero() {
+			return at
+		}
+		if oldest.IsZero() || at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest
+}
+
+// majorityAnsweredAt returns the latest time since which a majority of the set has
+// answered.
+func (v Voters) majorityAnsweredAt() time.Time {
+	size, needed := len(v.Answered), 0
+	if v.Self {
+		size, needed = size+1, -1
+	}
+	needed += lease.Majority(size)
 	if needed == 0 {
 		return time.Time{}
 	}
-	return lease.NthNewest(answered, needed)
+	return lease.NthNewest(v.Answered, needed)
 }
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -45,11 +45,11 @@
 // so when its mirror is old; the other hosts only when their permission to use
 // primaries is, since answers of a majority of the hosts renew the permission without
 // the store. Every host does so while its mirror does not reach the version of its own
-// row.
+// row, or of the electorate that this host has written.
 func (c *controller) claimsReadDue(now time.Time) bool {
 	rank := func() int { return c.rankInGroup(now, storeReadersGroup) }
 	switch {
-	case c.listedSinceVersion > c.tables[TableState].Through():
+	case max(c.listedSinceVersion, c.electorate.writtenVersion) > c.tables[TableState].Through():
 		return true
 	case claimsThresholds.due(now.Sub(c.permittedUntil.Add(-permission.Duration)), rank):
 		return true
@@ -107,12 +107,9 @@
 
 // updatePermission recomputes until when this host may use primaries.
 func (c *controller) updatePermission() {
-	answered := make([]time.Time, 0, len(c.members))
-	for _, m := range c.members {
-		answered = append(answered, m.answeredAt)
-	}
-	until := permission.Until(c.knownClaimsAsOf(), answered)
-	if !c.isListed() {
+	until := permission.Until(c.knownClaimsAsOf(), c.voterAnswers()...)
+	if !c.isListed() || c.electorate.Sets() == nil {
+		// Without an electorate the hosts could not go on if the store failed now.
 		until = time.Time{}
 	}
 	c.permittedUntil = until
--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/rows"
@@ -19,35 +20,39 @@
 )
 
 // removeUnresponsiveMembers removes the rows of hosts that have been unresponsive for
-// unresponsiveMemberTimeout. Only the live host that ranks first does so. Since the
-// rows define what a majority is, a majority of the hosts must answer directly before
-// the removal: the minority side of a network partition must not remove the majority.
+// unresponsiveMemberTimeout and are no voters any more. Only the live host that ranks first
+// does so. The row of a voter stays until a change of the electorate without it is completed:
+// a voter without a row counts as one that has ended by itself, but an unresponsive host may
+// still answer others. A quorum must answer directly before the removal, so that the minority
+// side of a network partition does not remove the majority.
 func (c *controller) removeUnresponsiveMembers(now time.Time) {
 	if now.Sub(c.lastCleanup) < cleanupInterval {
 		return
 	}
 	c.lastCleanup = now
 	unresponsive := c.unresponsiveMemberRows(now)
+	present, version := c.electorate.Electorate, c.electorate.version
+	maps.DeleteFunc(unresponsive, func(name string, _ rows.Row) bool { return present.Includes(c.members[name].Address) })
 	if len(unresponsive) == 0 || c.rankInGroup(now, storeReadersGroup) != 0 {
 		return
 	}
-	var request FenceRequest
-	for group := range *c.gw.currentGroups.Load() {
-		request = FenceRequest{Group: group, QueryOnly: true}
+	request, ok := c.pollRequest()
+	if !ok {
+		return
 	}
-	addresses := c.primaryUsers(now)
+	addresses := c.withVoters(c.primaryUsers(now), present)
 	c.spawn("remove rows", func() {
 		poll := c.pollHosts(c.gw.ctx, addresses, request, cleanupPollTimeout)
-		if !poll.majority() {
-			c.gw.events.log.Info().Int("silent", len(unresponsive)).Int("asked", poll.asked).Int("answered", len(poll.replies)).Msg("rows of unresponsive hosts kept: no majority of the hosts answered")
+		if !poll.quorum(present, noneLeft) {
+			c.gw.events.log.Info().Int("silent", len(unresponsive)).Int("asked", len(poll.asked)).Int("answered", len(poll.replies)).Msg("rows of unresponsive hosts kept: no quorum of the hosts answered")
 			return
 		}
 		for name, r := range unresponsive {
-			if _, answered := poll.replies[name]; answered {
+			if _, answered := poll.replies[addresses[name]]; answered {
 				continue
 			}
-			c.gw.events.log.Info().Str("member", name).Int("asked", poll.asked).Int("answered", len(poll.replies)).Msg("removing the row of an unresponsive host")
-			c.deleteStateRow(r.Key, r.Version, writeTimeout)
+			c.gw.events.log.Info().Str("member", name).Int("asked", len(poll.asked)).Int("answered", len(poll.replies)).Msg("removing the row of an unresponsive host")
+			c.deleteStateRow(r.Key, r.Version, writeTimeout, RowVersion{Key: electorateKey, Version: version})
 		}
 	})
 }
@@ -58,7 +63,7 @@
 func (c *controller) unresponsiveMemberRows(now time.Time) map[string]rows.Row {
 	out := make(map[string]rows.Row)
 	for name, m := range c.members {
-		unresponsive := now.Sub(m.knownSince) > unresponsiveMemberTimeout && now.Sub(m.lastContact) > unresponsiveMemberTimeout && now.Sub(m.answeredAt) > unresponsiveMemberTimeout
+		unresponsive := now.Sub(m.knownSince) > unresponsiveMemberTimeout && now.Sub(m.lastContact) > unresponsiveMemberTimeout && now.Sub(m.answeredAt) > unresponsiveMemberTimeout && now.Sub(m.notRunningAt) > unresponsiveMemberTimeout
 		if r, ok := c.tables[TableState].Get(hostPrefix + name); ok && unresponsive && (!m.alive(now) || now.Sub(m.lastFailureAt()) <= reportLifetime) {
 			out[name] = r
 		}
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -43,6 +43,8 @@
 	// address, including rows of earlier incarnations; 0 if there is none.
 	listedSinceVersion uint64
 	leaving            bool
+	// unregistering is true once this host has begun to remove its row.
+	unregistering bool
 	// endpointsLoaded is true once the endpoints table has been read.
 	endpointsLoaded bool
 	monitors        map[string]*groupMonitor
@@ -81,7 +83,8 @@
 	// is kept for as long as the host may still use primaries.
 	departedHosts map[string]time.Time
 	// startedAt is when this host started.
-	startedAt time.Time
+	startedAt  time.Time
+	electorate electorateState
 
 	// failed is closed once the controller or a goroutine of it has panicked; failure is
 	// the reason. They may be used from any goroutine.
@@ -199,6 +202,7 @@
 	c.readClaims(now)
 	c.gossip(now)
 	c.updatePermission()
+	c.maintainElectorate(now)
 	c.removeUnresponsiveMembers(now)
 	c.gw.expireRelayedTransactions(now)
 	if now.Sub(c.lastSweep) >= endpointSweepInterval {
--- a/internal/gateway/controller_failure_test.go
+++ b/internal/gateway/controller_failure_test.go
@@ -23,11 +23,13 @@
 	return nil, 0, ErrStoreRefused
 }
 
-func (absentStore) Write(context.Context, TableName, string, uint64, []byte) (uint64, error) {
+func (absentStore) Write(context.Context, TableName, string, uint64, []byte, ...RowVersion) (uint64, error) {
 	return 0, ErrStoreRefused
 }
 
-func (absentStore) Delete(context.Context, TableName, string, uint64) error { return ErrStoreRefused }
+func (absentStore) Delete(context.Context, TableName, string, uint64, ...RowVersion) error {
+	return ErrStoreRefused
+}
 
 // Guards against a host that goes on with damaged control state after a panic, and against
 // one that ends without a graceful stop or waits for the controller for ever.
--- /dev/null
+++ b/internal/gateway/electorate.go
@@ -0,0 +1,345 @@
+package gateway
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/electorate"
+	"github.com/beryltrestle/beryltrestle/coord/permission"
+	"github.com/beryltrestle/beryltrestle/coord/rows"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+const (
+	// electorateInterval is how often a host compares the electorate with the listed hosts.
+	electorateInterval = 250 * time.Millisecond
+	// electorateRankDelay is how much longer each host waits than the one ranked before it
+	// until it changes the electorate.
+	electorateRankDelay = time.Second
+	// settleTime is how long no host must have joined before the first electorate is
+	// written. All hosts start at about the same time then.
+	settleTime = 300 * time.Millisecond
+	// leftVoterGrace is how long a host that has stopped stays a voter. A host that is
+	// only restarted is back before, so that a restart does not change the electorate.
+	leftVoterGrace = 5 * time.Second
+	// electorateChangeTimeout is the age at which the new voters of an uncompleted change
+	// may be replaced.
+	electorateChangeTimeout = 2 * time.Second
+)
+
+// electorateState is what this host knows about the hosts that count towards majorities.
+type electorateState struct {
+	electorate.Electorate
+	// version is the version of the row; 0 if there is none. A row that cannot be decoded
+	// has a version and no voters.
+	version uint64
+	// writtenVersion is the newest version that this host has written.
+	writtenVersion uint64
+	// ownAddress is the address in this host's row; empty unless this incarnation wrote
+	// the row that the mirror holds.
+	ownAddress string
+	// sets holds the voters of each set as members.
+	sets []voterSet
+	// changedAt is when this host learned of the present electorate.
+	changedAt time.Time
+	// unlistedSince holds, by address, when this host found that a voter has no row.
+	unlistedSince map[string]time.Time
+	lastCheck     time.Time
+	// dueSince is when a change became due; zero if none is.
+	dueSince time.Time
+	// writing is true while this host writes a change.
+	writing bool
+}
+
+// voterSet is one set of voters, of which a majority must answer.
+type voterSet struct {
+	// self is true if this host is one of them.
+	self bool
+	// others holds the other voters; nil for those whose row this host does not know.
+	others []*member
+}
+
+// applyElectorate applies the row of the electorate.
+func (c *controller) applyElectorate(r rows.Row) {
+	e := &c.electorate
+	e.Electorate, e.version, e.changedAt = electorate.Electorate{}, r.Version, boottime.Now()
+	if r.Deleted {
+		e.version = 0
+		return
+	}
+	record, err := decodeRecord[electorateRecord](r)
+	if err != nil {
+		c.gw.events.log.Warn().Err(err).Msg("electorate row cannot be decoded")
+		return
+	}
+	e.Electorate = record.Electorate
+	c.gw.events.log.Info().Int("voters", len(e.Voters)).Int("former", len(e.Former)).Uint64("version", r.Version).Msg("electorate changed")
+}
+
+// resolveVoters looks up the members that are voters. It must be called after each change of
+// the electorate or of the rows of hosts.
+func (c *controller) resolveVoters() {
+	byAddress := make(map[string]*member, len(c.members))
+	for _, m := range c.members {
+		byAddress[m.Address] = m
+	}
+	c.electorate.sets = nil
+	for _, set := range c.electorate.Sets() {
+		var resolved voterSet
+		for _, address := range set {
+			if address == c.electorate.ownAddress {
+				resolved.self = true
+				continue
+			}
+			resolved.others = append(resolved.others, byAddress[address])
+		}
+		c.electorate.sets = append(c.electorate.sets, resolved)
+	}
+}
+
+// voterAnswers returns when the voters of each set last answered this host.
+func (c *controller) voterAnswers() []permission.Voters {
+	out := make([]permission.Voters, 0, len(c.electorate.sets))
+	for _, set := range c.electorate.sets {
+		v := permission.Voters{Self: set.self, Answered: make([]time.Time, len(set.others))}
+		for i, m := range set.others {
+			if m != nil {
+				v.Answered[i] = m.answeredAt
+			}
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// voters returns the members that count towards majorities.
+func (c *controller) voters() map[*member]bool {
+	out := make(map[*member]bool, len(c.members))
+	for _, set := range c.electorate.sets {
+		for _, m := range set.others {
+			if m != nil {
+				out[m] = true
+			}
+		}
+	}
+	return out
+}
+
+// decidingVoters returns the electorate. Before there is one, no permission rests on answers
+// of other hosts, and the listed hosts decide.
+func (c *controller) decidingVoters() electorate.Electorate {
+	if c.electorate.Sets() != nil {
+		return c.electorate.Electorate
+	}
+	return electorate.New(slices.Collect(maps.Keys(c.listedAddresses())), nil)
+}
+
+// noneLeft is used where it is not known which voters have left.
+func noneLeft(string) bool { return false }
+
+// leftVoters returns a function that reports whether a voter has no row, so that it has ended
+// by itself: only hosts that are no voters lose their row otherwise.
+func (c *controller) leftVoters() func(address string) bool {
+	listed := c.listedAddresses()
+	return func(address string) bool {
+		_, ok := listed[address]
+		return !ok
+	}
+}
+
+// ownAddress returns the address by which this host is known.
+func (c *controller) ownAddress() string {
+	return cmp.Or(c.electorate.ownAddress, c.gw.cfg.Address)
+}
+
+// listedAddresses returns the addresses of all listed hosts, including this one.
+func (c *controller) listedAddresses() map[string]*member {
+	out := make(map[string]*member, len(c.members)+1)
+	for _, m := range c.members {
+		out[m.Address] = m
+	}
+	out[c.ownAddress()] = nil
+	return out
+}
+
+// maintainElectorate begins and completes changes of the electorate. The live host that ranks
+// first does so, and the next ones if it does not. The writes are conditional in case two
+// hosts do so at once.
+func (c *controller) maintainElectorate(now time.Time) {
+	e := &c.electorate
+	if now.Sub(e.lastCheck) < electorateInterval {
+		return
+	}
+	e.lastCheck = now
+	listed := c.listedAddresses()
+	c.trackUnlistedVoters(now, listed)
+	if e.writing || c.leaving || e.ownAddress == "" || c.tables[TableState].Through() < e.version || !c.isListed() || c.claimsTooOld(now) {
+		return
+	}
+	next := c.nextElectorate(now, listed)
+	switch {
+	case next.Equal(e.Electorate) && !e.Changing():
+		e.dueSince = time.Time{}
+		return
+	case e.dueSince.IsZero():
+		e.dueSince = now
+	}
+	if now.Sub(e.dueSince) < time.Duration(c.rankInGroup(now, storeReadersGroup))*electorateRankDelay {
+		return
+	}
+	switch {
+	case next.Equal(e.Electorate):
+		// Every former voter must learn of the change and report that it has.
+		c.startGossipRound(true)
+	case e.version == 0 || e.Changing() && !next.Changing():
+		c.writeElectorate(next)
+	default:
+		c.proposeElectorate(next)
+	}
+}
+
+// nextElectorate returns the electorate that should follow the present one, or the present
+// one if no change is due.
+func (c *controller) nextElectorate(now time.Time, listed map[string]*member) electorate.Electorate {
+	e := &c.electorate
+	switch {
+	case e.version == 0 && !c.settled(now):
+		return e.Electorate
+	case e.Changing() && e.MayComplete(c.voteOnChange(listed)):
+		return e.Complete()
+	case e.Changing() && now.Sub(e.changedAt) < electorateChangeTimeout:
+		return e.Electorate
+	}
+	return e.Change(c.desiredVoters(now, listed))
+}
+
+// settled reports whether no host has joined for settleTime.
+func (c *controller) settled(now time.Time) bool {
+	newest := c.startedAt
+	for _, m := range c.members {
+		if m.knownSince.After(newest) {
+			newest = m.knownSince
+		}
+	}
+	return now.Sub(newest) >= settleTime
+}
+
+// trackUnlistedVoters records since when voters have had no row.
+func (c *controller) trackUnlistedVoters(now time.Time, listed map[string]*member) {
+	since := make(map[string]time.Time)
+	for _, address := range c.electorate.Voters {
+		if _, ok := listed[address]; ok {
+			continue
+		}
+		since[address] = now
+		if at, ok := c.electorate.unlistedSince[address]; ok {
+			since[address] = at
+		}
+	}
+	c.electorate.unlistedSince = since
+}
+
+// desiredVoters returns the addresses of the hosts that should be voters: the listed ones
+// except for those whose row is to be removed, and the voters that have just stopped.
+func (c *controller) desiredVoters(now time.Time, listed map[string]*member) []string {
+	unresponsive := c.unresponsiveMemberRows(now)
+	var out []string
+	for address, m := range listed {
+		if m != nil {
+			if _, ok := unresponsive[m.Name]; ok {
+				continue
+			}
+		}
+		out = append(out, address)
+	}
+	for address, at := range c.electorate.unlistedSince {
+		if now.Sub(at) < leftVoterGrace {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// voteOnChange returns the votes on the completion of a change: a host agrees if it has told
+// that it knows the change.
+func (c *controller) voteOnChange(listed map[string]*member) func(string) electorate.Vote {
+	version := c.electorate.version
+	return func(address string) electorate.Vote {
+		m, ok := listed[address]
+		switch {
+		case !ok:
+			return electorate.VoteLeft
+		case m == nil, m.mirrorVersions[TableState] >= version:
+			return electorate.VoteAgrees
+		}
+		return electorate.VoteMissing
+	}
+}
+
+// proposeElectorate begins a change if a quorum of the present voters answers. A host that is
+// cut off from them could not complete it, and decisions would need its side until then.
+func (c *controller) proposeElectorate(next electorate.Electorate) {
+	present := c.electorate.Electorate
+	addresses := c.withVoters(c.primaryUsers(boottime.Now()), present)
+	request, ok := c.pollRequest()
+	if !ok {
+		return
+	}
+	c.electorate.writing = true
+	c.spawn("propose electorate", func() {
+		poll := c.pollHosts(c.gw.ctx, addresses, request, primaryReportTimeout)
+		c.submit(func() {
+			c.electorate.writing = false
+			if poll.quorum(present, noneLeft) && c.electorate.Equal(present) {
+				c.writeElectorate(next)
+			}
+		})
+	})
+}
+
+// pollRequest returns a request that asks hosts for an answer without any effect. It returns
+// false if no group is known yet, as no host could answer.
+func (c *controller) pollRequest() (FenceRequest, bool) {
+	for group := range *c.gw.currentGroups.Load() {
+		return FenceRequest{Group: group, QueryOnly: true}, true
+	}
+	return FenceRequest{}, false
+}
+
+// writeElectorate writes the electorate on the condition that it has not changed.
+func (c *controller) writeElectorate(next electorate.Electorate) {
+	version := c.electorate.version
+	c.electorate.writing = true
+	c.spawn("write electorate", func() {
+		written, err := c.writeStateRow(c.gw.ctx, electorateKey, version, encodeRecord(electorateRecord{next}))
+		c.submit(func() {
+			c.electorate.writing = false
+			if err != nil {
+				return
+			}
+			c.electorate.writtenVersion, c.electorate.dueSince = written, time.Time{}
+			c.gw.metrics.Inc(metrics.ElectorateChanges)
+			c.gw.events.log.Info().Int("voters", len(next.Voters)).Int("former", len(next.Former)).Uint64("version", written).Msg("electorate written")
+		})
+	})
+}
+
+// withVoters adds the voters that are missing from the addresses.
+func (c *controller) withVoters(addresses map[string]string, e electorate.Electorate) map[string]string {
+	asked := map[string]bool{c.ownAddress(): true}
+	for _, address := range addresses {
+		asked[address] = true
+	}
+	for _, set := range e.Sets() {
+		for _, address := range set {
+			if !asked[address] {
+				asked[address] = true
+				addresses["voter "+address] = address
+			}
+		}
+	}
+	return addresses
+}
--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/beryltrestle/beryltrestle/coord/permission"
+	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
@@ -64,3 +66,58 @@
 	c.applyGossip(answer, now)
 	g.Expect(c.members["h1"].answeredAt).To(Equal(now))
 }
+
+// Guards against answers that count towards a majority although they do not cover what the
+// electorate takes for granted: the answer of a host that knows changes which this host does
+// not know, and that of a host that has begun to remove its row.
+func TestAnswerOfVoterCountsOnlyWithAllItKnows(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	fleet := controllersOfFleet(3, now.Add(-time.Minute))
+	c := fleet[0]
+	answer := GossipMessage{Host: "h1", MirrorVersions: map[TableName]uint64{TableState: 7}}
+	c.applyGossip(answer, now)
+	g.Expect(c.members["h1"].answeredAt).To(BeZero())
+	answer.Tables = []TableChanges{{Table: TableState, From: 0, Through: 7}}
+	c.applyGossip(answer, now)
+	g.Expect(c.members["h1"].answeredAt).To(Equal(now))
+	c.members["h2"].Incarnation = fleet[2].incarnation
+	fleet[2].unregistering = true
+	c.applyGossip(fleet[2].gossipMessage(now, nil), now)
+	g.Expect(c.members["h2"].answeredAt).To(BeZero())
+}
+
+// Guards against a host that counts itself towards a majority although it has restarted, so
+// that it does not know which claims it had acknowledged, and has not read the store since.
+func TestRestartedHostIsNoVoterBeforeItsRowIsWritten(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	c := controllersOfFleet(3, now.Add(-time.Minute))[0]
+	row := func(version, incarnation uint64) rows.Row {
+		return rows.Row{Key: "host/h0", Version: version, Value: encodeRecord(hostRecord{Name: "h0", Address: "h0", Incarnation: incarnation})}
+	}
+	c.applyChanges(TableChanges{Table: TableState, Through: 5, Rows: []rows.Row{row(5, c.incarnation+1)}})
+	g.Expect(c.voterAnswers()[0].Self).To(BeFalse())
+	c.applyChanges(TableChanges{Table: TableState, From: 5, Through: 6, Rows: []rows.Row{row(6, c.incarnation)}})
+	g.Expect(c.voterAnswers()[0].Self).To(BeTrue())
+}
+
+// Guards against a refused connection that counts towards a permission: if it counted there
+// and for the host that replaces the primary, two hosts that are cut off from each other would
+// both have a majority with a third one that does not run.
+func TestHostThatDoesNotRunGivesNoPermission(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	c := controllersOfFleet(3, now.Add(-time.Minute))[0]
+	c.gw.cfg.Peers = refusingPeers{}
+	c.recordFailedCall("h1", now, errors.New("connection refused"))
+	g.Expect(c.members["h1"].alive(now)).To(BeFalse())
+	c.updatePermission()
+	g.Expect(c.gw.primaryPermitted(now)).To(BeFalse())
+}
+
+// refusingPeers is a PeerClient whose calls find that no process listens.
+type refusingPeers struct{ PeerClient }
+
+// NotRunning implements PeerClient.
+func (refusingPeers) NotRunning(error) bool { return true }
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/beryltrestle/beryltrestle/coord/electorate"
 	"github.com/beryltrestle/beryltrestle/coord/permission"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/coord/succession"
@@ -63,6 +65,8 @@
 	claim        claimRecord
 	claimVersion uint64
 	claimedAt    time.Time
+	// electorate is the electorate as of the write of the claim, which is conditional on it.
+	electorate electorate.Electorate
 	// promotionOrdered is true once a promotion may have been ordered.
 	promotionOrdered bool
 }
@@ -142,7 +146,10 @@
 // checkPeerReports returns an error if another host knows a newer term, if the primary
 // has answered another host recently, or if there is no quorum.
 func (f *failover) checkPeerReports(ctx context.Context) error {
-	poll := f.pollHosts(ctx, FenceRequest{Group: f.group.name, QueryOnly: true}, primaryReportTimeout)
+	var voters electorate.Electorate
+	var left func(string) bool
+	f.controller.submitAndWait(func() { voters, left = f.controller.decidingVoters(), f.controller.leftVoters() })
+	poll, _ := f.pollHosts(ctx, voters, FenceRequest{Group: f.group.name, QueryOnly: true}, primaryReportTimeout)
 	for _, r := range poll.replies {
 		if r.Term > f.term {
 			return errNewerTerm
@@ -151,12 +158,23 @@
 			return errPrimaryAnswers
 		}
 	}
-	if !poll.quorum() {
+	if !poll.quorum(voters, left) {
 		return errNoQuorum
 	}
 	return nil
 }
 
+// pollHosts sends the request to all other hosts that may use primaries and to all voters.
+// It returns the answers that arrive in time, and the hosts that may use primaries.
+func (f *failover) pollHosts(ctx context.Context, voters electorate.Electorate, r FenceRequest, timeout time.Duration) (poll hostPoll, users map[string]string) {
+	var asked map[string]string
+	f.controller.submitAndWait(func() {
+		users = f.controller.primaryUsers(boottime.Now())
+		asked = f.controller.withVoters(maps.Clone(users), voters)
+	})
+	return f.controller.pollHosts(ctx, asked, r, timeout), users
+}
+
 // fenceAll makes every host stop using the old primary. If a host does not answer,
 // fenceAll waits until that host's permission to use primaries has ended.
 func (f *failover) fenceAll(ctx context.Context) error {
@@ -172,17 +190,18 @@
 			f.controller.gw.events.log.Warn().Err(err).Msg("fencing the old primary on this host failed")
 		}
 	}))
-	refreshed := false
-	wg.Go(f.controller.guarded("refresh hosts", func() { refreshed = f.refreshHosts(ctx, fenceTimeout+grace) }))
-	poll := f.pollHosts(ctx, request, fenceTimeout+grace)
+	refreshed, left, leftAt := false, noneLeft, boottime.Now()
+	wg.Go(f.controller.guarded("refresh hosts", func() {
+		if refreshed = f.refreshHosts(ctx, fenceTimeout+grace); refreshed {
+			leftAt = boottime.Now()
+			f.controller.submitAndWait(func() { left = f.controller.leftVoters() })
+		}
+	}))
+	poll, users := f.pollHosts(ctx, f.electorate, request, fenceTimeout+grace)
 	wg.Wait()
-	f.controller.gw.events.log.Info().Str("group", f.group.name).Int("hosts", poll.asked).Int("answered", len(poll.replies)).
-		Int("stopped", poll.notRunning).Dur("took_ms", boottime.Now().Sub(began)).Msg("old primary fenced")
-	if !poll.quorum() {
-		return errNoQuorum
-	}
-	if !poll.majority() && (!refreshed || !f.askedExactlyPrimaryUsers(&poll)) {
-		// If the list of hosts is off by one host, the other half could be a majority.
+	f.controller.gw.events.log.Info().Str("group", f.group.name).Int("hosts", len(poll.asked)).Int("answered", len(poll.replies)).
+		Int("stopped", len(poll.notRunning)).Dur("took_ms", boottime.Now().Sub(began)).Msg("old primary fenced")
+	if !poll.quorum(f.electorate, left) {
 		return errNoQuorum
 	}
 	demoted := make(chan struct{})
@@ -190,8 +209,9 @@
 		defer close(demoted)
 		f.demote(ctx)
 	})
-	if !poll.accountsForAll() || !refreshed || f.unaskedHostMayUsePrimary(&poll) {
-		wait.Sleep(ctx, permission.Duration-boottime.Now().Sub(poll.quorumAt))
+	if !poll.accountsFor(users) || !refreshed || f.unaskedHostMayUsePrimary(&poll) {
+		quorumAt := poll.quorumAt(f.electorate, left, leftAt)
+		wait.Sleep(ctx, permission.Duration-boottime.Now().Sub(quorumAt))
 	}
 	<-demoted
 	return nil
@@ -203,7 +223,7 @@
 func (f *failover) refreshHosts(ctx context.Context, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, _, err := f.readClaim(ctx, claimPrefix+f.group.name)
+	_, err := f.readClaim(ctx, claimPrefix+f.group.name)
 	if err != nil {
 		f.controller.gw.events.log.Info().Str("group", f.group.name).Err(err).Msg("hosts were not listed after the claim")
 	}
@@ -222,17 +242,6 @@
 	return mayUse
 }
 
-// askedExactlyPrimaryUsers reports whether the polled hosts are exactly those that may
-// use primaries.
-func (f *failover) askedExactlyPrimaryUsers(p *hostPoll) bool {
-	all := false
-	f.controller.submitAndWait(func() {
-		addresses := f.controller.primaryUsers(boottime.Now())
-		all = len(addresses) == p.asked && p.askedAll(addresses)
-	})
-	return all
-}
-
 // demote makes the old primary a replica if it can be reached. It then neither commits
 // writes nor serves hosts that do not know of the failover yet.
 func (f *failover) demote(ctx context.Context) {
--- a/internal/gateway/failover_claim.go
+++ b/internal/gateway/failover_claim.go
@@ -5,39 +5,63 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/beryltrestle/beryltrestle/coord/electorate"
 	"github.com/beryltrestle/beryltrestle/coord/succession"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
+// claimAttempts limits how often the write of a claim is repeated because the electorate
+// has changed meanwhile.
+const claimAttempts = 3
+
 // acquireClaim writes this host's claim. The write is conditional on the row that was
-// read, so that only one of two competing hosts succeeds. If the store's answer is
-// lost, the claim is read back.
+// read, so that only one of two competing hosts succeeds, and on the electorate, so that
+// the quorum is one of the voters as of the claim: a host that knows a later electorate
+// knows the claim as well. If the store's answer is lost, the claim is read back.
 func (f *failover) acquireClaim(ctx context.Context) error {
 	key := claimPrefix + f.group.name
-	current, version, err := f.readClaim(ctx, key)
-	if err != nil {
-		return err
-	}
-	if err := f.checkClaim(current, version); err != nil {
-		return err
+	for attempt := 1; ; attempt++ {
+		current, err := f.readClaim(ctx, key)
+		if err == nil {
+			err = f.checkClaim(current.claim, current.version)
+		}
+		if err == nil {
+			err = f.writeClaim(ctx, key, current)
+		}
+		if !errors.Is(err, ErrConflict) {
+			return err
+		}
+		if attempt == claimAttempts {
+			return errors.CombineErrors(errClaimLost, err)
+		}
 	}
-	f.claim = claimRecord{Holder: f.controller.gw.cfg.Host, Incarnation: f.controller.incarnation, Fence: current.Fence, Term: f.term}
-	if current.Holder != f.claim.Holder || current.Incarnation != f.claim.Incarnation {
+}
+
+// writeClaim writes this host's claim in place of the current one. It returns ErrConflict if
+// the claim or the electorate has changed.
+func (f *failover) writeClaim(ctx context.Context, key string, current stateListing) error {
+	f.electorate = current.voters
+	f.claim = claimRecord{Holder: f.controller.gw.cfg.Host, Incarnation: f.controller.incarnation, Fence: current.claim.Fence, Term: f.term}
+	if current.claim.Holder != f.claim.Holder || current.claim.Incarnation != f.claim.Incarnation {
 		f.claim.Fence++
 	}
 	f.claimedAt = boottime.Now()
-	f.claimVersion, err = f.controller.writeStateRow(ctx, key, version, encodeRecord(f.claim))
+	version, err := f.controller.writeStateRow(ctx, key, current.version, encodeRecord(f.claim), current.electorate)
 	if err == nil {
+		f.claimVersion = version
 		return nil
 	}
-	if errors.Is(err, ErrConflict) || errors.Is(err, ErrStoreRefused) {
+	switch {
+	case errors.Is(err, ErrConflict):
+		return err
+	case errors.Is(err, ErrStoreRefused):
 		return errors.CombineErrors(errClaimLost, err)
 	}
-	found, version, err := f.readClaim(ctx, key)
-	if err != nil || found != f.claim {
+	found, err := f.readClaim(ctx, key)
+	if err != nil || found.claim != f.claim {
 		return errors.CombineErrors(errClaimLost, err)
 	}
-	f.claimVersion = version
+	f.claimVersion = found.version
 	return nil
 }
 
@@ -63,30 +87,47 @@
 	return errClaimLost
 }
 
-// readClaim reads the group's claim and its row version from the store.
+// stateListing is what a listing of TableState says about a failover.
+type stateListing struct {
+	// claim is the group's claim, and version the version of its row.
+	claim   claimRecord
+	version uint64
+	// voters are the hosts of which a quorum is needed; electorate is the version of their
+	// row.
+	voters     electorate.Electorate
+	electorate RowVersion
+}
+
+// readClaim reads the group's claim and the electorate from the store.
 //
 // If there is no claim that can be decoded, an earlier one may have been removed or
 // overwritten. Its fence is then assumed to be the store's version: the fence increases by
 // one at most with each write of the claim, and the version with each write of any row.
-func (f *failover) readClaim(ctx context.Context, key string) (claimRecord, uint64, error) {
+func (f *failover) readClaim(ctx context.Context, key string) (stateListing, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	listing, listed, err := f.controller.gw.cfg.Store.List(ctx, TableState)
 	if err != nil {
-		return claimRecord{}, 0, err
+		return stateListing{}, err
 	}
+	out := stateListing{claim: claimRecord{Fence: listed}, electorate: RowVersion{Key: electorateKey}}
 	// The hosts that are polled next must include every host that is listed now.
-	f.controller.submitAndWait(func() { f.controller.applyListing(TableState, listing, listed) })
+	f.controller.submitAndWait(func() {
+		f.controller.applyListing(TableState, listing, listed)
+		out.voters, out.electorate.Version = f.controller.decidingVoters(), f.controller.electorate.version
+	})
 	r := findRow(listing, key)
+	out.version = r.Version
 	if r.Version == 0 {
-		return claimRecord{Fence: listed}, 0, nil
+		return out, nil
 	}
 	claim, err := decodeRecord[claimRecord](r)
 	if err != nil {
 		f.controller.gw.events.log.Warn().Err(err).Msg("claim row cannot be decoded and is replaced")
-		return claimRecord{Fence: listed}, r.Version, nil
+		return out, nil
 	}
-	return claim, r.Version, nil
+	out.claim = claim
+	return out, nil
 }
 
 // renewClaim writes the claim again, conditional on its version. It fails if another
@@ -113,5 +154,5 @@
 	if _, err := f.controller.gw.Fence(request); err != nil {
 		f.controller.gw.events.log.Warn().Err(err).Msg("lifting the fence on this host failed")
 	}
-	f.pollHosts(ctx, request, fenceTimeout)
+	f.pollHosts(ctx, f.electorate, request, fenceTimeout)
 }
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -123,7 +123,7 @@
 }
 
 // Write implements gateway.Store.
-func (c storeClient) Write(_ context.Context, table gateway.TableName, key string, expected uint64, value []byte) (uint64, error) {
+func (c storeClient) Write(_ context.Context, table gateway.TableName, key string, expected uint64, value []byte, also ...gateway.RowVersion) (uint64, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.unavailable[c.host] || c.readOnly[c.host] {
@@ -133,34 +133,45 @@
 		time.AfterFunc(delay, func() {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			_, _ = c.writeIf(table, key, expected, value)
+			_, _ = c.writeIf(table, key, expected, value, also)
 		})
 		return 0, errStoreUnavailable
 	}
-	return c.writeIf(table, key, expected, value)
+	return c.writeIf(table, key, expected, value, also)
 }
 
-// writeIf writes the row if it has the expected version. The mutex must be held.
-func (s *fakeStore) writeIf(table gateway.TableName, key string, expected uint64, value []byte) (uint64, error) {
-	held := s.tables[table][key]
-	if held.Deleted {
-		held.Version = 0
-	}
-	if held.Version != expected {
+// writeIf writes the row if it and the other rows have the expected versions. The mutex must
+// be held.
+func (s *fakeStore) writeIf(table gateway.TableName, key string, expected uint64, value []byte, also []gateway.RowVersion) (uint64, error) {
+	if !s.holds(table, append(also, gateway.RowVersion{Key: key, Version: expected})) {
 		s.conflicts++
 		return 0, gateway.ErrConflict
 	}
 	return s.set(table, rows.Row{Key: key, Value: value}), nil
 }
 
+// holds reports whether the rows have the expected versions. The mutex must be held.
+func (s *fakeStore) holds(table gateway.TableName, expected []gateway.RowVersion) bool {
+	for _, condition := range expected {
+		held := s.tables[table][condition.Key]
+		if held.Deleted {
+			held.Version = 0
+		}
+		if held.Version != condition.Version {
+			return false
+		}
+	}
+	return true
+}
+
 // Delete implements gateway.Store.
-func (c storeClient) Delete(_ context.Context, table gateway.TableName, key string, expected uint64) error {
+func (c storeClient) Delete(_ context.Context, table gateway.TableName, key string, expected uint64, also ...gateway.RowVersion) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.unavailable[c.host] || c.readOnly[c.host] {
 		return gateway.ErrStoreRefused
 	}
-	if c.tables[table][key].Version != expected {
+	if !c.holds(table, append(also, gateway.RowVersion{Key: key, Version: expected})) {
 		return gateway.ErrConflict
 	}
 	c.set(table, rows.Row{Key: key, Deleted: true})
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -83,10 +83,7 @@
 	m.failures++
 	if c.gw.cfg.Peers.NotRunning(err) {
 		m.failures = max(m.failures, failuresUntilUnresponsive)
-	}
-	if c.gw.cfg.Peers.NotRunning(err) && began.After(m.answeredAt) {
-		m.answeredAt = began
-		c.updatePermission()
+		m.notRunningAt = began
 	}
 }
 
@@ -129,6 +126,11 @@
 	}
 	msg.Unresponsive, msg.FailedCallAges = c.unresponsiveHosts(), c.failedCallAges(now)
 	msg.EvidenceAge = c.evidenceAge(now)
+	if c.unregistering {
+		// Decisions do not wait for a voter without a row, so that its answers must not
+		// count any more.
+		msg.Incarnation, msg.EvidenceAge = 0, nil
+	}
 	for name, at := range c.completeAsOf {
 		msg.MirrorAges[name] = now.Sub(at)
 	}
@@ -167,10 +169,6 @@
 			m.lastContact, m.failedAt, m.failures = now, time.Time{}, 0
 			m.leaving = m.leaving || msg.Leaving
 			m.mirrorVersions = msg.MirrorVersions
-			// An answer without all fences does not show that the host knows no claim.
-			if msg.Invalid == 0 && began.After(m.answeredAt) {
-				m.answeredAt = began
-			}
 		}
 	}
 	for _, name := range msg.Unresponsive {
@@ -198,10 +196,26 @@
 			c.applyGroupState(g, state, began)
 		}
 	}
+	c.recordAnswer(msg, began)
 	c.applyEvidence(msg, began)
 	c.updatePermission()
 }
 
+// recordAnswer records that a host answered the call that this host began at the given time.
+// The rows and fences of the message must have been applied before.
+//
+// An answer counts towards a majority only if this host now knows every claim and every
+// change of the electorate that the other host knows.
+func (c *controller) recordAnswer(msg GossipMessage, began time.Time) {
+	m := c.members[msg.Host]
+	if m == nil || m.Incarnation != msg.Incarnation || msg.Invalid > 0 {
+		return
+	}
+	if msg.MirrorVersions[TableState] <= c.tables[TableState].Through() && began.After(m.answeredAt) {
+		m.answeredAt = began
+	}
+}
+
 // applyGroupState applies another host's view of a group. The age of the position is
 // counted from when this host began the exchange, so that the position never looks
 // newer than it is. Positions in messages that this host received as the callee are
--- a/internal/gateway/gossip_targets.go
+++ b/internal/gateway/gossip_targets.go
@@ -69,9 +69,9 @@
 	c.askingMajority = c.mustAskMajority(now)
 	switch {
 	case c.askingMajority && began:
-		out = append(out, c.leastRecentlyCalledLive(now, len(c.members)/2+1)...)
+		out = append(out, c.leastRecentlyCalledVoters(now, 2)...)
 	case c.askingMajority:
-		out = append(out, c.leastRecentlyCalledLive(now, len(c.members)/pollRounds+1)...)
+		out = append(out, c.leastRecentlyCalledVoters(now, pollRounds)...)
 	case now.Sub(c.knownClaimsAsOf()) >= claimsMaxAge:
 		// The aggregators may be out of reach, and any other host may have evidence.
 		out = append(out, c.leastRecentlyCalled(now, smallFanout-1)...)
@@ -111,14 +111,18 @@
 	return placement.Position(storeReadersGroup, candidates, c.gw.cfg.Host) < aggregatorsPerZone
 }
 
-// leastRecentlyCalledLive returns n of the hosts that answer, and one other host, which may
-// answer again.
-func (c *controller) leastRecentlyCalledLive(now time.Time, n int) []*member {
+// leastRecentlyCalledVoters returns the given fraction of the voters, of those that answer,
+// and one other voter, which may answer again.
+func (c *controller) leastRecentlyCalledVoters(now time.Time, fraction int) []*member {
+	voters := c.voters()
+	n := len(voters)/fraction + 1
 	var live, silent []*member
 	for _, m := range c.leastRecentlyCalled(now, len(c.members)) {
-		if m.failures < failuresUntilUnresponsive {
+		switch {
+		case !voters[m]:
+		case m.failures < failuresUntilUnresponsive:
 			live = append(live, m)
-		} else {
+		default:
 			silent = append(silent, m)
 		}
 	}
--- a/internal/gateway/gossip_targets_test.go
+++ b/internal/gateway/gossip_targets_test.go
@@ -7,12 +7,23 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/beryltrestle/beryltrestle/coord/electorate"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
+// electorateOfFleet returns an electorate of all hosts of a fleet.
+func electorateOfFleet(size int) electorate.Electorate {
+	var hosts []string
+	for n := range size {
+		hosts = append(hosts, fmt.Sprintf("h%d", n))
+	}
+	return electorate.New(hosts, nil)
+}
+
 // controllersOfFleet returns the controllers of all hosts of a fleet in three
-// availability zones. Each knows all others and last read the claims at the given time.
+// availability zones. Each knows all others, which are all voters, and last read the claims
+// at the given time.
 func controllersOfFleet(size int, claimsAsOf time.Time) []*controller {
 	zone := func(n int) string { return fmt.Sprintf("z%d", n%3) }
 	var out []*controller
@@ -22,9 +33,11 @@
 		for other := range size {
 			if other != n {
 				name := fmt.Sprintf("h%d", other)
-				c.members[name] = &member{hostRecord: hostRecord{Name: name, AvailabilityZone: zone(other)}}
+				c.members[name] = &member{hostRecord: hostRecord{Name: name, Address: name, AvailabilityZone: zone(other)}}
 			}
 		}
+		c.electorate.Electorate, c.electorate.ownAddress = electorateOfFleet(size), c.gw.cfg.Host
+		c.resolveVoters()
 		out = append(out, c)
 	}
 	return out
--- a/internal/gateway/guarded.go
+++ b/internal/gateway/guarded.go
@@ -96,17 +96,17 @@
 }
 
 // Write implements Store.
-func (s guardedStore) Write(ctx context.Context, table TableName, key string, expected uint64, value []byte) (version uint64, err error) {
+func (s guardedStore) Write(ctx context.Context, table TableName, key string, expected uint64, value []byte, also ...RowVersion) (version uint64, err error) {
 	err = s.guard.Run("write row", func() (err error) {
-		version, err = s.store.Write(ctx, table, key, expected, value)
+		version, err = s.store.Write(ctx, table, key, expected, value, also...)
 		return err
 	})
 	return version, err
 }
 
 // Delete implements Store.
-func (s guardedStore) Delete(ctx context.Context, table TableName, key string, expected uint64) error {
-	return s.guard.Run("delete row", func() error { return s.store.Delete(ctx, table, key, expected) })
+func (s guardedStore) Delete(ctx context.Context, table TableName, key string, expected uint64, also ...RowVersion) error {
+	return s.guard.Run("delete row", func() error { return s.store.Delete(ctx, table, key, expected, also...) })
 }
 
 // guardedDecoder guards a Decoder.
--- a/internal/gateway/host_poll.go
+++ b/internal/gateway/host_poll.go
@@ -2,66 +2,91 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/beryltrestle/beryltrestle/coord/lease"
+	"github.com/beryltrestle/beryltrestle/coord/electorate"
 	"github.com/beryltrestle/beryltrestle/coord/permission"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
 // hostPoll is the result of sending a FenceRequest to other hosts.
 type hostPoll struct {
-	// asked is the number of polled hosts; addresses holds their addresses.
-	asked     int
-	addresses map[string]bool
-	replies   map[string]FenceReply
-	// quorumAt is when the quorum was reached; zero if it was not.
-	quorumAt time.Time
-	// tieBreaker is true if this host, or a host that agrees, has the alphabetically
-	// first name of all.
-	tieBreaker bool
-	// notRunning is the number of hosts whose process does not run.
-	notRunning int
+	// own is the address of this host, which agrees with itself.
+	own string
+	// asked holds the addresses of the polled hosts.
+	asked   map[string]bool
+	replies map[string]FenceReply
+	// notRunning holds the addresses of the hosts whose process does not run. These agree,
+	// as does this host.
+	notRunning map[string]bool
+	// agreedAt holds when each host answered or was found not to run.
+	agreedAt map[string]time.Time
 }
 
-// agreed returns the number of hosts that agree: this host, those that answered and
-// those that do not run.
-func (p *hostPoll) agreed() int { return 1 + len(p.replies) + p.notRunning }
+// agrees reports whether the host at the address agrees.
+func (p *hostPoll) agrees(address string) bool {
+	_, answered := p.replies[address]
+	return address == p.own || answered || p.notRunning[address]
+}
 
-// majority reports whether a majority of all hosts agrees.
-func (p *hostPoll) majority() bool { return p.agreed() >= lease.Majority(p.asked+1) }
+// quorum reports whether a quorum of the electorate agrees. left reports whether a voter has
+// ended by itself and removed its row.
+func (p *hostPoll) quorum(e electorate.Electorate, left func(address string) bool) bool {
+	return e.Quorum(func(address string) electorate.Vote {
+		switch {
+		case left(address):
+			return electorate.VoteLeft
+		case p.agrees(address):
+			return electorate.VoteAgrees
+		}
+		return electorate.VoteMissing
+	})
+}
 
-// quorum reports whether a majority of the hosts agrees, or exactly half of them
-// including the tie breaker. In the second case the other half has no majority and
-// cannot renew its permission to use primaries; the tie breaker keeps the two halves
-// from replacing primaries in turn. This allows a failover if a network partition
-// splits an even number of hosts, such as 14, into two halves, one with the primary and
-// one with the store.
-func (p *hostPoll) quorum() bool {
-	return p.majority() || p.tieBreaker && 2*p.agreed() == p.asked+1
+// quorumOfAsked reports whether a quorum of the polled hosts and this one agrees.
+func (p *hostPoll) quorumOfAsked() bool {
+	return p.quorum(electorate.New(append(slices.Collect(maps.Keys(p.asked)), p.own), nil), noneLeft)
+}
+
+// quorumAt returns the earliest time at which a quorum of the electorate had agreed. Voters
+// that have left count from leftAt.
+func (p *hostPoll) quorumAt(e electorate.Electorate, left func(address string) bool, leftAt time.Time) time.Time {
+	times := append(slices.Collect(maps.Values(p.agreedAt)), leftAt)
+	slices.SortFunc(times, time.Time.Compare)
+	for _, at := range times {
+		until := hostPoll{own: p.own, notRunning: make(map[string]bool)}
+		for address, agreedAt := range p.agreedAt {
+			until.notRunning[address] = !agreedAt.After(at)
+		}
+		if until.quorum(e, func(address string) bool { return left(address) && !leftAt.After(at) }) {
+			return at
+		}
+	}
+	return boottime.Now()
 }
 
 // askedAll reports whether all of the addresses were polled.
 func (p *hostPoll) askedAll(addresses map[string]string) bool {
 	for _, address := range addresses {
-		if !p.addresses[address] {
+		if !p.asked[address] {
 			return false
 		}
 	}
 	return true
 }
 
-// accountsForAll reports whether every polled host either answered or does not run, so
+// accountsFor reports whether every one of the hosts either answered or does not run, so
 // that none of them still uses the primary.
-func (p *hostPoll) accountsForAll() bool { return len(p.replies)+p.notRunning == p.asked }
-
-// pollHosts sends the request to all other hosts that may use primaries and returns the
-// answers that arrive in time.
-func (f *failover) pollHosts(ctx context.Context, r FenceRequest, timeout time.Duration) hostPoll {
-	var addresses map[string]string
-	f.controller.submitAndWait(func() { addresses = f.controller.primaryUsers(boottime.Now()) })
-	return f.controller.pollHosts(ctx, addresses, r, timeout)
+func (p *hostPoll) accountsFor(addresses map[string]string) bool {
+	for _, address := range addresses {
+		if !p.agrees(address) {
+			return false
+		}
+	}
+	return true
 }
 
 // primaryUsers returns the names and addresses of the other hosts that may use
@@ -89,35 +114,28 @@
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	out := hostPoll{asked: len(addresses), addresses: make(map[string]bool), replies: make(map[string]FenceReply)}
-	for _, address := range addresses {
-		out.addresses[address] = true
-	}
-	first := c.gw.cfg.Host
-	for name := range addresses {
-		first = min(first, name)
+	out := hostPoll{
+		asked: make(map[string]bool), replies: make(map[string]FenceReply),
+		notRunning: make(map[string]bool), agreedAt: make(map[string]time.Time),
 	}
-	out.tieBreaker = first == c.gw.cfg.Host
-	if out.quorum() {
-		out.quorumAt = boottime.Now()
+	c.submitAndWait(func() { out.own = c.ownAddress() })
+	for _, address := range addresses {
+		out.asked[address] = true
 	}
-	for name, address := range addresses {
+	for address := range out.asked {
 		wg.Go(c.guarded("poll hosts", func() {
 			reply, err := c.gw.cfg.Peers.Fence(ctx, address, r)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
 			case err == nil:
-				out.replies[name] = reply
+				out.replies[address] = reply
 			case c.gw.cfg.Peers.NotRunning(err):
-				out.notRunning++
+				out.notRunning[address] = true
 			default:
 				return
 			}
-			out.tieBreaker = out.tieBreaker || name == first
-			if out.quorumAt.IsZero() && out.quorum() {
-				out.quorumAt = boottime.Now()
-			}
+			out.agreedAt[address] = boottime.Now()
 		}))
 	}
 	wg.Wait()
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -66,10 +66,10 @@
 }
 
 // writeStateRow writes a row of TableState, without retries.
-func (c *controller) writeStateRow(ctx context.Context, key string, expected uint64, value []byte) (uint64, error) {
+func (c *controller) writeStateRow(ctx context.Context, key string, expected uint64, value []byte, also ...RowVersion) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	version, err := c.gw.cfg.Store.Write(ctx, TableState, key, expected, value)
+	version, err := c.gw.cfg.Store.Write(ctx, TableState, key, expected, value, also...)
 	if err != nil && !errors.Is(err, ErrConflict) {
 		c.gw.events.log.Warn().Str("row", key).Err(err).Msg("write to the store failed")
 	}
@@ -79,33 +79,38 @@
 // unregister removes this host's row, so that other hosts do not wait for it.
 func (c *controller) unregister() {
 	var own uint64
-	c.submitAndWait(func() { own = c.ownRowVersion })
+	c.submitAndWait(func() { own, c.unregistering = c.ownRowVersion, true })
 	if own == 0 {
 		return
 	}
 	c.deleteStateRow(hostPrefix+c.gw.cfg.Host, own, unregisterTimeout)
 }
 
-// deleteStateRow deletes a row of TableState if it still has the given version. It may
-// be called from any goroutine.
-func (c *controller) deleteStateRow(key string, version uint64, timeout time.Duration) {
+// deleteStateRow deletes a row of TableState if it still has the given version and the
+// conditions on other rows hold. It may be called from any goroutine.
+func (c *controller) deleteStateRow(key string, version uint64, timeout time.Duration, also ...RowVersion) {
 	ctx, cancel := context.WithTimeout(c.gw.ctx, timeout)
 	defer cancel()
-	if err := c.gw.cfg.Store.Delete(ctx, TableState, key, version); err != nil {
+	if err := c.gw.cfg.Store.Delete(ctx, TableState, key, version, also...); err != nil {
 		c.gw.events.log.Warn().Str("row", key).Err(err).Msg("deleting a row from the store failed")
 	}
 }
 
-// applyStateRows applies changed rows of hosts and claims.
+// applyStateRows applies changed rows of hosts and claims and of the electorate.
 func (c *controller) applyStateRows(changed []rows.Row) {
 	membershipChanged := false
 	for _, r := range changed {
+		if r.Key == electorateKey {
+			c.applyElectorate(r)
+			continue
+		}
 		if name, ok := groupOfClaim(r.Key); ok {
 			c.applyClaim(name, r)
 			continue
 		}
 		membershipChanged = c.applyHostRow(r) || membershipChanged
 	}
+	c.resolveVoters()
 	if membershipChanged {
 		c.fleetSize.Store(int64(len(c.members) + 1))
 		c.updateGroups()
@@ -158,8 +163,12 @@
 // applyOwnRow updates whether this host is listed, and registers it again if another
 // host has removed its row.
 func (c *controller) applyOwnRow(r rows.Row) {
+	c.electorate.ownAddress = ""
 	if !r.Deleted {
 		record, err := decodeRecord[hostRecord](r)
+		if err == nil && record.Incarnation == c.incarnation {
+			c.electorate.ownAddress = record.Address
+		}
 		if err == nil && record.Address == c.gw.cfg.Address {
 			c.recordListing(r.Version)
 		}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -18,9 +18,12 @@
 	hostRecord
 	// lastContact is when the host last answered a call or called this host.
 	lastContact time.Time
-	// answeredAt is when the latest call began that the host answered, or that showed
-	// that its process does not run.
+	// answeredAt is when the latest call began that the host answered with all claims and
+	// changes of the electorate that it knows.
 	answeredAt time.Time
+	// notRunningAt is when the latest call began that showed that the host's process does
+	// not run.
+	notRunningAt time.Time
 	// knownSince is when this host learned of the member's incarnation.
 	knownSince time.Time
 	failedAt   time.Time
--- a/internal/gateway/member_test.go
+++ b/internal/gateway/member_test.go
@@ -7,15 +7,19 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/beryltrestle/beryltrestle/coord/electorate"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
-// controllerWithMembers returns the controller of host h0, which knows the named hosts.
+// controllerWithMembers returns the controller of host h0, which knows the named hosts. All
+// of them are voters.
 func controllerWithMembers(known time.Time, names ...string) *controller {
 	c := newController(New(Config{Host: "h0"}))
 	for _, name := range names {
-		c.members[name] = &member{hostRecord: hostRecord{Name: name}, knownSince: known}
+		c.members[name] = &member{hostRecord: hostRecord{Name: name, Address: name}, knownSince: known}
 	}
+	c.electorate.Electorate, c.electorate.ownAddress = electorate.New(append(names, "h0"), nil), "h0"
+	c.resolveVoters()
 	return c
 }
 
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/beryltrestle/beryltrestle/coord/electorate"
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 )
@@ -16,6 +17,9 @@
 	claimPrefix = "claim/"
 )
 
+// electorateKey is the key of the row of TableState that holds the electorate.
+const electorateKey = "electorate"
+
 // hostRecord is the value of a host's row, by which hosts find each other.
 type hostRecord struct {
 	Name string `json:"name"`
@@ -72,6 +76,17 @@
 	return nil
 }
 
+// electorateRecord is the value of the electorate's row: which hosts count towards majorities.
+type electorateRecord struct{ electorate.Electorate }
+
+// check implements record.
+func (e electorateRecord) check(string) error {
+	if len(e.Voters) == 0 || len(e.Voters) > electorate.MaxVoters || len(e.Former) > electorate.MaxVoters {
+		return errors.Newf("%d voters and %d former voters are out of range", len(e.Voters), len(e.Former))
+	}
+	return nil
+}
+
 // decodeRecord decodes and checks the value of a row of TableState.
 func decodeRecord[T record](r rows.Row) (T, error) {
 	var out T
--- a/internal/gateway/relay_route.go
+++ b/internal/gateway/relay_route.go
@@ -41,8 +41,8 @@
 	poll := c.pollHosts(ctx, addresses, FenceRequest{Group: g.name, QueryOnly: true}, primaryReportTimeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !poll.quorum() {
-		c.gw.events.log.Info().Str("group", g.name).Int("asked", poll.asked).Int("answered", len(poll.replies)).Msg("host is cut off")
+	if !poll.quorumOfAsked() {
+		c.gw.events.log.Info().Str("group", g.name).Int("asked", len(poll.asked)).Int("answered", len(poll.replies)).Msg("host is cut off")
 		g.cutOffUntil = boottime.Now().Add(cutOffDuration)
 		g.notify()
 	}
@@ -50,13 +50,13 @@
 		return false
 	}
 	var relays []string
-	for name, r := range poll.replies {
+	for address, r := range poll.replies {
 		if r.Term == g.term && r.Direct && r.primaryAnsweredWithin(succession.UnreachableTimeout) {
-			relays = append(relays, addresses[name])
+			relays = append(relays, address)
 		}
 	}
 	if len(relays) > 0 && !t.relayRoute.Active() {
-		c.gw.events.log.Info().Str("group", g.name).Str("endpoint", t.ID).Int("asked", poll.asked).
+		c.gw.events.log.Info().Str("group", g.name).Str("endpoint", t.ID).Int("asked", len(poll.asked)).
 			Int("via", len(relays)).Msg("endpoint reached through other hosts")
 		t.closeIdle()
 		t.clearBackoff()
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -44,10 +44,18 @@
 	// List returns all rows and the version as of which they are complete.
 	List(ctx context.Context, table TableName) ([]rows.Row, uint64, error)
 	// Write writes the row if its current version is the expected one and returns the
-	// new version; expected 0 means that the row must not exist.
-	Write(ctx context.Context, table TableName, key string, expected uint64, value []byte) (uint64, error)
-	// Delete removes the row if its current version is the expected one.
-	Delete(ctx context.Context, table TableName, key string, expected uint64) error
+	// new version; expected 0 means that the row must not exist. The conditions on other
+	// rows of the table must hold as well.
+	Write(ctx context.Context, table TableName, key string, expected uint64, value []byte, also ...RowVersion) (uint64, error)
+	// Delete removes the row if its current version is the expected one and the
+	// conditions on other rows of the table hold.
+	Delete(ctx context.Context, table TableName, key string, expected uint64, also ...RowVersion) error
+}
+
+// RowVersion is a condition on a row: its current version, or 0 if it must not exist.
+type RowVersion struct {
+	Key     string
+	Version uint64
 }
 
 // Decoder decodes rows that operators and endpoints write to the store.
