Order promotions only over a path that has just answered

Cause: the order was sent on a kept connection without knowing that the path was cut, and the connection was closed normally when the call was given up, so that the bytes were delivered when the cut ended. Ruled out: a reset alone, as a network may already hold bytes of it, and a longer wait for stalled claims.

--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -33,8 +33,12 @@
 	// claimMaxAge is how long after its write a claim allows a promotion. Other hosts
 	// wait longer than this before they take over a claim.
 	claimMaxAge = 1200 * time.Millisecond
-	// promoteTimeout limits one promotion call. leadershipTimeout limits the wait until
-	// the successor reports that it is primary.
+	// claimRenewAge is the age from which a claim is written again before a promotion is
+	// ordered. The difference to claimMaxAge is for the check of the path to the platform.
+	claimRenewAge = 900 * time.Millisecond
+	// promoteTimeout limits a promotion call, counted from claimMaxAge, so that it ends
+	// before another host takes over the claim. leadershipTimeout limits the wait until the
+	// successor reports that it is primary.
 	promoteTimeout     = time.Second
 	leadershipTimeout  = 3 * time.Second
 	statusPollInterval = 25 * time.Millisecond
@@ -48,6 +52,8 @@
 	errNotLeading     = errors.New("the successor did not become primary in time")
 	errNewerTerm      = errors.New("a newer term already has a primary")
 	errNoQuorum       = errors.New("no majority of the hosts answers")
+	// errPromoterUnreachable means that this host could not order a promotion.
+	errPromoterUnreachable = errors.New("the promotion service does not answer")
 )
 
 // failover is one attempt of this host to replace a group's primary.
@@ -110,12 +116,18 @@
 func (f *failover) run(ctx context.Context) error {
 	found := make(chan map[string]Status, 1)
 	f.controller.spawn("survey", func() { found <- f.survey() })
+	reachable := make(chan error, 1)
+	f.controller.spawn("reach promoter", func() { reachable <- f.controller.gw.cfg.Promoter.Reachable(ctx) })
 	if err := f.checkPeerReports(ctx); err != nil {
 		return err
 	}
 	if _, _, err := f.chooseSuccessor(<-found); err != nil {
 		return err
 	}
+	if err := <-reachable; err != nil {
+		// Another host may reach the platform, and the primary need not be fenced for it.
+		return errors.CombineErrors(errPromoterUnreachable, err)
+	}
 	if err := f.acquireClaim(ctx); err != nil {
 		return err
 	}
--- a/internal/gateway/fake_endpoint_test.go
+++ b/internal/gateway/fake_endpoint_test.go
@@ -52,6 +52,8 @@
 	cut map[string]bool
 	// promotions lists the ordered promotions as "holder fence endpoint".
 	promotions []string
+	// promoterError is returned by Reachable; promotions are refused while it is set.
+	promoterError error
 	// replacedPrimaryWrites counts writes that a primary committed after a newer one was
 	// promoted.
 	replacedPrimaryWrites int
@@ -65,15 +67,22 @@
 	return g
 }
 
+// Reachable implements gateway.Promoter.
+func (g *fakeGroup) Reachable(context.Context) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.promoterError
+}
+
 // Promote implements gateway.Promoter.
-func (g *fakeGroup) Promote(_ context.Context, _, endpoint, holder string, fence uint64) error {
+func (g *fakeGroup) Promote(_ context.Context, order gateway.Promotion) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e := g.endpoints[endpoint]
-	if e == nil || e.down {
+	e := g.endpoints[order.Endpoint]
+	if e == nil || e.down || g.promoterError != nil {
 		return gateway.ErrPromotionRefused
 	}
-	g.promotions = append(g.promotions, fmt.Sprintf("%s %d %s", holder, fence, endpoint))
+	g.promotions = append(g.promotions, fmt.Sprintf("%s %d %s", order.Holder, order.Fence, order.Endpoint))
 	if e.primary {
 		return nil
 	}
--- a/internal/gateway/guarded.go
+++ b/internal/gateway/guarded.go
@@ -134,8 +134,13 @@
 }
 
 // Promote implements Promoter.
-func (p guardedPromoter) Promote(ctx context.Context, group, endpoint, holder string, fence uint64) error {
-	return p.guard.Run("promote", func() error { return p.promoter.Promote(ctx, group, endpoint, holder, fence) })
+func (p guardedPromoter) Promote(ctx context.Context, order Promotion) error {
+	return p.guard.Run("promote", func() error { return p.promoter.Promote(ctx, order) })
+}
+
+// Reachable implements Promoter.
+func (p guardedPromoter) Reachable(ctx context.Context) error {
+	return p.guard.Run("reach promoter", func() error { return p.promoter.Reachable(ctx) })
 }
 
 // guardedPeers guards a PeerClient and its connections.
--- a/internal/gateway/promote.go
+++ b/internal/gateway/promote.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return err
 	}
-	if boottime.Now().Sub(f.claimedAt) > claimMaxAge {
+	if boottime.Now().Sub(f.claimedAt) > claimRenewAge {
 		if err := f.renewClaim(ctx); err != nil {
 			return err
 		}
@@ -26,8 +26,13 @@
 	g := f.group
 	began := boottime.Now()
 	f.promotionOrdered = true
-	call, cancel := context.WithTimeout(ctx, promoteTimeout)
-	err = f.controller.gw.cfg.Promoter.Promote(call, g.name, target.ID, f.claim.Holder, f.claim.Fence)
+	notAfter := f.claimedAt.Add(claimMaxAge)
+	call, cancel := context.WithTimeout(ctx, notAfter.Add(promoteTimeout).Sub(boottime.Now()))
+	// The age of the claim counts again right before the order is sent: the renewal and the
+	// check of the path take time, and the process may be paused between any two steps.
+	err = f.controller.gw.cfg.Promoter.Promote(call, Promotion{
+		Group: g.name, Endpoint: target.ID, Holder: f.claim.Holder, Fence: f.claim.Fence, NotAfter: notAfter,
+	})
 	cancel()
 	f.controller.gw.events.log.Info().Str("group", g.name).Str("endpoint", target.ID).Uint64("fence", f.claim.Fence).
 		Dur("took_ms", boottime.Now().Sub(began)).AnErr("error", err).Msg("promotion ordered")
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -67,12 +67,26 @@
 	Endpoint(r rows.Row) (Endpoint, error)
 }
 
-// ErrPromotionRefused means that the promotion was not performed and never will be.
+// ErrPromotionRefused means that the promotion was not ordered, or not performed, and never
+// will be.
 var ErrPromotionRefused = errors.New("the promotion was refused")
 
 // Promoter asks the platform to make an endpoint the primary of its group.
 type Promoter interface {
-	// Promote returns nil if the endpoint is or will become primary. The fence is a
-	// fencing token that increases with each change of holder.
-	Promote(ctx context.Context, group, endpoint, holder string, fence uint64) error
+	// Reachable returns nil if the platform has just answered this host.
+	Reachable(ctx context.Context) error
+	// Promote returns nil if the endpoint is or will become primary. It orders nothing
+	// unless the platform has just answered on the same path, so that no order waits there
+	// until a network partition ends.
+	Promote(ctx context.Context, order Promotion) error
+}
+
+// Promotion is an order to make an endpoint the primary of its group.
+type Promotion struct {
+	Group, Endpoint, Holder string
+	// Fence is a fencing token that increases with each change of holder.
+	Fence uint64
+	// NotAfter is the time, by package boottime, after which nothing must be ordered, since
+	// another host may have taken over the claim.
+	NotAfter time.Time
 }
