Record primary positions only while the primary is permitted

Cause: reads at a replica name a position of the primary, and any answer of the endpoint that a host took for the primary gave one, also after the permission to use it had ended and another primary had been promoted.

Change: a position counts for the time at which its request was sent only if the host was permitted to use the primary then and knows no claim on the term. Statements, probes and relayed answers share this one place; gossip passes recorded positions on with their time.

--- a/internal/gateway/endpoint_choice_test.go
+++ b/internal/gateway/endpoint_choice_test.go
@@ -61,3 +61,31 @@
 	g.Expect(c.target.ID).To(Equal("e2"))
 	g.Expect(applied.Covers(c.after)).To(BeTrue())
 }
+
+// Guards against reads at a replica by positions of a primary that this host may not use any
+// more, and against the loss of those for which it asked in time.
+func TestPositionCountsOnlyIfPrimaryWasPermitted(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	permittedUntil := now.Add(-time.Second)
+	gr := newGroup("g", &pool{primaryPermitted: func(at time.Time) bool { return at.Before(permittedUntil) }})
+	position := logpos.Position{Term: 1, Offset: 1}
+	gr.setPrimary(1, "e1", position)
+	for _, id := range []string{"e1", "e2"} {
+		gr.targets[id] = newTarget(gr, Endpoint{ID: id, Slots: 2})
+		gr.targets[id].lag.Observe(now, position, gr.staleness)
+	}
+	gr.health.SetEndpoints(now, []string{"e1", "e2"})
+	db := Database{Consistency: ConsistencyBounded, MaxStaleness: 1500 * time.Millisecond}
+	chosen := func() *target { return gr.choose(now, newRequirement(db, logpos.Position{}, now, false)).target }
+	gr.pool.applyStatus(gr.targets["e1"], Status{Primary: true, Term: 1, Received: position}, permittedUntil)
+	g.Expect(chosen()).To(BeNil())
+	gr.pool.applyStatus(gr.targets["e1"], Status{Primary: true, Term: 1, Received: position}, permittedUntil.Add(-time.Millisecond))
+	g.Expect(chosen()).To(Equal(gr.targets["e2"]))
+	_, before := gr.staleness.NewestSample()
+	permittedUntil = now.Add(time.Second)
+	gr.setFence(FenceState{Term: 1, Version: 9}, now)
+	gr.recordPrimaryPosition(now, position)
+	_, after := gr.staleness.NewestSample()
+	g.Expect(after).To(Equal(before), "the primary may have been replaced since it was fenced")
+}
--- a/internal/gateway/evidence_model_test.go
+++ b/internal/gateway/evidence_model_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/beryltrestle/beryltrestle/coord/lease"
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/permission"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
@@ -51,6 +52,7 @@
 	m.hosts = controllersOfFleet(size, m.start)
 	for _, c := range m.hosts {
 		c.gw.currentGroups.Store(&map[string]*group{"g": newGroup("g", c.gw.pool)})
+		c.gw.group("g").setPrimary(1, "e1", logpos.Position{Term: 1})
 		c.tables[TableState].Apply(nil, 0, 7)
 		c.listedSinceVersion = 3
 		c.updatePermission()
@@ -115,6 +117,14 @@
 	m.hosts[host].markComplete(TableState, m.now)
 }
 
+// samplePrimary makes a host that reaches the old primary receive an answer of it, which it
+// asked for earlier. The old primary goes on answering after the promotion.
+func (m *evidenceModel) samplePrimary() {
+	asked := m.now.Add(-time.Duration(m.random.Int64N(int64(300 * time.Millisecond))))
+	position := logpos.Position{Term: 1, Offset: uint64(m.now.Sub(m.start))}
+	m.hosts[m.random.IntN(len(m.hosts))].gw.group("g").recordPrimaryPosition(asked, position)
+}
+
 // acknowledge makes a host acknowledge the claim, and promotes once a majority has.
 func (m *evidenceModel) acknowledge() {
 	host := m.random.IntN(len(m.hosts))
@@ -137,6 +147,8 @@
 		m.readClaims()
 	case r <= 2:
 		m.acknowledge()
+	case r <= 8:
+		m.samplePrimary()
 	default:
 		m.call()
 	}
@@ -169,3 +181,27 @@
 	g.Expect(permitted).To(BeNumerically(">", seeds*steps))
 	g.Expect(promoted).To(BeNumerically(">", seeds*10))
 }
+
+// Guards against a position of a replaced primary that proves how fresh a replica is, on the
+// host that asked for it or on one that got it by gossip: reads at the replica lacked commits
+// of the next primary for as long as the partition lasted (review case 4).
+func TestPositionsAreNotNewerThanThePromotion(t *testing.T) {
+	g := NewWithT(t)
+	const seeds, steps = 400, 250
+	sampled := 0
+	for seed := range uint64(seeds) {
+		m := newEvidenceModel(seed, 5+int(seed%3))
+		for range steps {
+			m.step(seed%2 == 0)
+			for host, c := range m.hosts {
+				_, at := c.gw.group("g").staleness.NewestSample()
+				if !at.IsZero() {
+					sampled++
+				}
+				late := !m.promotedAt.IsZero() && !at.Before(m.promotedAt)
+				g.Expect(late).To(BeFalse(), "seed %d: host %d holds a position of %v, promoted at %v", seed, host, at.Sub(m.start), m.promotedAt.Sub(m.start))
+			}
+		}
+	}
+	g.Expect(sampled).To(BeNumerically(">", seeds*steps))
+}
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -89,6 +89,10 @@
 
 // recordPrimaryPosition records that the primary's log ended at position p at the given
 // time or later.
+//
+// The position proves how fresh a replica is only if no other primary had commits of its own
+// at that time. This holds if this host was permitted to use the primary then, and no claim on
+// the term is known. The answer may arrive after the permission has ended.
 func (g *group) recordPrimaryPosition(at time.Time, p logpos.Position) {
 	if p.Term != g.term {
 		return
@@ -96,5 +100,7 @@
 	if g.termStart.Term != g.term {
 		g.termStart = p
 	}
-	g.staleness.Sample(at, p)
+	if !g.fenced() && g.pool.primaryPermitted(at) {
+		g.staleness.Sample(at, p)
+	}
 }
