Count unlisted replicas that may hold acknowledged commits

Cause: the number of answers that a successor needs was derived from the endpoints in use, which an endpoint leaves 2.5 s after its row; the one that had confirmed the last commits then counted no longer.

Change: the endpoints that may hold acknowledged commits are a row of the store. An address leaves it once as many endpoints as ever before are listed and all have caught up. A successor that has everything that a primary which still answers has needs no other answers, so that a draining primary is replaced although a replica is gone.

--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -85,6 +85,8 @@
 	// startedAt is when this host started.
 	startedAt  time.Time
 	electorate electorateState
+	// replicaSetsCheckedAt is when the replica sets were last compared with the listing.
+	replicaSetsCheckedAt time.Time
 
 	// failed is closed once the controller or a goroutine of it has panicked; failure is
 	// the reason. They may be used from any goroutine.
@@ -204,6 +206,7 @@
 	c.updatePermission()
 	c.maintainElectorate(now)
 	c.removeUnresponsiveMembers(now)
+	c.maintainReplicaSets(now)
 	c.gw.expireRelayedTransactions(now)
 	if now.Sub(c.lastSweep) >= endpointSweepInterval {
 		c.lastSweep = now
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -49,6 +49,9 @@
 	errPrimaryAnswers = errors.New("the primary still answers")
 	errClaimLost      = errors.New("another host holds the claim")
 	errNoSuccessor    = errors.New("no endpoint can succeed")
+	// errTooFewReplicas means that a replica that does not answer may be the only one with
+	// the last acknowledged commits.
+	errTooFewReplicas = errors.New("a replica that may hold acknowledged commits does not answer")
 	errNotLeading     = errors.New("the successor did not become primary in time")
 	errNewerTerm      = errors.New("a newer term already has a primary")
 	errNoQuorum       = errors.New("no majority of the hosts answers")
@@ -121,7 +124,12 @@
 	if err := f.checkPeerReports(ctx); err != nil {
 		return err
 	}
-	if _, _, err := f.chooseSuccessor(<-found); err != nil {
+	_, _, err := f.chooseSuccessor(<-found)
+	if errors.Is(err, errTooFewReplicas) && f.reason.ReplacesLive() {
+		// A replica may receive the rest of the primary's log once the primary is fenced.
+		err = nil
+	}
+	if err != nil {
 		return err
 	}
 	if err := <-reachable; err != nil {
@@ -131,7 +139,7 @@
 	if err := f.acquireClaim(ctx); err != nil {
 		return err
 	}
-	err := f.fenceAll(ctx)
+	err = f.fenceAll(ctx)
 	if err == nil {
 		err = f.promote(ctx)
 	}
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -17,6 +17,9 @@
 	mu      sync.Mutex
 	config  Group
 	targets map[string]*target
+	// replicaSet holds the endpoints that may have acknowledged commits, if the group has
+	// synchronous replication.
+	replicaSet replicaSetRecord
 	// term and primary are the newest known term and the ID of its primary; primary is
 	// empty if that primary is lost.
 	term    uint64
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -38,6 +38,12 @@
 	// claim is the newest known claim and its row version.
 	claim        claimRecord
 	claimVersion uint64
+	// replicaSetVersion is the version of the replica set's row; replicaSetDeleted is true
+	// if that version is a deletion.
+	replicaSetVersion uint64
+	replicaSetDeleted bool
+	// updatingReplicaSet is true while this host checks or writes the replica set.
+	updatingReplicaSet bool
 }
 
 func newGroupMonitor() *groupMonitor { return &groupMonitor{} }
--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -72,6 +72,9 @@
 		if r, ok := c.tables[TableState].Get(claimPrefix + name); ok {
 			c.applyClaim(name, r)
 		}
+		if r, ok := c.tables[TableState].Get(replicaSetPrefix + name); ok {
+			c.applyReplicaSet(name, r)
+		}
 	}
 }
 
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -96,7 +97,7 @@
 	}
 }
 
-// applyStateRows applies changed rows of hosts and claims and of the electorate.
+// applyStateRows applies changed rows of TableState.
 func (c *controller) applyStateRows(changed []rows.Row) {
 	membershipChanged := false
 	for _, r := range changed {
@@ -104,6 +105,10 @@
 			c.applyElectorate(r)
 			continue
 		}
+		if name, ok := strings.CutPrefix(r.Key, replicaSetPrefix); ok {
+			c.applyReplicaSet(name, r)
+			continue
+		}
 		if name, ok := groupOfClaim(r.Key); ok {
 			c.applyClaim(name, r)
 			continue
--- a/internal/gateway/promote.go
+++ b/internal/gateway/promote.go
@@ -51,12 +51,11 @@
 	for {
 		found := f.survey()
 		target, end, err := f.chooseSuccessor(found)
-		if err != nil {
+		expired := time.Now().After(deadline)
+		switch {
+		case err != nil && (expired || !errors.Is(err, errTooFewReplicas)):
 			return nil, err
-		}
-		status, known := found[target.ID]
-		behind := known && status.Received.Less(end)
-		if !behind || time.Now().After(deadline) {
+		case err == nil && (expired || !found[target.ID].Received.Less(end)):
 			return target, nil
 		}
 		wait.Sleep(ctx, statusPollInterval)
@@ -74,11 +73,7 @@
 	}
 	var end logpos.Position
 	var candidates []succession.Candidate
-	replicas := 0
 	for id, t := range g.targets {
-		if t != f.oldPrimary {
-			replicas++
-		}
 		s, ok := found[id]
 		if !ok {
 			continue
@@ -94,16 +89,27 @@
 			ID: id, Received: s.Received, Draining: t.leaving(boottime.Now()), SameZone: t.AvailabilityZone == g.pool.zone,
 		})
 	}
-	if !succession.HasQuorum(len(candidates), replicas, g.config.SyncReplicas) {
-		return nil, end, errNoSuccessor
-	}
 	best, ok := succession.Choose(candidates, g.config.SyncReplicas > 0)
 	if !ok {
 		return nil, end, errNoSuccessor
 	}
+	replicas := g.replicaSet.with(g.listedAddresses()).replicas()
+	if !succession.HasQuorum(len(candidates), replicas, g.config.SyncReplicas) && !f.hasLogOfOldPrimary(best, found) {
+		return nil, end, errTooFewReplicas
+	}
 	return g.targets[best.ID], end, nil
 }
 
+// hasLogOfOldPrimary reports whether the candidate has received everything that the old
+// primary has, which still answers.
+func (f *failover) hasLogOfOldPrimary(c succession.Candidate, found map[string]Status) bool {
+	if f.oldPrimary == nil {
+		return false
+	}
+	s, ok := found[f.oldPrimary.ID]
+	return ok && s.Term >= f.term && !c.Received.Less(s.Received)
+}
+
 // awaitLeadership waits until the successor reports that it is primary, then starts a
 // gossip round with all hosts.
 func (f *failover) awaitLeadership(ctx context.Context, t *target) error {
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -17,6 +17,9 @@
 	claimPrefix = "claim/"
 )
 
+// replicaSetPrefix is the key prefix in TableState of the replica sets of groups.
+const replicaSetPrefix = "replicas/"
+
 // electorateKey is the key of the row of TableState that holds the electorate.
 const electorateKey = "electorate"
 
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -88,6 +88,8 @@
 	FailoversCompleted    Name = "changes.done"
 	FailoversAborted      Name = "changes.given_up"
 	PrimaryPermissionLost Name = "permission.lost"
+	// ReplicaSetChanges counts the changes of replica sets that this host has written.
+	ReplicaSetChanges Name = "replica_set.changes"
 	// ElectorateChanges counts the changes of the electorate that this host has written.
 	ElectorateChanges Name = "electorate.changes"
 	RetryBusy         Name = "retry.busy"
