Send no new work to a primary past its drain bound

Cause: a leaving primary stays in use until it is replaced, however long that takes.

Change: from 0.5 s before the bound on, counted from when its row was last known to be in service, it gets no new statement or transaction, and such work is refused at once. Open transactions may end.

--- a/internal/gateway/endpoint_choice.go
+++ b/internal/gateway/endpoint_choice.go
@@ -44,7 +44,7 @@
 // nil if no endpoint can serve the statement now. The group's mutex must be held.
 func (g *group) choose(now time.Time, req requirement) choice {
 	primary := g.usablePrimary(now)
-	if primary != nil && !primary.usable(now) {
+	if primary != nil && (!primary.usable(now) || primary.drained(now)) {
 		primary = nil
 	}
 	if req.primary {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,9 @@
 	// ConfigurationBound is the time within which an accepted configuration must be in
 	// force. Zero means defaultConfigurationBound.
 	ConfigurationBound time.Duration
+	// DrainBound is the time after which an endpoint that drains must get no new work. Zero
+	// means defaultDrainBound.
+	DrainBound time.Duration
 	// ZoneDistance is added to the expected response time of endpoints in other
 	// availability zones: such an endpoint is chosen only if it saves more than that.
 	ZoneDistance time.Duration
@@ -47,6 +50,9 @@
 	Log         zerolog.Logger
 }
 
+// defaultDrainBound is used if no bound is configured.
+const defaultDrainBound = 7 * time.Second
+
 const (
 	// retryShare and retryBurst limit retries to a share of the statements, so that an
 	// overload is not multiplied by retries.
@@ -90,6 +96,9 @@
 	if cfg.ConfigurationBound <= 0 {
 		cfg.ConfigurationBound = defaultConfigurationBound
 	}
+	if cfg.DrainBound <= 0 {
+		cfg.DrainBound = defaultDrainBound
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	guard := recovery.NewGuard(cfg.Metrics, cfg.Log)
 	cfg = guardConfig(cfg, guard)
@@ -105,7 +114,7 @@
 	gw.controller = newController(gw)
 	gw.pool = &pool{
 		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, zone: cfg.AvailabilityZone,
-		zoneDistance: cfg.ZoneDistance, parseStatus: cfg.ParseStatus, onFailure: gw.controller.requestProbe, primaryPermitted: gw.primaryPermitted,
+		zoneDistance: cfg.ZoneDistance, parseStatus: cfg.ParseStatus, onFailure: gw.controller.requestProbe, primaryPermitted: gw.primaryPermitted, drainBound: cfg.DrainBound,
 	}
 	return gw
 }
--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -117,6 +117,7 @@
 // updateGroup adds, updates and removes the group's targets.
 func (c *controller) updateGroup(now time.Time, g *group, config Group, listed map[string]Endpoint, hosts hostsByZone) {
 	var toQuery, retired []*target
+	asOf := c.completeAsOf[TableEndpoints]
 	g.mu.Lock()
 	g.config = config
 	for id, e := range listed {
@@ -142,7 +143,7 @@
 		}
 		t.applyPlan(c.planConnections(hosts, config, e))
 		if !t.Draining {
-			t.drainingSince = now
+			t.drainingSince, t.inServiceAsOf = now, asOf
 		}
 		if !t.unlistedAt.IsZero() {
 			t.unlistedAt = time.Time{}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -46,6 +46,8 @@
 	parseStatus  StatusParser
 	// primaryPermitted reports whether this host may use primaries at the given time.
 	primaryPermitted func(time.Time) bool
+	// drainBound is the time after which an endpoint that drains must get no new work.
+	drainBound time.Duration
 	// onFailure is called after failed dials and lost connections, and if an endpoint
 	// answers with a newer term or a relay host does not reach the endpoint.
 	onFailure func(t *target)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -166,7 +166,8 @@
 	}
 	g.mu.Lock()
 	t := g.targets[r.Endpoint]
-	isPrimary := t != nil && g.usablePrimary(boottime.Now()) == t
+	now := boottime.Now()
+	isPrimary := t != nil && g.usablePrimary(now) == t && !t.drained(now)
 	noDirectPath := t == nil || t.usesRelay()
 	g.mu.Unlock()
 	if noDirectPath {
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -98,15 +98,15 @@
 	return s.gateway.tryRetry()
 }
 
-// awaitEndpoint waits until an endpoint meets the requirement. It returns false if the
-// host is cut off from the primary or ctx ends.
+// awaitEndpoint waits until an endpoint meets the requirement. It returns false if ctx ends,
+// the host is cut off from the primary, or the primary has drained without a successor.
 func (s *sessionServer) awaitEndpoint(ctx context.Context, g *group, req requirement) (choice, bool) {
 	for {
-		chosen, changed, cutOff := g.chooseNow(req)
+		chosen, changed, refuse := g.chooseNow(req)
 		if chosen.target != nil {
 			return chosen, true
 		}
-		if cutOff {
+		if refuse {
 			return choice{}, false
 		}
 		clear(req.avoid)
@@ -123,12 +123,15 @@
 }
 
 // chooseNow chooses an endpoint. It also returns the channel that is closed at the next
-// change of the group, and whether this host is cut off from the primary.
-func (g *group) chooseNow(req requirement) (chosen choice, changed <-chan struct{}, cutOff bool) {
+// change of the group, and whether a statement that finds no endpoint should be refused at
+// once, since it would probably wait in vain.
+func (g *group) chooseNow(req requirement) (chosen choice, changed <-chan struct{}, refuse bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	return g.choose(now, req), g.changed, g.cutOff(now)
+	primary := g.targets[g.primary]
+	refuse = g.cutOff(now) || primary != nil && primary.drained(now)
+	return g.choose(now, req), g.changed, refuse
 }
 
 // sendOnce sends the statement to the endpoint once.
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -40,6 +40,9 @@
 	// drainingSince is when this host learned that the endpoint is leaving. While the
 	// endpoint is not leaving, it is the time of the last check.
 	drainingSince time.Time
+	// inServiceAsOf is the newest time as of which the endpoint was listed and did not
+	// drain; zero if this host has only known it draining.
+	inServiceAsOf time.Time
 
 	// viaRelays is true if this host has no connections to the endpoint but sends
 	// requests through one of the relays, given by address.
@@ -107,6 +110,17 @@
 	return t.Draining || !t.unlistedAt.IsZero() && now.Sub(t.unlistedAt) >= unlistedGrace
 }
 
+// drainMargin is subtracted from the drain bound. It covers the way of a statement that waits
+// for a connection and is then on its way to the endpoint.
+const drainMargin = 500 * time.Millisecond
+
+// drained reports whether the endpoint may have been leaving for so long that it must get no
+// new work, not even as the primary. The time counts from when it was last known to be in
+// service, since this host learns of the change later.
+func (t *target) drained(now time.Time) bool {
+	return t.leaving(now) && now.Sub(t.inServiceAsOf) >= t.group.pool.drainBound-drainMargin
+}
+
 // usable reports whether new work may be sent to the endpoint.
 func (t *target) usable(now time.Time) bool { return !t.removed && !now.Before(t.backoffUntil) }
 
