--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -54,11 +54,7 @@
 	if response.Msg.GetTerm() > logpos.MaxTerm {
 		return gateway.FenceReply{}, errMalformedAnswer
 	}
-	return gateway.FenceReply{
-		Term:               response.Msg.GetTerm(),
-		PrimaryAnsweredAgo: micros(response.Msg.GetAnsweredAgoUs()),
-		Direct:             response.Msg.GetDirect(),
-	}, nil
+	return decodeFenceReply(response.Msg), nil
 }
 
 // NotRunning implements gateway.PeerClient. A running host refuses connections to a
--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -119,6 +119,21 @@
 	return gateway.FenceState{Term: m.GetTerm(), Version: m.GetVersion(), Withdrawn: m.GetWithdrawn()}
 }
 
+// encodeFenceReply converts the answer to a fence request to protobuf. Rounding must not turn
+// the negative age, which means that the primary never answered, into zero.
+func encodeFenceReply(r gateway.FenceReply) *fleetv1.FenceResponse {
+	ago := r.PrimaryAnsweredAgo.Microseconds()
+	if r.PrimaryAnsweredAgo < 0 {
+		ago = min(ago, -1)
+	}
+	return &fleetv1.FenceResponse{Term: r.Term, AnsweredAgoUs: ago, Direct: r.Direct}
+}
+
+// decodeFenceReply converts the answer to a fence request from protobuf.
+func decodeFenceReply(m *fleetv1.FenceResponse) gateway.FenceReply {
+	return gateway.FenceReply{Term: m.GetTerm(), PrimaryAnsweredAgo: micros(m.GetAnsweredAgoUs()), Direct: m.GetDirect()}
+}
+
 // encodePosition converts a log position to protobuf.
 func encodePosition(p logpos.Position) *fleetv1.Position {
 	return &fleetv1.Position{Term: p.Term, Offset: p.Offset}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -40,7 +40,5 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeNotFound, err)
 	}
-	return connect.NewResponse(&fleetv1.FenceResponse{
-		Term: reply.Term, AnsweredAgoUs: reply.PrimaryAnsweredAgo.Microseconds(), Direct: reply.Direct,
-	}), nil
+	return connect.NewResponse(encodeFenceReply(reply)), nil
 }
