Roll back a transaction that fails at the proxy

Cause: only the session knew of the failure; the transaction was still open at the endpoint.

Change: it is rolled back there at once, and COMMIT is answered ABORTED, as after any other loss of the transaction.

--- a/internal/gateway/session_server.go
+++ b/internal/gateway/session_server.go
@@ -208,6 +208,11 @@
 	if tx := s.state.Transaction(); tx != nil {
 		tx.Failed = true
 	}
+	if s.pinned != nil {
+		// The endpoint does not know that the transaction has failed, and would commit it.
+		s.gateway.rollbackOn(s.pinned)
+		s.pinned = nil
+	}
 	return s.newReply(code, detail)
 }
 
