Limit the values and prepared statements of a host

Change: all sessions of a host hold at most 32 MiB of them. SET and PREPARE beyond that are refused with BUSY and have no effect.

Evidence: TestPreparedStatementsOfAllSessionsAreLimited; without the limit all 100 statements of its first session are accepted.

--- a/coord/session/state.go
+++ b/coord/session/state.go
@@ -14,6 +14,8 @@
 	// this position.
 	Floor logpos.Position
 	tx    *Transaction
+	// bytes is the size of the texts in values and prepared.
+	bytes int
 }
 
 // Transaction is an open transaction.
@@ -49,15 +51,31 @@
 func (s *State) End() { s.tx = nil }
 
 // Set records a value that an endpoint has acknowledged.
-func (s *State) Set(name, value string) { s.values[name] = value }
+func (s *State) Set(name, value string) {
+	if old, ok := s.values[name]; ok {
+		s.bytes -= len(name) + len(old)
+	}
+	s.values[name] = value
+	s.bytes += len(name) + len(value)
+}
 
 // Prepare records a prepared statement that an endpoint has acknowledged.
 func (s *State) Prepare(name, definition string, writes bool) {
+	s.Deallocate(name)
 	s.prepared[name] = Prepared{Definition: definition, Writes: writes}
+	s.bytes += len(name) + len(definition)
 }
 
 // Deallocate removes a prepared statement.
-func (s *State) Deallocate(name string) { delete(s.prepared, name) }
+func (s *State) Deallocate(name string) {
+	if old, ok := s.prepared[name]; ok {
+		s.bytes -= len(name) + len(old.Definition)
+		delete(s.prepared, name)
+	}
+}
+
+// Bytes returns the size of the session's values and prepared statements.
+func (s *State) Bytes() int { return s.bytes }
 
 // Prepared returns the prepared statement with the name.
 func (s *State) Prepared(name string) (Prepared, bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,8 @@
 	relayedTransactions relayedTransactions
 	// draining is true once the host has begun to stop.
 	draining atomic.Bool
+	// sessionStateBytes is the size of the values and prepared statements of all sessions.
+	sessionStateBytes atomic.Int64
 }
 
 // New returns a Gateway. It serves callers once Run is called.
--- a/internal/gateway/session_server.go
+++ b/internal/gateway/session_server.go
@@ -92,15 +92,8 @@
 		return s.begin(st, arrived)
 	case session.OpRollback:
 		return s.rollback()
-	case session.OpSet:
-		s.state.Set(st.Name, st.Args)
-		return s.newReply(CodeNone, "")
-	case session.OpPrepare:
-		s.state.Prepare(st.Name, st.Args, st.Writes)
-		return s.newReply(CodeNone, "")
-	case session.OpDeallocate:
-		s.state.Deallocate(st.Name)
-		return s.newReply(CodeNone, "")
+	case session.OpSet, session.OpPrepare, session.OpDeallocate:
+		return s.changeState(st)
 	case session.OpCommit:
 		return s.commit(st, arrived)
 	case session.OpRead, session.OpWrite, session.OpExecute:
@@ -172,6 +165,7 @@
 
 // end ends the session and closes the caller's connection.
 func (s *sessionServer) end() {
+	s.gateway.sessionStateBytes.Add(-int64(s.state.Bytes()))
 	s.state.End()
 	s.releaseEndedTransaction()
 	s.caller.Close()
@@ -185,6 +179,11 @@
 	}
 	tx.Failed = true
 	s.gateway.metrics.Inc(reason)
+	s.rollBackPinned()
+}
+
+// rollBackPinned rolls back the transaction at its endpoint, if it has begun there.
+func (s *sessionServer) rollBackPinned() {
 	if s.pinned != nil {
 		s.gateway.rollbackOn(s.pinned)
 		s.pinned = nil
@@ -208,11 +207,8 @@
 	if tx := s.state.Transaction(); tx != nil {
 		tx.Failed = true
 	}
-	if s.pinned != nil {
-		// The endpoint does not know that the transaction has failed, and would commit it.
-		s.gateway.rollbackOn(s.pinned)
-		s.pinned = nil
-	}
+	// The endpoint does not know that the transaction has failed, and would commit it.
+	s.rollBackPinned()
 	return s.newReply(code, detail)
 }
 
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -66,10 +66,7 @@
 	if !reply.Code.NotRun() || reply.Code == CodeAborted || st.Op == session.OpCommit {
 		return false
 	}
-	if s.pinned != nil {
-		s.gateway.rollbackOn(s.pinned)
-		s.pinned = nil
-	}
+	s.rollBackPinned()
 	s.state.Transaction().Failed = false
 	return true
 }
