--- a/internal/gateway/cleanup_test.go
+++ b/internal/gateway/cleanup_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
-
-	"github.com/beryltrestle/beryltrestle/internal/gateway"
 )
 
 // Guards against rows of lost hosts that are never removed in a fleet too large for the
@@ -26,17 +23,6 @@
 	f.partition["z2-h7"] = 1
 	f.mu.Unlock()
 	f.store.setUnavailable("z2-h7", true)
-	listed := func() int {
-		f.store.mu.Lock()
-		defer f.store.mu.Unlock()
-		n := 0
-		for key, r := range f.store.tables[gateway.TableState] {
-			if !r.Deleted && strings.HasPrefix(key, "host/") {
-				n++
-			}
-		}
-		return n
-	}
-	g.Eventually(listed, 15*time.Second, 50*time.Millisecond).Should(Equal(len(hosts) - 1))
-	g.Consistently(listed, 3*time.Second, 50*time.Millisecond).Should(Equal(len(hosts) - 1))
+	g.Eventually(f.listedHosts, 15*time.Second, 50*time.Millisecond).Should(Equal(len(hosts) - 1))
+	g.Consistently(f.listedHosts, 3*time.Second, 50*time.Millisecond).Should(Equal(len(hosts) - 1))
 }
