Let a fleet decide after all of its voters have left

Cause: by reading. Voters that have stopped do not count, so that a fleet that was replaced as a whole had none left: no failover and no change of the electorate found a quorum any more.

Change: a set of which all voters have left decides nothing, since nobody can have a majority of it. Proposals and the removal of rows leave out stopped voters as failovers do.

Evidence: TestReplacedFleetReplacesThePrimary failed before.

--- a/coord/electorate/electorate.go
+++ b/coord/electorate/electorate.go
@@ -143,6 +143,10 @@
 		}
 		count++
 	}
+	if count == 0 {
+		// All voters have left, so that nobody can have a majority of them any more.
+		return true
+	}
 	return agreed >= lease.Majority(count) || firstAgrees && 2*agreed == count
 }
 
--- a/coord/electorate/electorate_test.go
+++ b/coord/electorate/electorate_test.go
@@ -33,6 +33,7 @@
 	g.Expect(e.Quorum(votesOf([]string{"a", "d"}, nil))).To(BeTrue())
 	g.Expect(e.Quorum(votesOf([]string{"b", "c"}, nil))).To(BeFalse())
 	g.Expect(e.Quorum(votesOf([]string{"b", "c"}, []string{"a"}))).To(BeTrue())
+	g.Expect(e.Quorum(votesOf(nil, []string{"a", "b", "c", "d"}))).To(BeTrue(), "a fleet that was replaced as a whole must be able to decide")
 	e = e.Change([]string{"c", "d", "e", "f", "g"})
 	g.Expect(e.Quorum(votesOf([]string{"d", "e", "f", "g"}, nil))).To(BeFalse())
 	g.Expect(e.Quorum(votesOf([]string{"a", "b", "c", "d"}, nil))).To(BeFalse())
--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -31,7 +31,7 @@
 	}
 	c.lastCleanup = now
 	unresponsive := c.unresponsiveMemberRows(now)
-	present, version := c.electorate.Electorate, c.electorate.version
+	present, version, left := c.electorate.Electorate, c.electorate.version, c.leftVoters()
 	maps.DeleteFunc(unresponsive, func(name string, _ rows.Row) bool { return present.Includes(c.members[name].Address) })
 	if len(unresponsive) == 0 || c.rankInGroup(now, storeReadersGroup) != 0 {
 		return
@@ -43,7 +43,7 @@
 	addresses := c.withVoters(c.primaryUsers(now), present)
 	c.spawn("remove rows", func() {
 		poll := c.pollHosts(c.gw.ctx, addresses, request, cleanupPollTimeout)
-		if !poll.quorum(present, noneLeft) {
+		if !poll.quorum(present, left) {
 			c.gw.events.log.Info().Int("silent", len(unresponsive)).Int("asked", len(poll.asked)).Int("answered", len(poll.replies)).Msg("rows of unresponsive hosts kept: no quorum of the hosts answered")
 			return
 		}
--- a/internal/gateway/electorate.go
+++ b/internal/gateway/electorate.go
@@ -318,7 +318,7 @@
 // proposeElectorate begins a change if a quorum of the present voters answers. A host that is
 // cut off from them could not complete it, and decisions would need its side until then.
 func (c *controller) proposeElectorate(next electorate.Electorate) {
-	present := c.electorate.Electorate
+	present, left := c.electorate.Electorate, c.leftVoters()
 	addresses := c.withVoters(c.primaryUsers(boottime.Now()), present)
 	request, ok := c.pollRequest()
 	if !ok {
@@ -330,7 +330,7 @@
 		c.submit(func() {
 			c.electorate.writing = false
 			switch {
-			case !poll.quorum(present, noneLeft):
+			case !poll.quorum(present, left):
 				c.electorate.retryAt = boottime.Now().Add(proposalRetryDelay)
 			case c.electorate.Equal(present):
 				c.writeElectorate(next)
--- a/internal/gateway/membership_test.go
+++ b/internal/gateway/membership_test.go
@@ -68,3 +68,29 @@
 		return len(record.Voters)
 	}, 8*time.Second, 20*time.Millisecond).Should(Equal(n))
 }
+
+// Guards against a fleet that cannot replace a primary any more because all hosts that count
+// towards majorities were stopped and replaced by others.
+func TestReplacedFleetReplacesThePrimary(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	former, next := []string{"h1", "h2", "h3"}, []string{"h4", "h5", "h6"}
+	f := startFleet(t, manyConnections, former...)
+	f.awaitVoters(t, 3)
+	for _, host := range next {
+		f.start(t, host)
+	}
+	for _, host := range former {
+		go f.hosts[host].Drain()
+	}
+	g.Eventually(f.listedHosts, 8*time.Second, 20*time.Millisecond).Should(Equal(len(next)))
+	f.mu.Lock()
+	for _, host := range former {
+		delete(f.hosts, host)
+		f.partition[host] = 1
+	}
+	f.mu.Unlock()
+	f.group.stop("e1")
+	writeUntilConfirmed(t, f, "h4", 8*time.Second)
+	f.awaitVoters(t, 3)
+}
