Give a host that removes its row no permission; read less before an electorate

Reads for want of a permission now need an electorate (TestHostsDoNotReadForWantOfAnElectorate failed before).

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -51,9 +51,13 @@
 	switch {
 	case max(c.listedSinceVersion, c.electorate.writtenVersion) > c.tables[TableState].Through():
 		return true
-	case claimsThresholds.due(now.Sub(c.permittedUntil.Add(-permission.Duration)), rank):
+	case c.electorate.Sets() != nil && claimsThresholds.due(now.Sub(c.permittedUntil.Add(-permission.Duration)), rank):
 		return true
 	}
+	if c.electorate.Sets() == nil {
+		// No host has a permission before there is an electorate, and reads do not give one.
+		return claimsThresholds.due(now.Sub(c.completeAsOf[TableState]), rank)
+	}
 	return now.Sub(c.completeAsOf[TableState]) >= claimsThresholds.readerAge && rank() < claimsThresholds.readers
 }
 
@@ -108,8 +112,9 @@
 // updatePermission recomputes until when this host may use primaries.
 func (c *controller) updatePermission() {
 	until := permission.Until(c.knownClaimsAsOf(), c.voterAnswers()...)
-	if !c.isListed() || c.electorate.Sets() == nil {
-		// Without an electorate the hosts could not go on if the store failed now.
+	// Without an electorate the hosts could not go on if the store failed now. Nobody waits
+	// for a host that removes its row.
+	if !c.isListed() || c.electorate.Sets() == nil || c.unregistering {
 		until = time.Time{}
 	}
 	c.permittedUntil = until
--- a/internal/gateway/electorate_test.go
+++ b/internal/gateway/electorate_test.go
@@ -63,3 +63,22 @@
 	delete(c.members, "h4")
 	g.Expect(next()).To(Equal(electorate.New([]string{"h0", "h1", "h2"}, nil)), "two of the four that have not stopped, with the first one")
 }
+
+// Guards against hosts that all read the store without pause until the first electorate is
+// written: 1,600 more calls on a quiet day of svfb-trestle-grown.
+func TestHostsDoNotReadForWantOfAnElectorate(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	due := 0
+	for _, c := range controllersOfFleet(133, now.Add(-claimsThresholds.readerAge)) {
+		c.electorate.Electorate = electorate.Electorate{}
+		c.listedSinceVersion = 3
+		c.tables[TableState].Apply(nil, 0, 7)
+		c.resolveVoters()
+		c.updatePermission()
+		if c.claimsReadDue(now) {
+			due++
+		}
+	}
+	g.Expect(due).To(Equal(claimsThresholds.readers))
+}
--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -102,6 +102,21 @@
 	g.Expect(c.voterAnswers()[0].Self).To(BeTrue())
 }
 
+// Guards against a host that uses primaries after it has begun to remove its row, from when on
+// no failover waits for it.
+func TestStoppingHostHasNoPermission(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	c := controllersOfFleet(3, now)[0]
+	c.tables[TableState].Apply(nil, 0, 7)
+	c.listedSinceVersion = 3
+	c.updatePermission()
+	g.Expect(c.gw.primaryPermitted(now)).To(BeTrue())
+	c.unregistering = true
+	c.updatePermission()
+	g.Expect(c.gw.primaryPermitted(now)).To(BeFalse())
+}
+
 // Guards against a refused connection that counts towards a permission: if it counted there
 // and for the host that replaces the primary, two hosts that are cut off from each other would
 // both have a majority with a third one that does not run.
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -80,7 +80,10 @@
 // unregister removes this host's row, so that other hosts do not wait for it.
 func (c *controller) unregister() {
 	var own uint64
-	c.submitAndWait(func() { own, c.unregistering = c.ownRowVersion, true })
+	c.submitAndWait(func() {
+		own, c.unregistering = c.ownRowVersion, true
+		c.updatePermission()
+	})
 	if own == 0 {
 		return
 	}
--- a/internal/gateway/membership_model_test.go
+++ b/internal/gateway/membership_model_test.go
@@ -134,11 +134,10 @@
 	m.register(name)
 }
 
-// restart replaces a host's process, which loses its memory. It registers if it reaches the
-// store.
+// restart replaces a host's process, which loses its memory, also of a claim that it has
+// acknowledged. It registers if it reaches the store.
 func (m *membershipModel) restart(name string) {
 	m.run(name)
-	delete(m.agreedAt, name)
 	m.register(name)
 }
 
@@ -146,6 +145,7 @@
 func (m *membershipModel) stop(name string) {
 	if c := m.hosts[name]; m.reachesStore(name) && c.electorate.ownAddress != "" {
 		c.unregistering = true
+		c.updatePermission()
 		m.write(hostPrefix+name, nil)
 	}
 }
@@ -262,8 +262,14 @@
 func TestChangesOfMembershipGiveNoPermissionAfterPromotion(t *testing.T) {
 	g := NewWithT(t)
 	const seeds, steps = 500, 400
+	// stoppedHostSeed failed while a host that had removed its row still counted itself.
+	const stoppedHostSeed = 1145
 	permitted, promoted := 0, 0
-	for seed := range uint64(seeds) {
+	for n := range uint64(seeds) + 1 {
+		seed := n
+		if n == seeds {
+			seed = stoppedHostSeed
+		}
 		m := newMembershipModel(seed, 3+int(seed%5))
 		for range steps {
 			m.step()
