Do not wait for the control goroutine within the time of a poll

It now gets the address of its host with the addresses to ask.

TestRenewedPermissionAvoidsClaimReads failed on: its controllers had a permission without an electorate, which no host has any more. They have one now; its assertions are unchanged.

--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -40,9 +40,9 @@
 	if !ok {
 		return
 	}
-	addresses := c.withVoters(c.primaryUsers(now), present)
+	own, addresses := c.ownAddress(), c.withVoters(c.primaryUsers(now), present)
 	c.spawn("remove rows", func() {
-		poll := c.pollHosts(c.gw.ctx, addresses, request, cleanupPollTimeout)
+		poll := c.pollHosts(c.gw.ctx, own, addresses, request, cleanupPollTimeout)
 		if !poll.quorum(present, left) {
 			c.gw.events.log.Info().Int("silent", len(unresponsive)).Int("asked", len(poll.asked)).Int("answered", len(poll.replies)).Msg("rows of unresponsive hosts kept: no quorum of the hosts answered")
 			return
--- a/internal/gateway/electorate.go
+++ b/internal/gateway/electorate.go
@@ -319,14 +319,14 @@
 // cut off from them could not complete it, and decisions would need its side until then.
 func (c *controller) proposeElectorate(next electorate.Electorate) {
 	present, left := c.electorate.Electorate, c.leftVoters()
-	addresses := c.withVoters(c.primaryUsers(boottime.Now()), present)
+	own, addresses := c.ownAddress(), c.withVoters(c.primaryUsers(boottime.Now()), present)
 	request, ok := c.pollRequest()
 	if !ok {
 		return
 	}
 	c.electorate.writing = true
 	c.spawn("propose electorate", func() {
-		poll := c.pollHosts(c.gw.ctx, addresses, request, primaryReportTimeout)
+		poll := c.pollHosts(c.gw.ctx, own, addresses, request, primaryReportTimeout)
 		c.submit(func() {
 			c.electorate.writing = false
 			switch {
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -166,10 +166,17 @@
 // checkPeerReports returns an error if another host knows a newer term, if the primary
 // has answered another host recently, or if there is no quorum.
 func (f *failover) checkPeerReports(ctx context.Context) error {
+	var own string
 	var voters electorate.Electorate
+	var asked map[string]string
 	var left func(string) bool
-	f.controller.submitAndWait(func() { voters, left = f.controller.decidingVoters(), f.controller.leftVoters() })
-	poll, _ := f.pollHosts(ctx, voters, FenceRequest{Group: f.group.name, QueryOnly: true}, primaryReportTimeout)
+	f.controller.submitAndWait(func() {
+		c := f.controller
+		own, voters, left = c.ownAddress(), c.decidingVoters(), c.leftVoters()
+		asked = c.withVoters(c.primaryUsers(boottime.Now()), voters)
+	})
+	request := FenceRequest{Group: f.group.name, QueryOnly: true}
+	poll := f.controller.pollHosts(ctx, own, asked, request, primaryReportTimeout)
 	for _, r := range poll.replies {
 		if r.Term > f.term {
 			return errNewerTerm
@@ -187,12 +194,14 @@
 // pollHosts sends the request to all other hosts that may use primaries and to all voters.
 // It returns the answers that arrive in time, and the hosts that may use primaries.
 func (f *failover) pollHosts(ctx context.Context, voters electorate.Electorate, r FenceRequest, timeout time.Duration) (poll hostPoll, users map[string]string) {
+	var own string
 	var asked map[string]string
 	f.controller.submitAndWait(func() {
+		own = f.controller.ownAddress()
 		users = f.controller.primaryUsers(boottime.Now())
 		asked = f.controller.withVoters(maps.Clone(users), voters)
 	})
-	return f.controller.pollHosts(ctx, asked, r, timeout), users
+	return f.controller.pollHosts(ctx, own, asked, r, timeout), users
 }
 
 // fenceAll makes every host stop using the old primary. If a host does not answer,
--- a/internal/gateway/host_poll.go
+++ b/internal/gateway/host_poll.go
@@ -108,17 +108,18 @@
 }
 
 // pollHosts sends the request to the given hosts (addresses by name) and returns the
-// answers that arrive in time. It must not run on the controller goroutine.
-func (c *controller) pollHosts(ctx context.Context, addresses map[string]string, r FenceRequest, timeout time.Duration) hostPoll {
+// answers that arrive in time. own is this host's address. It must not run on the controller
+// goroutine, for which it does not wait either: on a host without enough processor time that
+// would use up most of the timeout.
+func (c *controller) pollHosts(ctx context.Context, own string, addresses map[string]string, r FenceRequest, timeout time.Duration) hostPoll {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	out := hostPoll{
-		asked: make(map[string]bool), replies: make(map[string]FenceReply),
+		own: own, asked: make(map[string]bool), replies: make(map[string]FenceReply),
 		notRunning: make(map[string]bool), agreedAt: make(map[string]time.Time),
 	}
-	c.submitAndWait(func() { out.own = c.ownAddress() })
 	for _, address := range addresses {
 		out.asked[address] = true
 	}
--- a/internal/gateway/read_thresholds_test.go
+++ b/internal/gateway/read_thresholds_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/beryltrestle/beryltrestle/coord/electorate"
 	"github.com/beryltrestle/beryltrestle/coord/permission"
 )
 
@@ -40,6 +41,7 @@
 				c.members[name] = &member{hostRecord: hostRecord{Name: name}}
 			}
 		}
+		c.electorate.Electorate = electorate.New([]string{"h1", "h2", "h3"}, nil)
 		c.completeAsOf[TableState] = now.Add(-claimsAge)
 		c.permittedUntil = now.Add(permission.Duration - permissionAge)
 		return c.claimsReadDue(now)
--- a/internal/gateway/relay_route.go
+++ b/internal/gateway/relay_route.go
@@ -36,9 +36,10 @@
 		// The relay hosts have to find another route.
 		return false
 	}
+	var own string
 	var addresses map[string]string
-	c.submitAndWait(func() { addresses = c.relayCandidates(e, scarce) })
-	poll := c.pollHosts(ctx, addresses, FenceRequest{Group: g.name, QueryOnly: true}, primaryReportTimeout)
+	c.submitAndWait(func() { own, addresses = c.ownAddress(), c.relayCandidates(e, scarce) })
+	poll := c.pollHosts(ctx, own, addresses, FenceRequest{Group: g.name, QueryOnly: true}, primaryReportTimeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !poll.quorumOfAsked() {
