--- a/internal/gateway/endpoint.go
+++ b/internal/gateway/endpoint.go
@@ -20,6 +20,12 @@
 	Slots int
 }
 
+// update applies a newer version of the row of the same process. The fields that identify the
+// process stay untouched, since goroutines read them without the mutex of the group.
+func (e *Endpoint) update(newer Endpoint) {
+	e.AvailabilityZone, e.Draining, e.Primary, e.Slots = newer.AvailabilityZone, newer.Draining, newer.Primary, newer.Slots
+}
+
 // Status is an endpoint's answer to a status request.
 type Status struct {
 	Primary bool
