--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -139,7 +139,7 @@
 			if e.Draining && !t.Draining {
 				c.gw.events.log.Info().Str("group", g.name).Str("endpoint", id).Msg("endpoint drains")
 			}
-			t.Endpoint.update(e)
+			t.update(e)
 		}
 		t.applyPlan(c.planConnections(hosts, config, e))
 		if !t.Draining {
