Log which claim and permission allow the use of a primary

The log of a host did not say when it learned of a claim or of a primary, by which evidence its permission changed, whom a failover waited for, or that a claim was withdrawn. A statement that was sent after the endpoint had ceased to be usable left no trace. The logic is unchanged; the tests of internal/gateway pass.

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -125,7 +125,8 @@
 		if wasPermitted {
 			c.gw.metrics.Inc(metrics.PrimaryPermissionLost)
 		}
-		c.gw.events.log.Info().Bool("permitted", isPermitted).Bool("listed", c.isListed()).Dur("claims_age_ms", now.Sub(c.completeAsOf[TableState])).Msg("permission to use primaries changed")
+		c.gw.events.log.Info().Bool("permitted", isPermitted).Bool("listed", c.isListed()).Dur("claims_age_ms", now.Sub(c.completeAsOf[TableState])).
+			Dur("relayed_age_ms", now.Sub(c.relayedEvidence)).Dur("left_ms", until.Sub(now)).Uint64("electorate", c.electorate.version).Msg("permission to use primaries changed")
 	}
 	if isPermitted && !wasPermitted {
 		c.notifyAllGroups()
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -240,7 +241,10 @@
 	})
 	if !poll.accountsFor(users) || !refreshed || f.unaskedHostMayUsePrimary(&poll) {
 		quorumAt := poll.quorumAt(f.electorate, left, leftAt)
-		wait.Sleep(ctx, permission.Duration-boottime.Now().Sub(quorumAt))
+		left := permission.Duration - boottime.Now().Sub(quorumAt)
+		f.controller.gw.events.log.Info().Str("group", f.group.name).Strs("answered", slices.Sorted(maps.Keys(poll.replies))).
+			Strs("stopped", slices.Sorted(maps.Keys(poll.notRunning))).Bool("refreshed", refreshed).Dur("wait_ms", left).Msg("waiting until other permissions have ended")
+		wait.Sleep(ctx, left)
 	}
 	<-demoted
 	return nil
--- a/internal/gateway/failover_claim.go
+++ b/internal/gateway/failover_claim.go
@@ -150,6 +150,7 @@
 		f.controller.gw.events.log.Warn().Str("group", f.group.name).Err(err).Msg("withdrawing the claim failed")
 		return
 	}
+	f.controller.gw.events.log.Info().Str("group", f.group.name).Uint64("claim", f.claimVersion).Uint64("term", f.term).Msg("claim withdrawn")
 	request := FenceRequest{Group: f.group.name, Fence: f.fenceState()}
 	if _, err := f.controller.gw.Fence(request); err != nil {
 		f.controller.gw.events.log.Warn().Err(err).Msg("lifting the fence on this host failed")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,7 +115,7 @@
 	gw.currentGroups.Store(&map[string]*group{})
 	gw.controller = newController(gw)
 	gw.pool = &pool{
-		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, zone: cfg.AvailabilityZone,
+		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, log: gw.events.log, requestLog: gw.events.request, zone: cfg.AvailabilityZone,
 		zoneDistance: cfg.ZoneDistance, parseStatus: cfg.ParseStatus, onFailure: gw.controller.requestProbe, primaryPermitted: gw.primaryPermitted, drainBound: cfg.DrainBound,
 	}
 	return gw
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -86,6 +86,8 @@
 		g.termStart = position
 	}
 	g.term, g.primary = term, id
+	g.pool.log.Info().Str("group", g.name).Str("primary", id).Uint64("term", term).Stringer("position", position).
+		Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).Bool("fenced", g.fenced()).Msg("primary known")
 	g.notify()
 	return true
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/beryltrestle/beryltrestle/coord/admission"
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
@@ -39,6 +40,8 @@
 	dialer  Dialer
 	peers   PeerClient
 	metrics *metrics.Registry
+	// log and requestLog are those of the event log.
+	log, requestLog zerolog.Logger
 	// zone is this host's availability zone. zoneDistance is added to the expected
 	// response time of endpoints in other zones.
 	zone         string
@@ -313,12 +316,31 @@
 // from the answer. primary marks work that needs the primary; the mark stays on the
 // connection until release. The returned duration is the time waited for the answer.
 func (p *pool) run(c *conn, primary bool, deadline time.Time, s *session.State, inTransaction bool, r Request) (Reply, time.Duration, error) {
+	if primary {
+		p.checkBeforeSend(c, r.ID)
+	}
 	began := p.statementStarted(c, primary)
 	reply, err := c.run(deadline, s, inTransaction, r)
 	p.statementEnded(c, began, &reply, err, r.After)
 	return reply, boottime.Now().Sub(began), err
 }
 
+// checkBeforeSend counts and logs a statement for the primary that waited after the choice of
+// its endpoint until the endpoint may not be used any more.
+func (p *pool) checkBeforeSend(c *conn, id string) {
+	g := c.target.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	if g.usablePrimary(now) == c.target {
+		return
+	}
+	p.metrics.Inc(metrics.PrimarySentUnpermitted)
+	p.requestLog.Info().Str("request", id).Str("group", g.name).Str("endpoint", c.target.ID).Str("primary", g.primary).
+		Uint64("term", g.term).Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
+		Bool("permitted", p.primaryPermitted(now)).Msg("statement sent to a primary that may not be used")
+}
+
 // statementStarted records that a statement is sent on the connection, and returns the
 // time.
 func (p *pool) statementStarted(c *conn, primary bool) time.Time {
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -88,6 +88,9 @@
 	FailoversCompleted    Name = "changes.done"
 	FailoversAborted      Name = "changes.given_up"
 	PrimaryPermissionLost Name = "permission.lost"
+	// PrimarySentUnpermitted counts statements that waited after the choice of the primary and
+	// were sent when it might not be used any more.
+	PrimarySentUnpermitted Name = "primary.sent_unpermitted"
 	// ReplicaSetChanges counts the changes of replica sets that this host has written.
 	ReplicaSetChanges Name = "replica_set.changes"
 	// ElectorateChanges counts the changes of the electorate that this host has written.
