End a term for good before its primary is replaced

Cause: a promotion takes effect at a time that no host controls, while the use of a primary depended on state that could be taken back (a claim, by its withdrawal) or that no decision had prepared (the highest term seen). - A host that took over a stalled claim and aborted withdrew it, although the former holder had ordered a promotion. The fence of the old primary was lifted on every host that did not know the new one. - A promotion that took effect after another one raised the term past the fenced ones. Hosts with a valid permission used both primaries.

Change: a claim carries the newest term that has ended on all hosts. It is written after all hosts have stopped and before the order, is taken over with the claim, and never falls. A host uses a primary of term N only if N-1 has ended. A primary that was promoted without that is not used until a host has ended the earlier terms (reason "unclaimed").

--- a/coord/succession/decide.go
+++ b/coord/succession/decide.go
@@ -13,6 +13,9 @@
 	// RankDelay is how much longer each host waits than the one ranked before it. It is
 	// longer than it takes until a host's claim is known to the others.
 	RankDelay = 700 * time.Millisecond
+	// UnclaimedTimeout is how long a primary must be known without a claim before it before
+	// the earlier terms are ended. A claim that came before it is known to every host by then.
+	UnclaimedTimeout = 400 * time.Millisecond
 	// StalledClaimTimeout is the age at which a claim without a new primary may be taken
 	// over by another host. A failover takes the platform's promotion time and a few
 	// round trips.
@@ -35,6 +38,9 @@
 	ReasonUnreachable Reason = "unreachable"
 	ReasonLost        Reason = "lost"
 	ReasonStalled     Reason = "stalled"
+	// ReasonUnclaimed ends the terms before that of a primary that was promoted without a
+	// claim on them. The primary is not replaced.
+	ReasonUnclaimed Reason = "unclaimed"
 )
 
 // Planned reports whether the old primary still serves, so that the failover may wait until
@@ -61,6 +67,9 @@
 	// FencedAt is when this or another host claimed the replacement of the current
 	// primary, which has been fenced since then.
 	FencedAt time.Time
+	// UnclaimedSince is when this host found that the primary was promoted although earlier
+	// terms had not ended.
+	UnclaimedSince time.Time
 	// AbortedAt is when this host last aborted a failover.
 	AbortedAt time.Time
 	// Rank is the number of live hosts that are ranked before this one.
@@ -76,16 +85,22 @@
 // NeedsNoFailover reports whether no condition for a failover holds, so that Decide
 // returns ReasonNone whatever Rank is.
 func (v View) NeedsNoFailover() bool {
-	return v.DrainingSince.IsZero() && v.UnreachableSince.IsZero() && v.LostSince.IsZero() && v.FencedAt.IsZero()
+	return v.DrainingSince.IsZero() && v.UnreachableSince.IsZero() && v.LostSince.IsZero() && v.FencedAt.IsZero() && v.UnclaimedSince.IsZero()
 }
 
 // Decide returns why this host should replace the primary now, or ReasonNone if it should
 // not.
 func Decide(v View) Reason {
-	if v.Successors == 0 || v.NeedsNoFailover() || !v.AbortedAt.IsZero() && v.Now.Sub(v.AbortedAt) < Cooldown {
+	if v.NeedsNoFailover() || !v.AbortedAt.IsZero() && v.Now.Sub(v.AbortedAt) < Cooldown {
 		return ReasonNone
 	}
 	rankDelay := time.Duration(v.Rank) * RankDelay
+	if heldFor(v.Now, v.UnclaimedSince, UnclaimedTimeout+rankDelay) {
+		return ReasonUnclaimed
+	}
+	if v.Successors == 0 {
+		return ReasonNone
+	}
 	if !v.FencedAt.IsZero() {
 		if v.HoldsClaim || heldFor(v.Now, v.FencedAt, StalledClaimTimeout+rankDelay) {
 			return ReasonStalled
--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -111,12 +111,12 @@
 
 // encodeFence converts a fence state to protobuf.
 func encodeFence(f gateway.FenceState) *fleetv1.Fence {
-	return &fleetv1.Fence{Term: f.Term, Version: f.Version, Withdrawn: f.Withdrawn}
+	return &fleetv1.Fence{Term: f.Term, Version: f.Version, Withdrawn: f.Withdrawn, EndedTerm: f.EndedTerm}
 }
 
 // decodeFence converts a fence state from protobuf.
 func decodeFence(m *fleetv1.Fence) gateway.FenceState {
-	return gateway.FenceState{Term: m.GetTerm(), Version: m.GetVersion(), Withdrawn: m.GetWithdrawn()}
+	return gateway.FenceState{Term: m.GetTerm(), Version: m.GetVersion(), Withdrawn: m.GetWithdrawn(), EndedTerm: m.GetEndedTerm()}
 }
 
 // encodeFenceReply converts the answer to a fence request to protobuf. Rounding must not turn
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -34,9 +34,6 @@
 	// claimMaxAge is how long after its write a claim allows a promotion. Other hosts
 	// wait longer than this before they take over a claim.
 	claimMaxAge = 1200 * time.Millisecond
-	// claimRenewAge is the age from which a claim is written again before a promotion is
-	// ordered. The difference to claimMaxAge is for the check of the path to the platform.
-	claimRenewAge = 900 * time.Millisecond
 	// promoteTimeout limits a promotion call, counted from claimMaxAge, so that it ends
 	// before another host takes over the claim. leadershipTimeout limits the wait until the
 	// successor reports that it is primary.
@@ -56,6 +53,7 @@
 	errNotLeading     = errors.New("the successor did not become primary in time")
 	errNewerTerm      = errors.New("a newer term already has a primary")
 	errNoQuorum       = errors.New("no majority of the hosts answers")
+	errTermClaimed    = errors.New("all terms before that of the primary have ended")
 	// errPromoterUnreachable means that this host could not order a promotion.
 	errPromoterUnreachable = errors.New("the promotion service does not answer")
 )
@@ -77,8 +75,6 @@
 	claimedAt    time.Time
 	// electorate is the electorate as of the write of the claim, which is conditional on it.
 	electorate electorate.Electorate
-	// promotionOrdered is true once a promotion may have been ordered.
-	promotionOrdered bool
 }
 
 // runFailover replaces the group's primary. It blocks and must not run on the
@@ -118,6 +114,9 @@
 // nothing has changed; afterwards either this host or another one completes the
 // failover.
 func (f *failover) run(ctx context.Context) error {
+	if f.reason == succession.ReasonUnclaimed {
+		return f.endEarlierTerms(ctx)
+	}
 	found := make(chan map[string]Status, 1)
 	f.controller.spawn("survey", func() { found <- f.survey() })
 	reachable := make(chan error, 1)
@@ -144,12 +143,29 @@
 	if err == nil {
 		err = f.promote(ctx)
 	}
-	if err != nil && !f.promotionOrdered {
+	if err != nil {
 		f.withdrawClaim(ctx)
 	}
 	return err
 }
 
+// endEarlierTerms makes every host stop using primaries of terms before that of the newest
+// primary, which was promoted without a claim, and then allows the use of that one.
+func (f *failover) endEarlierTerms(ctx context.Context) error {
+	if err := f.checkPeerReports(ctx); err != nil {
+		return err
+	}
+	if err := f.acquireClaim(ctx); err != nil {
+		return err
+	}
+	err := f.fenceAll(ctx)
+	if err == nil {
+		f.claim.EndedTerm = max(f.claim.EndedTerm, f.term-1)
+	}
+	f.withdrawClaim(ctx)
+	return err
+}
+
 // survey asks the endpoints for their status. It leaves out a primary that cannot be
 // reached, because the result would wait for that one.
 func (f *failover) survey() map[string]Status {
@@ -161,7 +177,7 @@
 
 // fenceState returns the claim in the form that is sent to the other hosts.
 func (f *failover) fenceState() FenceState {
-	return FenceState{Term: f.term, Version: f.claimVersion, Withdrawn: f.claim.Withdrawn}
+	return f.claim.fenceState(f.claimVersion)
 }
 
 // checkPeerReports returns an error if another host knows a newer term, if the primary
@@ -278,7 +294,7 @@
 // demote makes the old primary a replica if it can be reached. It then neither commits
 // writes nor serves hosts that do not know of the failover yet.
 func (f *failover) demote(ctx context.Context) {
-	if f.oldPrimary == nil {
+	if f.oldPrimary == nil || f.reason == succession.ReasonUnclaimed {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
--- a/internal/gateway/failover_claim.go
+++ b/internal/gateway/failover_claim.go
@@ -41,7 +41,11 @@
 // the claim or the electorate has changed.
 func (f *failover) writeClaim(ctx context.Context, key string, current stateListing) error {
 	f.electorate = current.voters
-	f.claim = claimRecord{Holder: f.controller.gw.cfg.Host, Incarnation: f.controller.incarnation, Fence: current.claim.Fence, Term: f.term}
+	f.claim = claimRecord{Holder: f.controller.gw.cfg.Host, Incarnation: f.controller.incarnation, Fence: current.claim.Fence, Term: f.term, EndedTerm: current.claim.EndedTerm}
+	if current.version == 0 {
+		// Without a claim no host has used another term.
+		f.claim.EndedTerm = f.term - 1
+	}
 	if current.claim.Holder != f.claim.Holder || current.claim.Incarnation != f.claim.Incarnation {
 		f.claim.Fence++
 	}
@@ -72,10 +76,16 @@
 // later; a second promotion in between gives the group two primaries in turn (ONE, seen on
 // shahzad-hq trouble-3).
 func (f *failover) checkClaim(current claimRecord, version uint64) error {
-	if current.Withdrawn || version == 0 {
+	switch {
+	case version == 0:
 		return nil
-	}
-	if current.Term > f.term {
+	case current.EndedTerm > f.term:
+		return errNewerTerm
+	case f.reason == succession.ReasonUnclaimed && current.EndedTerm+1 >= f.term:
+		return errTermClaimed
+	case current.Withdrawn:
+		return nil
+	case current.Term > f.term:
 		return errNewerTerm
 	}
 	if current.Term < f.term || current.Holder == f.controller.gw.cfg.Host {
@@ -142,9 +152,35 @@
 	return nil
 }
 
-// withdrawClaim allows the use of the old primary again, since it was not replaced. If
-// the claim cannot be written, the hosts stay fenced until the next failover.
+// endTerm records that no host uses a primary of the claim's term any more. It must precede the
+// order of a promotion: from then on neither this host nor one that takes over the claim can
+// return to the old primary, whenever the promotion takes effect.
+func (f *failover) endTerm(ctx context.Context) error {
+	before := f.claim.EndedTerm
+	f.claim.EndedTerm = f.term
+	if err := f.renewClaim(ctx); err != nil {
+		// The row may hold the new value. No write of this host succeeds then, as the version
+		// has changed.
+		f.claim.EndedTerm = before
+		return err
+	}
+	request := FenceRequest{Group: f.group.name, Fence: f.fenceState()}
+	f.group.mu.Lock()
+	f.group.setFence(request.Fence, boottime.Now())
+	f.group.mu.Unlock()
+	// The other hosts can then use the next primary as soon as they see it, even if this host
+	// ends or the store fails.
+	f.controller.spawn("announce ended term", func() { f.pollHosts(ctx, f.electorate, request, fenceTimeout) })
+	return nil
+}
+
+// withdrawClaim allows the use of the old primary again, since it was not replaced. It does
+// nothing if the term has ended. If the claim cannot be written, the hosts stay fenced until
+// the next failover.
 func (f *failover) withdrawClaim(ctx context.Context) {
+	if f.claim.EndedTerm >= f.term {
+		return
+	}
 	f.claim.Withdrawn = true
 	if err := f.renewClaim(ctx); err != nil {
 		f.controller.gw.events.log.Warn().Str("group", f.group.name).Err(err).Msg("withdrawing the claim failed")
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -32,7 +32,7 @@
 	// conflicts counts the writes whose condition failed.
 	conflicts int
 	// afterWrite is called after each write of a host, unless it is nil.
-	afterWrite func(key string, value []byte)
+	afterWrite func(key string)
 	// feedCalls counts the calls for changes, by table.
 	feedCalls map[gateway.TableName]int
 }
@@ -150,7 +150,7 @@
 		return 0, gateway.ErrConflict
 	}
 	if s.afterWrite != nil {
-		s.afterWrite(key, value)
+		s.afterWrite(key)
 	}
 	return s.set(table, rows.Row{Key: key, Value: value}), nil
 }
--- a/internal/gateway/fence_state.go
+++ b/internal/gateway/fence_state.go
@@ -10,16 +10,25 @@
 	// Version is the version of the claim's row in the store.
 	Version uint64
 	// Withdrawn means that the failover was aborted without a promotion, so the primary
-	// of the term remains in use.
+	// of the term remains in use unless the term has ended.
 	Withdrawn bool
+	// EndedTerm is the newest term that has ended: no host uses a primary of it or of an
+	// earlier term, nor will again.
+	EndedTerm uint64
 }
 
 // fencedTerm returns the newest term whose primary must not be used.
 func (f FenceState) fencedTerm() uint64 {
-	if f.Withdrawn && f.Term > 0 {
-		return f.Term - 1
+	if f.Withdrawn {
+		return f.EndedTerm
 	}
-	return f.Term
+	return max(f.Term, f.EndedTerm)
+}
+
+// follows reports whether all terms before the given one have ended. Without a claim, no
+// primary has been replaced.
+func (f FenceState) follows(term uint64) bool {
+	return f.Version == 0 || term <= f.EndedTerm+1
 }
 
 // setFence applies the claim if it is newer than the known one. The mutex must be held.
@@ -27,12 +36,22 @@
 	if f.Version <= g.fence.Version {
 		return
 	}
+	f.EndedTerm = max(f.EndedTerm, g.fence.EndedTerm)
 	g.fence, g.fencedAt = f, now
-	g.pool.log.Info().Str("group", g.name).Uint64("claim", f.Version).Uint64("claim_term", f.Term).Bool("withdrawn", f.Withdrawn).
-		Str("primary", g.primary).Uint64("term", g.term).Bool("fenced", g.fenced()).Msg("claim known")
+	g.pool.log.Info().Str("group", g.name).Uint64("claim", f.Version).Uint64("claim_term", f.Term).Uint64("ended_term", f.EndedTerm).
+		Bool("withdrawn", f.Withdrawn).Str("primary", g.primary).Uint64("term", g.term).Bool("fenced", g.fenced()).Msg("claim known")
 	g.notify()
 }
 
-// fenced reports whether the newest known primary must not be used. The mutex must be
-// held.
+// fenced reports whether the newest known primary must not be used because it is being
+// replaced. The mutex must be held.
 func (g *group) fenced() bool { return g.term <= g.fence.fencedTerm() }
+
+// unclaimed reports whether the newest known primary was promoted while an earlier term had
+// not ended, so that other hosts may still use a primary of that term. The mutex must be
+// held.
+func (g *group) unclaimed() bool { return !g.fenced() && !g.fence.follows(g.term) }
+
+// primaryInForce reports whether the newest known primary is the only one that any host with a
+// permission uses. The mutex must be held.
+func (g *group) primaryInForce() bool { return !g.fenced() && !g.unclaimed() }
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -61,7 +61,7 @@
 
 // usablePrimary returns the primary if this host may use it now, otherwise nil.
 func (g *group) usablePrimary(now time.Time) *target {
-	if g.fenced() || !g.pool.primaryPermitted(now) {
+	if !g.primaryInForce() || !g.pool.primaryPermitted(now) {
 		return nil
 	}
 	return g.targets[g.primary]
@@ -87,7 +87,8 @@
 	}
 	g.term, g.primary = term, id
 	g.pool.log.Info().Str("group", g.name).Str("primary", id).Uint64("term", term).Stringer("position", position).
-		Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).Bool("fenced", g.fenced()).Msg("primary known")
+		Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
+		Uint64("ended_term", g.fence.EndedTerm).Bool("fenced", g.fenced()).Bool("unclaimed", g.unclaimed()).Msg("primary known")
 	g.notify()
 	return true
 }
@@ -96,8 +97,9 @@
 // time or later.
 //
 // The position proves how fresh a replica is only if no other primary had commits of its own
-// at that time. This holds if this host was permitted to use the primary then, and no claim on
-// the term is known. The answer may arrive after the permission has ended.
+// at that time. This holds if this host was permitted to use the primary then, all earlier
+// terms have ended, and no claim on the term is known. The answer may arrive after the
+// permission has ended.
 func (g *group) recordPrimaryPosition(at time.Time, p logpos.Position) {
 	if p.Term != g.term {
 		return
@@ -105,7 +107,7 @@
 	if g.termStart.Term != g.term {
 		g.termStart = p
 	}
-	if !g.fenced() && g.pool.primaryPermitted(at) {
+	if g.primaryInForce() && g.pool.primaryPermitted(at) {
 		g.staleness.Sample(at, p)
 	}
 }
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -29,12 +29,15 @@
 	unreachableSince    time.Time
 	unreachableEndpoint string
 	primaryLostSince    time.Time
-	failoverAbortedAt   time.Time
-	probing             bool
-	lastProbe           time.Time
-	surveying           bool
-	lastSurvey          time.Time
-	failoverRunning     bool
+	// unclaimedSince is when this host found that the primary was promoted without a claim;
+	// zero if it was not.
+	unclaimedSince    time.Time
+	failoverAbortedAt time.Time
+	probing           bool
+	lastProbe         time.Time
+	surveying         bool
+	lastSurvey        time.Time
+	failoverRunning   bool
 	// claim is the newest known claim and its row version.
 	claim        claimRecord
 	claimVersion uint64
@@ -104,6 +107,13 @@
 	if g.fenced() && g.term > 0 {
 		v.FencedAt = g.fencedAt
 	}
+	switch {
+	case !g.unclaimed():
+		m.unclaimedSince = time.Time{}
+	case m.unclaimedSince.IsZero():
+		m.unclaimedSince = now
+	}
+	v.UnclaimedSince = m.unclaimedSince
 	v.HoldsClaim = m.claim.Holder == c.gw.cfg.Host && m.claim.Incarnation == c.incarnation
 	for id, t := range g.targets {
 		if id != g.primary && !t.leaving(now) {
@@ -209,7 +219,7 @@
 	m.claim, m.claimVersion = claim, r.Version
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.setFence(FenceState{Term: claim.Term, Version: r.Version, Withdrawn: claim.Withdrawn}, boottime.Now())
+	g.setFence(claim.fenceState(r.Version), boottime.Now())
 }
 
 // failoverRank returns the number of live hosts that may start a failover before this
--- a/internal/gateway/promote.go
+++ b/internal/gateway/promote.go
@@ -18,14 +18,11 @@
 	if err != nil {
 		return err
 	}
-	if boottime.Now().Sub(f.claimedAt) > claimRenewAge {
-		if err := f.renewClaim(ctx); err != nil {
-			return err
-		}
+	if err := f.endTerm(ctx); err != nil {
+		return err
 	}
 	g := f.group
 	began := boottime.Now()
-	f.promotionOrdered = true
 	notAfter := f.claimedAt.Add(claimMaxAge)
 	call, cancel := context.WithTimeout(ctx, notAfter.Add(promoteTimeout).Sub(boottime.Now()))
 	// The age of the claim counts again right before the order is sent: the renewal and the
@@ -37,7 +34,6 @@
 	f.controller.gw.events.log.Info().Str("group", g.name).Str("endpoint", target.ID).Uint64("fence", f.claim.Fence).
 		Dur("took_ms", boottime.Now().Sub(began)).AnErr("error", err).Msg("promotion ordered")
 	if errors.Is(err, ErrPromotionRefused) {
-		f.promotionOrdered = false
 		return err
 	}
 	return f.awaitLeadership(ctx, target)
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -44,8 +44,17 @@
 	// Term is the term whose primary is being replaced. A host that knows the record
 	// does not use primaries of this term or earlier ones.
 	Term uint64 `json:"term"`
-	// Withdrawn claims leave the primary of the term in use.
+	// Withdrawn claims leave the primary of the term in use unless the term has ended.
 	Withdrawn bool `json:"withdrawn,omitempty"`
+	// EndedTerm is the newest term that no host uses any more. The holder ends the term of
+	// the claim before it orders a promotion; nobody can take that back, since the promotion
+	// may take effect at any time later.
+	EndedTerm uint64 `json:"ended_term"`
+}
+
+// fenceState returns what the claim with the given row version means for the use of primaries.
+func (c claimRecord) fenceState(version uint64) FenceState {
+	return FenceState{Term: c.Term, Version: version, Withdrawn: c.Withdrawn, EndedTerm: c.EndedTerm}
 }
 
 // Ranges of the fields of records. Other writers may leave rows in TableState as well.
@@ -73,8 +82,8 @@
 
 // check implements record.
 func (c claimRecord) check(string) error {
-	if c.Term > logpos.MaxTerm || c.Fence > maxFence {
-		return errors.Newf("term %d or fence %d is out of range", c.Term, c.Fence)
+	if c.Term > logpos.MaxTerm || c.EndedTerm > c.Term || c.Fence > maxFence {
+		return errors.Newf("term %d, ended term %d or fence %d is out of range", c.Term, c.EndedTerm, c.Fence)
 	}
 	return nil
 }
--- a/internal/gateway/withdrawal_test.go
+++ b/internal/gateway/withdrawal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"testing"
 	"time"
@@ -23,39 +22,78 @@
 	return gateway.ErrPromotionRefused
 }
 
+// latePromoter accepts the first order without performing it.
+type latePromoter struct {
+	*fakeGroup
+	ordered func(gateway.Promotion)
+}
+
+// Promote implements gateway.Promoter.
+func (p latePromoter) Promote(ctx context.Context, order gateway.Promotion) error {
+	p.mu.Lock()
+	first := len(p.promotions) == 0
+	if first {
+		p.promotions = append(p.promotions, order.Holder)
+	}
+	p.mu.Unlock()
+	if first {
+		p.ordered(order)
+		return nil
+	}
+	return p.fakeGroup.Promote(ctx, order)
+}
+
 // Guards against a host that takes over a stalled claim, aborts and withdraws it although the
 // former holder has ordered a promotion: the hosts that have not seen the new primary then use
 // the replaced one again (issue 31, STALE).
 func TestAbortedTakeoverDoesNotReturnToReplacedPrimary(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	f := startFleet(t, manyConnections, "h1", "h2")
-	f.configure = func(cfg *gateway.Config) { cfg.Promoter = unreachablePromoter{} }
-	f.start(t, "h3")
-	accepted := func(host string) func() bool {
-		return func() bool {
-			r := f.caller(host, "strict").do(write("a", nextID()))
-			return r.OK()
+	f := startFleet(t, manyConnections)
+	orders := make(chan gateway.Promotion, 1)
+	// The host that orders the promotion is then cut off. The order takes effect once another
+	// host has taken the claim over.
+	promoter := latePromoter{f.group, func(order gateway.Promotion) {
+		f.mu.Lock()
+		f.partition[order.Holder] = 1
+		f.mu.Unlock()
+		f.store.setUnavailable(order.Holder, true)
+		orders <- order
+	}}
+	f.store.afterWrite = func(key string) {
+		if key != "claim/g" {
+			return
+		}
+		for _, host := range []string{"h1", "h2"} {
+			f.group.setCut(host, "e1", true)
+		}
+		select {
+		case order := <-orders:
+			f.group.setCut("h3", order.Endpoint, true)
+			_ = f.group.Promote(context.Background(), order)
+		default:
 		}
 	}
-	g.Eventually(accepted("h3"), 4*time.Second, 10*time.Millisecond).Should(BeTrue())
-	for _, host := range []string{"h1", "h2"} {
-		f.group.setCut(host, "e1", true)
+	// The drain bound is longer than the test, so that only the claim keeps hosts from e1.
+	const drainBound = time.Minute
+	f.configure = func(cfg *gateway.Config) { cfg.Promoter, cfg.DrainBound = promoter, drainBound }
+	f.start(t, "h1")
+	f.start(t, "h2")
+	f.configure = func(cfg *gateway.Config) { cfg.Promoter, cfg.DrainBound = unreachablePromoter{}, drainBound }
+	f.start(t, "h3")
+	accepted := func(host string) bool {
+		r := f.caller(host, "strict").do(write("a", nextID()))
+		return r.OK()
 	}
-	f.group.setCut("h3", "e2", true)
-	// The promotion takes effect once the claim has been taken over.
-	f.store.afterWrite = func(key string, value []byte) {
-		var claim struct{ Holder string }
-		if key == "claim/g" && json.Unmarshal(value, &claim) == nil && claim.Holder != "gone" {
-			_ = f.group.Promote(context.Background(), gateway.Promotion{Holder: "gone", Fence: 3, Endpoint: "e2"})
-		}
+	for _, host := range []string{"h1", "h2", "h3"} {
+		g.Eventually(func() bool { return accepted(host) }, 8*time.Second, 10*time.Millisecond).Should(BeTrue(), host)
 	}
-	f.store.putRow(gateway.TableState, "claim/g", map[string]any{"holder": "gone", "incarnation": 7, "fence": 3, "term": 1})
+	f.listEndpoint("e1", func(e *gateway.Endpoint) { e.Draining = true })
 	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		accepted("h3")()
+		accepted("h3")
 	}
 	f.group.mu.Lock()
 	defer f.group.mu.Unlock()
-	g.Expect(f.group.promotions).ToNot(BeEmpty())
+	g.Expect(len(f.group.promotions)).To(BeNumerically(">", 1))
 	g.Expect(f.group.replacedPrimaryWrites).To(BeZero())
 }
