Count on a restored store only once the lost claims are back

A store that comes back from an older copy lacks claims that hosts have acknowledged. A host that started then read a complete listing without them, had a permission by it, and used the replaced primary; a claim that came back with a higher version lifted a fence.

What the store says counts in a new era only after a quorum has told what it knows and the lost rows are written again, which a row of the store says. Until then hosts use primaries by answers of a majority, nobody claims, and a fence stays whatever an earlier claim says. Fencing tokens carry the era.

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -103,7 +103,7 @@
 // knownClaimsAsOf returns the time as of which this host knows every claim, from the store
 // or from the evidence of another host.
 func (c *controller) knownClaimsAsOf() time.Time {
-	if asOf := c.completeAsOf[TableState]; asOf.After(c.relayedEvidence) {
+	if asOf := c.claimsAsOf(); asOf.After(c.relayedEvidence) {
 		return asOf
 	}
 	return c.relayedEvidence
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -83,8 +83,9 @@
 	// is kept for as long as the host may still use primaries.
 	departedHosts map[string]time.Time
 	// startedAt is when this host started.
-	startedAt  time.Time
-	electorate electorateState
+	startedAt   time.Time
+	electorate  electorateState
+	restoration restorationState
 	// replicaSetsCheckedAt is when the replica sets were last compared with the listing.
 	replicaSetsCheckedAt time.Time
 
@@ -205,6 +206,7 @@
 	c.gossip(now)
 	c.updatePermission()
 	c.maintainElectorate(now)
+	c.maintainRestoration(now)
 	c.removeUnresponsiveMembers(now)
 	c.maintainReplicaSets(now)
 	c.gw.expireRelayedTransactions(now)
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -296,12 +296,14 @@
 
 // unaskedHostMayUsePrimary reports whether the poll left out a host that may use
 // primaries. A host that has just started cannot rule this out, because it does not
-// know which hosts were listed before.
+// know which hosts were listed before, and neither can any host just after the store was
+// restored, which may have lost the row of a host that had just joined.
 func (f *failover) unaskedHostMayUsePrimary(p *hostPoll) bool {
 	mayUse := false
 	f.controller.submitAndWait(func() {
 		now := boottime.Now()
-		mayUse = now.Sub(f.controller.startedAt) < permission.Duration || !p.askedAll(f.controller.primaryUsers(now))
+		recent := now.Sub(f.controller.startedAt) < permission.Duration || now.Sub(f.controller.restoration.completedAt) < permission.Duration
+		mayUse = recent || !p.askedAll(f.controller.primaryUsers(now))
 	})
 	return mayUse
 }
--- a/internal/gateway/failover_claim.go
+++ b/internal/gateway/failover_claim.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/beryltrestle/beryltrestle/coord/electorate"
+	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/coord/succession"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
@@ -22,6 +23,9 @@
 	key := claimPrefix + f.group.name
 	for attempt := 1; ; attempt++ {
 		current, err := f.readClaim(ctx, key)
+		if err == nil && !current.complete {
+			err = errStoreRestoring
+		}
 		if err == nil {
 			err = f.checkClaim(current.claim, current.version)
 		}
@@ -43,6 +47,8 @@
 	f.electorate = current.voters
 	f.claim = claimRecord{Holder: f.controller.gw.cfg.Host, Incarnation: f.controller.incarnation, Fence: current.claim.Fence, Term: f.term}
 	f.claim.EndedTerm = f.endedTermBefore(current)
+	// A number that was given out before the store was restored must not be used again.
+	f.claim.Fence = max(f.claim.Fence, rows.VersionInEra(current.era, 0))
 	if current.claim.Holder != f.claim.Holder || current.claim.Incarnation != f.claim.Incarnation {
 		f.claim.Fence++
 	}
@@ -116,6 +122,10 @@
 	// row.
 	voters     electorate.Electorate
 	electorate RowVersion
+	// era is the era of the store.
+	era uint64
+	// complete is false if the store may lack claims that it had.
+	complete bool
 }
 
 // readClaim reads the group's claim and the electorate from the store.
@@ -130,10 +140,11 @@
 	if err != nil {
 		return stateListing{}, err
 	}
-	out := stateListing{claim: claimRecord{Fence: listed}, electorate: RowVersion{Key: electorateKey}}
+	out := stateListing{claim: claimRecord{Fence: listed}, era: rows.Era(listed), electorate: RowVersion{Key: electorateKey}}
 	// The hosts that are polled next must include every host that is listed now.
 	f.controller.submitAndWait(func() {
 		f.controller.applyListing(TableState, listing, listed)
+		out.complete = f.controller.storeComplete()
 		out.voters, out.electorate.Version = f.controller.decidingVoters(), f.controller.electorate.version
 	})
 	r := findRow(listing, key)
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"strings"
 	"sync"
 	"testing"
@@ -75,6 +76,33 @@
 	s.unavailable[host] = unavailable
 }
 
+// snapshot returns the tables, for restore.
+func (s *fakeStore) snapshot() map[gateway.TableName]map[string]rows.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := make(map[gateway.TableName]map[string]rows.Row)
+	for name, table := range s.tables {
+		copied[name] = maps.Clone(table)
+	}
+	return copied
+}
+
+// restore brings the tables back from a snapshot. Versions that were given out since are given
+// out again, in a new era.
+func (s *fakeStore) restore(tables map[gateway.TableName]map[string]rows.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := rows.Era(s.version) + 1
+	s.tables, s.version = tables, rows.VersionInEra(era, 0)
+	for _, table := range tables {
+		for key, r := range table {
+			r.Version = rows.VersionInEra(era, rows.StoreVersion(r.Version))
+			table[key] = r
+			s.version = max(s.version, r.Version)
+		}
+	}
+}
+
 // storeClient is one host's client of the store.
 type storeClient struct {
 	*fakeStore
@@ -106,6 +134,10 @@
 	c.mu.Unlock()
 	for deadline := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
 		c.mu.Lock()
+		if rows.Era(after) != rows.Era(c.version) {
+			c.mu.Unlock()
+			return nil, 0, gateway.ErrHistoryGone
+		}
 		if c.unavailable[c.host] {
 			c.mu.Unlock()
 			return nil, 0, errStoreUnavailable
--- a/internal/gateway/fence_state.go
+++ b/internal/gateway/fence_state.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/rows"
+)
 
 // FenceState defines which primaries must not be used because they are being replaced.
 // If several claims are known, the one with the highest version counts.
@@ -42,7 +46,8 @@
 		f = g.fence
 		f.EndedTerm = ended
 	}
-	if f.Term < g.fence.Term && f.fencedTerm() < g.fence.fencedTerm() {
+	older := rows.Era(f.Version) > rows.Era(g.fence.Version) || f.Term < g.fence.Term
+	if older && f.fencedTerm() < g.fence.fencedTerm() {
 		// The store has lost the known claim, whose holder may have ordered a promotion. Only
 		// the withdrawal of that claim lifts its fence.
 		f.Term, f.Withdrawn = g.fence.fencedTerm(), false
--- a/internal/gateway/fence_state_test.go
+++ b/internal/gateway/fence_state_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
@@ -12,6 +13,7 @@
 // an ended term that comes back into use.
 func TestOlderClaimDoesNotLiftFence(t *testing.T) {
 	g := NewWithT(t)
+	restored := rows.VersionInEra(1, 5)
 	for name, c := range map[string]struct {
 		known, next   FenceState
 		fenced, ended uint64
@@ -21,6 +23,8 @@
 		"earlier version":          {FenceState{Term: 3, Version: 8, EndedTerm: 2}, FenceState{Term: 2, Version: 7, EndedTerm: 1}, 3, 2},
 		"same version, ended":      {FenceState{Term: 3, Version: 8, EndedTerm: 2}, FenceState{Term: 3, Version: 8, EndedTerm: 3}, 3, 3},
 		"row removed and replaced": {FenceState{Term: 3, Version: 8, EndedTerm: 3}, FenceState{Term: 2, Version: 9, Withdrawn: true, EndedTerm: 1}, 3, 3},
+		"restored, earlier term":   {FenceState{Term: 3, Version: 8, EndedTerm: 2}, FenceState{Term: 2, Version: restored, EndedTerm: 2}, 3, 2},
+		"restored, withdrawn":      {FenceState{Term: 3, Version: 8, EndedTerm: 2}, FenceState{Term: 3, Version: restored, Withdrawn: true, EndedTerm: 2}, 3, 2},
 	} {
 		gr := newGroup("g", &pool{})
 		gr.setFence(c.known, boottime.Now())
--- a/internal/gateway/gossip_targets.go
+++ b/internal/gateway/gossip_targets.go
@@ -93,7 +93,7 @@
 
 // mustAskMajority reports whether this host asks the majority of a large fleet now.
 func (c *controller) mustAskMajority(now time.Time) bool {
-	return len(c.members) > smallFleetSize && now.Sub(c.completeAsOf[TableState]) >= askMajorityAge && c.asksMajority()
+	return len(c.members) > smallFleetSize && now.Sub(c.claimsAsOf()) >= askMajorityAge && c.asksMajority()
 }
 
 // asksMajority reports whether this host asks the majority while the claims are too old:
@@ -132,7 +132,7 @@
 // claimsTooOld reports whether this host's mirror of the claims will soon no longer
 // support its permission to use primaries.
 func (c *controller) claimsTooOld(now time.Time) bool {
-	return now.Sub(c.completeAsOf[TableState]) >= claimsMaxAge
+	return now.Sub(c.claimsAsOf()) >= claimsMaxAge
 }
 
 // aggregatorTargets returns a zone aggregator of this host's zone. If this host is an
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -108,6 +108,10 @@
 			c.applyElectorate(r)
 			continue
 		}
+		if r.Key == restorationKey {
+			c.applyRestoration(r)
+			continue
+		}
 		if name, ok := strings.CutPrefix(r.Key, replicaSetPrefix); ok {
 			c.applyReplicaSet(name, r)
 			continue
@@ -169,17 +173,22 @@
 }
 
 // applyOwnRow updates whether this host is listed, and registers it again if another
-// host has removed its row.
+// host has removed its row or the store has lost it.
 func (c *controller) applyOwnRow(r rows.Row) {
 	c.electorate.ownAddress = ""
 	if !r.Deleted {
 		record, err := decodeRecord[hostRecord](r)
-		if err == nil && record.Incarnation == c.incarnation {
-			c.electorate.ownAddress = record.Address
-		}
 		if err == nil && record.Address == c.gw.cfg.Address {
 			c.recordListing(r.Version)
 		}
+		if err == nil && record.Incarnation == c.incarnation {
+			c.electorate.ownAddress = record.Address
+			if c.ownRowVersion != 0 {
+				c.ownRowVersion = r.Version
+			}
+			return
+		}
+		c.registerAgain()
 		return
 	}
 	if r.Version < c.listedSinceVersion {
@@ -187,6 +196,11 @@
 	}
 	c.listedSinceVersion = 0
 	c.updatePermission()
+	c.registerAgain()
+}
+
+// registerAgain writes this host's row again, unless it is being written or the host stops.
+func (c *controller) registerAgain() {
 	if c.leaving || c.registering {
 		return
 	}
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -34,7 +34,8 @@
 // ErrStoreRefused means that the store did not perform the call.
 var ErrStoreRefused = errors.New("the store refused the call")
 
-// Store is the platform's table service. If a call fails with an error other than
+// Store is the platform's table service. Versions rise with each change, also when the store is
+// restored from an older copy (rows.Era). If a call fails with an error other than
 // ErrConflict and ErrStoreRefused, the change may have been applied or may still be
 // applied later.
 type Store interface {
--- a/internal/gateway/table_mirror.go
+++ b/internal/gateway/table_mirror.go
@@ -123,7 +123,9 @@
 
 // applyListing applies a complete listing of the table to its mirror.
 func (c *controller) applyListing(name TableName, listing []rows.Row, version uint64) {
-	c.rowsChanged(name, c.tables[name].Replace(listing, version))
+	changed := c.tables[name].Replace(listing, version)
+	c.recordEra()
+	c.rowsChanged(name, changed)
 }
 
 // applyChanges applies changes from the store or from another host.
@@ -132,7 +134,9 @@
 	if !ok {
 		return
 	}
-	c.rowsChanged(changes.Table, table.Apply(changes.Rows, changes.From, changes.Through))
+	changed := table.Apply(changes.Rows, changes.From, changes.Through)
+	c.recordEra()
+	c.rowsChanged(changes.Table, changed)
 }
 
 // rowsChanged handles rows that are new to this host.
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -91,6 +91,9 @@
 	// PrimarySentUnpermitted counts statements that waited after the choice of the primary and
 	// were sent when it might not be used any more.
 	PrimarySentUnpermitted Name = "primary.sent_unpermitted"
+	// StoreRestorations counts how often this host has written the rows that the store had
+	// lost when it was restored from an older copy.
+	StoreRestorations Name = "store.restorations"
 	// ReplicaSetChanges counts the changes of replica sets that this host has written.
 	ReplicaSetChanges Name = "replica_set.changes"
 	// ElectorateChanges counts the changes of the electorate that this host has written.
