--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -181,14 +181,16 @@
 		if err == nil && record.Address == c.gw.cfg.Address {
 			c.recordListing(r.Version)
 		}
-		if err == nil && record.Incarnation == c.incarnation {
+		switch {
+		case err == nil && record.Incarnation == c.incarnation:
 			c.electorate.ownAddress = record.Address
 			if c.ownRowVersion != 0 {
 				c.ownRowVersion = r.Version
 			}
-			return
+		case c.ownRowVersion != 0 && rows.Era(r.Version) > rows.Era(c.ownRowVersion):
+			// The store was restored, and has the row of an earlier incarnation.
+			c.registerAgain()
 		}
-		c.registerAgain()
 		return
 	}
 	if r.Version < c.listedSinceVersion {
