Do not take over a claim because of having held the one before

Cause: a fence request tells a host of a newer claim before its row does. The host still counted as the holder, by the older row, and repeated "its" claim at once instead of after 2.5 s, at the very version of the other host's claim. Both then had an endpoint promoted, 40 to 180 ms apart.

A host now holds a claim only if its row is the newest one that it knows. TestFormerHolderDoesNotHoldNewerClaim fails without it.

--- a/internal/gateway/failover_claim_test.go
+++ b/internal/gateway/failover_claim_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/beryltrestle/beryltrestle/coord/succession"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
 // Guards against a host that takes over a claim as stalled although its holder has just
@@ -26,3 +27,19 @@
 	g.Expect(f.checkClaim(held, 35)).To(MatchError(errClaimLost))
 	g.Expect(f.checkClaim(claimRecord{Holder: "h2"}, 35)).To(Succeed(), "the claim is for an earlier term")
 }
+
+// Guards against a host that takes over a claim at once because it has held the one before: it
+// and the present holder then had two endpoints promoted one after the other, both in use
+// (issue 31, STALE; found on the bench with claim-holder-wakes).
+func TestFormerHolderDoesNotHoldNewerClaim(t *testing.T) {
+	g := NewWithT(t)
+	c := newController(New(Config{Host: "h1"}))
+	gr := newGroup("g", c.gw.pool)
+	m := newGroupMonitor()
+	gr.term = 1
+	m.claim, m.claimVersion = claimRecord{Holder: "h1", Incarnation: c.incarnation, Term: 1}, 5
+	gr.setFence(m.claim.fenceState(5), boottime.Now())
+	g.Expect(c.successionView(boottime.Now(), gr, m).HoldsClaim).To(BeTrue())
+	gr.setFence(FenceState{Term: 1, Version: 6}, boottime.Now())
+	g.Expect(c.successionView(boottime.Now(), gr, m).HoldsClaim).To(BeFalse())
+}
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -114,7 +114,8 @@
 		m.unclaimedSince = now
 	}
 	v.UnclaimedSince = m.unclaimedSince
-	v.HoldsClaim = m.claim.Holder == c.gw.cfg.Host && m.claim.Incarnation == c.incarnation
+	// Another host may have taken the claim over, which a fence request tells before the row.
+	v.HoldsClaim = m.claim.Holder == c.gw.cfg.Host && m.claim.Incarnation == c.incarnation && m.claimVersion >= g.fence.Version
 	for id, t := range g.targets {
 		if id != g.primary && !t.leaving(now) {
 			v.Successors++
