Fence the term that an unseen successor may lead when taking a claim over

Cause: the claim on term T was taken over as stalled with the same term. The former holder, which knew the endpoint of T+1 and read the claims, was fenced by neither.

A claim that takes over an ended term T is on T+1 now. The promoted endpoint leads T+1 or T+2, so that the earlier term is written as ended once it leads; a host that reports T+1 stops the takeover.

--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -69,6 +69,11 @@
 	// fenceVersion is the version of the claim that fenced the group when this host decided
 	// to replace the primary.
 	fenceVersion uint64
+	// succeedsUnseen is true if the term of the stalled claim has ended, so that an endpoint
+	// that this host has not seen lead may lead the next term. The claim is then on that term.
+	succeedsUnseen bool
+	// termEnded is true once this host has ended the claim's term.
+	termEnded bool
 	// claim is this host's claim, written at claimedAt with row version claimVersion.
 	claim        claimRecord
 	claimVersion uint64
@@ -85,6 +90,9 @@
 	g.mu.Lock()
 	f.oldPrimary = g.targets[g.primary]
 	f.fenceVersion = g.fence.Version
+	if reason == succession.ReasonStalled && g.fence.EndedTerm >= f.term {
+		f.term, f.succeedsUnseen = g.fence.EndedTerm+1, true
+	}
 	g.mu.Unlock()
 	began := boottime.Now()
 	c.gw.metrics.Inc(metrics.FailoversStarted)
@@ -210,7 +218,7 @@
 	request := FenceRequest{Group: f.group.name, QueryOnly: true}
 	poll := f.controller.pollHosts(ctx, own, asked, request, primaryReportTimeout)
 	for _, r := range poll.replies {
-		if r.Term > f.term {
+		if r.Term > f.term || f.succeedsUnseen && r.Term == f.term {
 			return errNewerTerm
 		}
 		if f.reason == succession.ReasonUnreachable && r.primaryAnsweredWithin(succession.UnreachableTimeout) {
--- a/internal/gateway/failover_claim.go
+++ b/internal/gateway/failover_claim.go
@@ -95,7 +95,7 @@
 	switch {
 	case version == 0:
 		return nil
-	case current.EndedTerm > f.term:
+	case current.EndedTerm >= f.term:
 		return errNewerTerm
 	case f.reason == succession.ReasonUnclaimed && current.EndedTerm+1 >= f.term:
 		return errTermPrepared
@@ -104,7 +104,7 @@
 	case current.Term > f.term:
 		return errNewerTerm
 	}
-	if current.Term < f.term || current.Holder == f.controller.gw.cfg.Host {
+	if current.Term < f.term && !f.succeedsUnseen || current.Holder == f.controller.gw.cfg.Host {
 		return nil
 	}
 	if f.reason == succession.ReasonStalled && version == f.fenceVersion {
@@ -185,6 +185,7 @@
 		f.claim.EndedTerm = before
 		return err
 	}
+	f.termEnded = true
 	request := FenceRequest{Group: f.group.name, Fence: f.fenceState()}
 	f.group.mu.Lock()
 	f.group.setFence(request.Fence, boottime.Now())
@@ -199,7 +200,7 @@
 // nothing if the term has ended. If the claim cannot be written, the hosts stay fenced until
 // the next failover.
 func (f *failover) withdrawClaim(ctx context.Context) {
-	if f.claim.EndedTerm >= f.term {
+	if f.termEnded {
 		return
 	}
 	f.claim.Withdrawn = true
--- a/internal/gateway/promote.go
+++ b/internal/gateway/promote.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return err
 	}
-	if err := f.endTerm(ctx); err != nil {
+	if err := f.prepareOrder(ctx); err != nil {
 		return err
 	}
 	g := f.group
@@ -39,6 +39,16 @@
 	return f.awaitLeadership(ctx, target)
 }
 
+// prepareOrder writes the claim again before a promotion is ordered. If an unseen endpoint may
+// lead the claim's term, the promoted one leads that term or the next: the term cannot be
+// ended before that is known.
+func (f *failover) prepareOrder(ctx context.Context) error {
+	if f.succeedsUnseen {
+		return f.renewClaim(ctx)
+	}
+	return f.endTerm(ctx)
+}
+
 // awaitSuccessor chooses the successor and waits up to catchUpTimeout until it has
 // received the log up to the highest reported position. A leaving primary still reports
 // the end of its log.
@@ -112,13 +122,17 @@
 	return ok && s.Term >= f.term && !c.Received.Less(s.Received)
 }
 
-// awaitLeadership waits until the successor reports that it is primary, then starts a
-// gossip round with all hosts.
+// awaitLeadership waits until the successor reports that it is primary, allows the use of its
+// term unless that is allowed already, and starts a gossip round with all hosts.
 func (f *failover) awaitLeadership(ctx context.Context, t *target) error {
 	deadline := time.Now().Add(leadershipTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		s, err := f.controller.queryStatus(t)
-		if err == nil && s.Primary && s.Term > f.term {
+		if err == nil && s.Primary && (s.Term > f.term || f.succeedsUnseen && s.Term == f.term) {
+			if f.succeedsUnseen {
+				f.claim.EndedTerm = s.Term - 1
+				f.withdrawClaim(ctx)
+			}
 			f.controller.submit(func() { f.controller.startGossipRound(true) })
 			return nil
 		}
