Give a restarted host no permission by what others knew before its start

A host that restarts under the same address refuses calls while it does not run, which counts as an acknowledgement of a claim, and nobody waits for its permission.

Knowledge of the claims as of a time before the start now gives none. What the host reads, and answers to its own calls, are from after it.

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -109,9 +109,20 @@
 	return c.relayedEvidence
 }
 
+// claimsAsOfSinceStart returns knownClaimsAsOf, or zero if that is before this host started.
+// The holder of a claim whose call was refused because this host did not run does not wait for
+// this host's permission, so that older knowledge of other hosts gives it none.
+func (c *controller) claimsAsOfSinceStart() time.Time {
+	asOf := c.knownClaimsAsOf()
+	if asOf.Before(c.startedAt) {
+		return time.Time{}
+	}
+	return asOf
+}
+
 // updatePermission recomputes until when this host may use primaries.
 func (c *controller) updatePermission() {
-	until := permission.Until(c.knownClaimsAsOf(), c.voterAnswers()...)
+	until := permission.Until(c.claimsAsOfSinceStart(), c.voterAnswers()...)
 	// Without an electorate the hosts could not go on if the store failed now. Nobody waits
 	// for a host that removes its row.
 	if !c.isListed() || c.electorate.Sets() == nil || c.unregistering {
--- a/internal/gateway/gossip_targets_test.go
+++ b/internal/gateway/gossip_targets_test.go
@@ -29,7 +29,8 @@
 	var out []*controller
 	for n := range size {
 		c := newController(New(Config{Host: fmt.Sprintf("h%d", n), AvailabilityZone: zone(n), Metrics: metrics.NewRegistry()}))
-		c.completeAsOf[TableState] = claimsAsOf
+		// The host has been running for long.
+		c.startedAt, c.completeAsOf[TableState] = c.startedAt.Add(-time.Hour), claimsAsOf
 		for other := range size {
 			if other != n {
 				name := fmt.Sprintf("h%d", other)
--- a/internal/gateway/member_test.go
+++ b/internal/gateway/member_test.go
@@ -15,6 +15,7 @@
 // of them are voters.
 func controllerWithMembers(known time.Time, names ...string) *controller {
 	c := newController(New(Config{Host: "h0"}))
+	c.startedAt = known
 	for _, name := range names {
 		c.members[name] = &member{hostRecord: hostRecord{Name: name, Address: name}, knownSince: known}
 	}
--- a/internal/gateway/membership_model_test.go
+++ b/internal/gateway/membership_model_test.go
@@ -113,6 +113,7 @@
 func (m *membershipModel) run(name string) {
 	c := newController(New(Config{Host: name, Address: name, AvailabilityZone: "z", Metrics: metrics.NewRegistry()}))
 	c.gw.currentGroups.Store(&map[string]*group{"g": newGroup("g", c.gw.pool)})
+	c.startedAt = m.now
 	m.hosts[name] = c
 }
 
