--- a/internal/gateway/fake_endpoint_test.go
+++ b/internal/gateway/fake_endpoint_test.go
@@ -31,6 +31,8 @@
 	down    bool
 	// notReplicating replicas do not receive the log.
 	notReplicating bool
+	// busyForStatus endpoints reject status requests.
+	busyForStatus bool
 	// loseAnswer closes the connection after the next write has run, without an answer.
 	loseAnswer bool
 	conns      map[*fakeConn]bool
@@ -54,13 +56,21 @@
 	promotions []string
 	// promoterError is returned by Reachable; promotions are refused while it is set.
 	promoterError error
+	// side assigns endpoints to network partitions: a primary sends its log only to endpoints
+	// with the same number.
+	side map[string]int
+	// latency is how long each request takes. onRun is called before an endpoint runs a
+	// request, and onCommit after one has committed, with the mutex held, unless they are nil.
+	latency  time.Duration
+	onRun    func(host string, e *fakeEndpoint, r gateway.Request)
+	onCommit func(e *fakeEndpoint)
 	// replacedPrimaryWrites counts writes that a primary committed after a newer one was
 	// promoted.
 	replacedPrimaryWrites int
 }
 
 func newFakeGroup(name string, ids ...string) *fakeGroup {
-	g := &fakeGroup{name: name, endpoints: make(map[string]*fakeEndpoint), cut: make(map[string]bool)}
+	g := &fakeGroup{name: name, endpoints: make(map[string]*fakeEndpoint), cut: make(map[string]bool), side: make(map[string]int)}
 	for i, id := range ids {
 		g.endpoints[id] = &fakeEndpoint{id: id, term: 1, primary: i == 0, conns: make(map[*fakeConn]bool)}
 	}
@@ -92,7 +102,7 @@
 	e.term++
 	e.primary = true
 	for _, other := range g.endpoints {
-		if other != e && !other.primary && !other.notReplicating {
+		if other != e && !other.primary && !other.notReplicating && g.side[other.id] == g.side[e.id] {
 			other.log, other.term = append([]commit(nil), e.log...), e.term
 		}
 	}
@@ -164,7 +174,7 @@
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	t := d.group.endpoints[e.ID]
-	if t.down || d.group.cut[d.host+" "+e.ID] {
+	if t.down || d.group.cut[d.host+" "+e.ID] || ctx.Err() != nil {
 		return nil, errors.New("unreachable")
 	}
 	c := &fakeConn{host: d.host, group: d.group, endpoint: t, values: map[string]string{}, prepared: map[string]string{}}
@@ -194,6 +204,7 @@
 
 // Receive implements gateway.EndpointConn.
 func (c *fakeConn) Receive(deadline time.Time) (gateway.Reply, error) {
+	time.Sleep(c.group.latency)
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
 	request := c.queue[0]
@@ -207,6 +218,9 @@
 	if c.dead {
 		return gateway.Reply{}, net.ErrClosed
 	}
+	if c.group.onRun != nil {
+		c.group.onRun(c.host, c.endpoint, request)
+	}
 	reply := c.answer(request)
 	reply.Position = c.endpoint.position()
 	reply.State = gateway.TxIdle
@@ -264,6 +278,9 @@
 
 // status answers a status or demote request.
 func (c *fakeConn) status(r gateway.Request) gateway.Reply {
+	if c.endpoint.busyForStatus {
+		return gateway.Reply{Code: gateway.CodeBusy}
+	}
 	if term, err := strconv.ParseUint(r.Args, 10, 64); r.Op == session.OpDemote && err == nil && term > c.endpoint.term {
 		c.endpoint.primary = false
 	}
@@ -329,11 +346,14 @@
 	for _, e := range pending {
 		e.position = logpos.Position{Term: c.endpoint.term, Offset: c.endpoint.position().Offset + 1}
 		c.endpoint.log = append(c.endpoint.log, e)
+		if c.group.onCommit != nil {
+			c.group.onCommit(c.endpoint)
+		}
 		if c.group.primary().term > c.endpoint.term {
 			c.group.replacedPrimaryWrites++
 		}
 		for _, replica := range c.group.endpoints {
-			if !replica.primary && !replica.notReplicating && replica.term == c.endpoint.term {
+			if !replica.primary && !replica.notReplicating && replica.term == c.endpoint.term && c.group.side[replica.id] == c.group.side[c.endpoint.id] {
 				replica.log = append(replica.log, e)
 			}
 		}
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -33,6 +33,8 @@
 	conflicts int
 	// feedCalls counts the calls for changes, by table.
 	feedCalls map[gateway.TableName]int
+	// latency is how long each call takes.
+	latency time.Duration
 }
 
 func newFakeStore() *fakeStore {
@@ -82,10 +84,11 @@
 var errStoreUnavailable = errors.New("the store does not answer")
 
 // List implements gateway.Store.
-func (c storeClient) List(_ context.Context, table gateway.TableName) ([]rows.Row, uint64, error) {
+func (c storeClient) List(ctx context.Context, table gateway.TableName) ([]rows.Row, uint64, error) {
+	time.Sleep(c.latency)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unavailable[c.host] {
+	if c.unavailable[c.host] || ctx.Err() != nil {
 		return nil, 0, errStoreUnavailable
 	}
 	var out []rows.Row
@@ -123,10 +126,11 @@
 }
 
 // Write implements gateway.Store.
-func (c storeClient) Write(_ context.Context, table gateway.TableName, key string, expected uint64, value []byte, also ...gateway.RowVersion) (uint64, error) {
+func (c storeClient) Write(ctx context.Context, table gateway.TableName, key string, expected uint64, value []byte, also ...gateway.RowVersion) (uint64, error) {
+	time.Sleep(c.latency)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unavailable[c.host] || c.readOnly[c.host] {
+	if c.unavailable[c.host] || c.readOnly[c.host] || ctx.Err() != nil {
 		return 0, gateway.ErrStoreRefused
 	}
 	if delay := c.writeDelay[c.host]; delay > 0 {
@@ -199,6 +203,11 @@
 type fakeFleet struct {
 	mu    sync.Mutex
 	hosts map[string]*gateway.Gateway
+	// stops ends the hosts.
+	stops map[string]context.CancelFunc
+	// latency is how long a call between hosts takes.
+	latency time.Duration
+	callers []*fakeCaller
 	// partition assigns hosts to network partitions: hosts reach only those with the
 	// same number.
 	partition map[string]int
@@ -240,8 +249,15 @@
 // startFleet starts the hosts and a group, and waits until the hosts serve reads.
 func startFleet(t *testing.T, maxConnections int, hosts ...string) *fakeFleet {
 	t.Helper()
+	f := newFleet(maxConnections)
+	f.startAll(t, hosts...)
+	return f
+}
+
+// newFleet returns a fleet without hosts, and a group.
+func newFleet(maxConnections int) *fakeFleet {
 	f := &fakeFleet{
-		logs: make(map[string]*logBuffer), hosts: make(map[string]*gateway.Gateway), partition: make(map[string]int),
+		logs: make(map[string]*logBuffer), stops: make(map[string]context.CancelFunc), hosts: make(map[string]*gateway.Gateway), partition: make(map[string]int),
 		store: newFakeStore(), group: newFakeGroup("g", "e1", "e2", "e3"),
 	}
 	f.store.putRow(gateway.TableCatalog, "config", gateway.Catalog{
@@ -255,6 +271,12 @@
 	for id := range f.group.endpoints {
 		f.listEndpoint(id, func(*gateway.Endpoint) {})
 	}
+	return f
+}
+
+// startAll starts the hosts and waits until they serve reads.
+func (f *fakeFleet) startAll(t *testing.T, hosts ...string) {
+	t.Helper()
 	for _, name := range hosts {
 		f.start(t, name)
 	}
@@ -264,7 +286,6 @@
 			return r.OK()
 		}, 8*time.Second, 20*time.Millisecond).Should(BeTrue(), name)
 	}
-	return f
 }
 
 // zoneOfHost returns the availability zone of a host: the part of its name before the
@@ -283,12 +304,13 @@
 	t.Cleanup(cancel)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.stops[name] = cancel
 	f.logs[name] = &logBuffer{}
 	cfg := gateway.Config{
 		Host: name, Address: name, AvailabilityZone: zoneOfHost(name), Grace: 2 * time.Second,
 		Dialer: &fakeDialer{host: name, group: f.group}, Store: storeClient{f.store, name},
 		Decoder: fakeDecoder{}, Promoter: f.group, Peers: &fakePeerClient{fleet: f, host: name},
-		ParseStatus: parseFakeStatus, Metrics: metrics.NewRegistry(), Log: zerolog.New(f.logs[name]),
+		ParseStatus: parseFakeStatus, Metrics: metrics.NewRegistry(), Log: zerolog.New(f.logs[name]).With().Timestamp().Logger(),
 	}
 	if f.configure != nil {
 		f.configure(&cfg)
@@ -315,6 +337,7 @@
 
 // reach returns the host at the address, or an error if it cannot be reached.
 func (p *fakePeerClient) reach(address string) (*gateway.Gateway, error) {
+	time.Sleep(p.fleet.latency)
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
 	gw := p.fleet.hosts[address]
@@ -328,11 +351,14 @@
 }
 
 // Exchange implements gateway.PeerClient.
-func (p *fakePeerClient) Exchange(_ context.Context, address string, msg gateway.GossipMessage) (gateway.GossipMessage, error) {
+func (p *fakePeerClient) Exchange(ctx context.Context, address string, msg gateway.GossipMessage) (gateway.GossipMessage, error) {
 	p.fleet.mu.Lock()
 	p.fleet.exchanges++
 	p.fleet.mu.Unlock()
 	gw, err := p.reach(address)
+	if err == nil {
+		err = ctx.Err()
+	}
 	if err != nil {
 		return gateway.GossipMessage{}, err
 	}
@@ -340,8 +366,11 @@
 }
 
 // Fence implements gateway.PeerClient.
-func (p *fakePeerClient) Fence(_ context.Context, address string, r gateway.FenceRequest) (gateway.FenceReply, error) {
+func (p *fakePeerClient) Fence(ctx context.Context, address string, r gateway.FenceRequest) (gateway.FenceReply, error) {
 	gw, err := p.reach(address)
+	if err == nil {
+		err = ctx.Err()
+	}
 	if err != nil {
 		return gateway.FenceReply{}, err
 	}
@@ -399,8 +428,12 @@
 		database: database, statements: make(chan session.Statement), replies: make(chan gateway.Reply, 1),
 		interrupts: make(chan struct{}, 8), ended: make(chan struct{}),
 	}
+	f.mu.Lock()
+	gw := f.hosts[host]
+	f.callers = append(f.callers, c)
+	f.mu.Unlock()
 	go func() {
-		f.hosts[host].Serve(c, func() error { return nil })
+		gw.Serve(c, func() error { return nil })
 		close(c.ended)
 	}()
 	return c
