--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -129,9 +129,10 @@
 		until = time.Time{}
 	}
 	c.permittedUntil = until
-	before := c.gw.permittedUntil.Swap(until.UnixNano())
+	c.gw.permittedUntil.Store(until.UnixNano())
 	now := boottime.Now()
-	wasPermitted, isPermitted := before > now.UnixNano(), until.After(now)
+	wasPermitted, isPermitted := c.permitted, until.After(now)
+	c.permitted = isPermitted
 	if wasPermitted != isPermitted {
 		if wasPermitted {
 			c.gw.metrics.Inc(metrics.PrimaryPermissionLost)
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -70,7 +70,9 @@
 	relayedEvidence time.Time
 	// permittedUntil is when the permission to use primaries ends.
 	permittedUntil time.Time
-	readingClaims  bool
+	// permitted is whether the permission stood when it was last computed.
+	permitted     bool
+	readingClaims bool
 	// registering is true while this host's row is being written.
 	registering bool
 	lastCleanup time.Time
