Claim no term that this host knows to have ended

A row that the store has lost may say less than the host knows; its claim would then have an ended term above its own, which no host decodes. Found by reading; the tests of claims and takeovers pass.

--- a/internal/gateway/failover_claim.go
+++ b/internal/gateway/failover_claim.go
@@ -29,6 +29,9 @@
 		if err == nil {
 			err = f.checkClaim(current.claim, current.version)
 		}
+		if err == nil && f.endedTermBefore(current) >= f.term {
+			err = errNewerTerm
+		}
 		if err == nil {
 			err = f.writeClaim(ctx, key, current)
 		}
