Waits for configuration and for connections end with the gateway

Cause: a session that waited for the first configuration of a host that ended, and a fence request that waited for connections, repeated a sleep that returned at once, without pause up to the end of the wait (1.5 s).

Change: both loops end once the gateway has ended.

--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -35,8 +35,7 @@
 		return reply, nil
 	}
 	deadline := time.Now().Add(r.Grace)
-	for g.countPrimaryConns() > 0 && time.Now().Before(deadline) {
-		wait.Sleep(gw.ctx, 5*time.Millisecond)
+	for g.countPrimaryConns() > 0 && time.Now().Before(deadline) && wait.Sleep(gw.ctx, 5*time.Millisecond) {
 	}
 	g.closePrimaryConns()
 	return reply, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,8 +169,7 @@
 // catalogWait for a first configuration.
 func (gw *Gateway) awaitDatabase(caller Caller) bool {
 	deadline := time.Now().Add(catalogWait)
-	for gw.catalog().Version == 0 && time.Now().Before(deadline) {
-		wait.Sleep(gw.ctx, recheckInterval)
+	for gw.catalog().Version == 0 && time.Now().Before(deadline) && wait.Sleep(gw.ctx, recheckInterval) {
 	}
 	_, ok := gw.database(caller.Database())
 	return ok
