--- a/internal/gateway/failover_simulation_test.go
+++ b/internal/gateway/failover_simulation_test.go
@@ -355,7 +355,7 @@
 	if s.intN(2) == 0 {
 		host = s.holder()
 	}
-	switch s.intN(9) {
+	switch s.intN(10) {
 	case 0, 1, 2:
 		s.isolateFor(ms(300, 5000), s.group.primaryID())
 	case 3:
@@ -377,6 +377,12 @@
 		s.listEndpoint(id, func(e *gateway.Endpoint) { e.Draining = true })
 		time.AfterFunc(ms(500, 4000), func() { s.listEndpoint(id, func(*gateway.Endpoint) {}) })
 	case 8:
+		copied := s.store.snapshot()
+		time.AfterFunc(ms(100, 3000), func() {
+			s.event("the store comes back from an older copy")
+			s.store.restore(copied)
+		})
+	case 9:
 		s.group.mu.Lock()
 		e := s.group.endpoints[fmt.Sprintf("e%d", 1+s.intN(3))]
 		e.busyForStatus = true
