Tests: wait for an owner before it is paused

The test's own disruption begins only with an owner and its primary, so it waits for both; its checks are the same. The tests of owners in internal/proof pass.

--- a/internal/proof/process_test.go
+++ b/internal/proof/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -245,14 +246,20 @@
 	p.g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 }
 
-// primary returns the index of the endpoint that the owner uses as primary.
-func (p *processDeployment) primary() int {
-	v := p.view(p.owner())
-	for i, ep := range p.manifest.Pools[0].Endpoints {
-		if ep.Address == v.Group(poolName).Primary {
-			return i
+// ownerAndPrimary returns the index of the daemon that owns the pool and that of the endpoint
+// that it uses as primary. It waits until a daemon answers as owner, which may not answer within
+// the time of one request on a machine that is busy.
+func (p *processDeployment) ownerAndPrimary() (owner, primary int) {
+	p.g.Eventually(func() int {
+		owner, primary = p.owner(), -1
+		if owner < 0 {
+			return -1
 		}
-	}
-	p.t.Fatal("the owner has no primary")
-	return -1
+		if v := p.view(owner); v != nil {
+			address := v.Group(poolName).Primary
+			primary = slices.IndexFunc(p.manifest.Pools[0].Endpoints, func(ep manifest.Endpoint) bool { return ep.Address == address })
+		}
+		return primary
+	}, 10*time.Second, 50*time.Millisecond).Should(BeNumerically(">=", 0), "no daemon owns the pool with a primary")
+	return owner, primary
 }
