Teams and keys: accept keys within a bound, and keep endpoint connections for each team

Cause: the gateway knew neither keys nor teams. Endpoints were told the host's name, and no caller was refused. Change: coord/access finds the team of a key and decides from the age of the proof of the configuration whether a key is still accepted. Each statement is authorized after it was read. Connections belong to a team; a team's relayed statements go to few relay hosts. With a bound for withdrawn keys the configuration is listed instead of followed by the change feed.

--- a/internal/fleet/ranges.go
+++ b/internal/fleet/ranges.go
@@ -75,5 +75,5 @@
 // validReply reports whether the code and the transaction state of an answer are known to
 // this build and its position is in range.
 func validReply(m *fleetv1.RelayResponse) bool {
-	return m.GetCode() <= uint32(gateway.CodeOther) && m.GetState() <= uint32(gateway.TxFailed) && validPosition(m.GetPosition())
+	return m.GetCode() <= uint32(gateway.LastCode) && m.GetState() <= uint32(gateway.TxFailed) && validPosition(m.GetPosition())
 }
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -10,6 +10,9 @@
 type Caller interface {
 	// Database returns the name of the database that the caller asked for.
 	Database() string
+	// Key returns the key that identifies the caller; empty if it sent none. It must not be
+	// logged.
+	Key() string
 	// NextStatement blocks until the next statement arrives. It returns io.EOF when the
 	// caller ends the session, and ErrInterrupted if Interrupt was called or the idle
 	// deadline passed before a statement arrived.
--- a/internal/gateway/catalog.go
+++ b/internal/gateway/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/beryltrestle/beryltrestle/coord/access"
 	"github.com/beryltrestle/beryltrestle/coord/admission"
 )
 
@@ -34,6 +35,8 @@
 	LatencyObjective time.Duration
 	// Priority orders waiting statements; 0 is the highest priority.
 	Priority int
+	// KeyRequired is true if only callers with the key of a team may use the database.
+	KeyRequired bool
 }
 
 // queuedRequest returns the queue parameters of a statement that arrived at the given
@@ -60,6 +63,8 @@
 	Version   uint64
 	Databases map[string]Database
 	Groups    map[string]Group
+	// Teams holds the teams and their keys.
+	Teams *access.Directory
 	// IdleTransactionTimeout is how long a transaction may be idle between statements.
 	IdleTransactionTimeout time.Duration
 }
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -22,7 +22,9 @@
 	// relayAddress is the address of the relay host if Conn is a RelayConn, otherwise
 	// empty.
 	relayAddress string
-	state        *session.ConnState
+	// team is the team that the connection belongs to; empty if it belongs to none.
+	team  string
+	state *session.ConnState
 	// sentAt is when the statement in flight was sent; zero if there is none. The
 	// group's mutex guards it.
 	sentAt time.Time
@@ -62,7 +64,7 @@
 
 // runRelayed sends the request with the session state to the relay host, which runs it.
 func (c *conn) runRelayed(relay RelayConn, deadline time.Time, s *session.State, p session.Prepared, execute bool, r Request) (Reply, error) {
-	request := RelayRequest{SessionValues: s.Values(), Request: r, PrimaryOnly: c.usesPrimary, Priority: c.queuedRequest.Priority, TimeToObjective: c.queuedRequest.TimeToObjective(boottime.Now())}
+	request := RelayRequest{Team: c.team, SessionValues: s.Values(), Request: r, PrimaryOnly: c.usesPrimary, Priority: c.queuedRequest.Priority, TimeToObjective: c.queuedRequest.TimeToObjective(boottime.Now())}
 	if execute {
 		request.Prepared = &p
 	}
--- a/internal/gateway/endpoint_conn.go
+++ b/internal/gateway/endpoint_conn.go
@@ -39,9 +39,10 @@
 
 // Dialer opens connections to endpoints.
 type Dialer interface {
-	// Dial connects to exactly this endpoint. If another endpoint has taken over the
-	// address, the error has CodeMisrouted.
-	Dial(ctx context.Context, e Endpoint) (EndpointConn, error)
+	// Dial connects to exactly this endpoint for the callers of a team; an empty team means
+	// that the host connects for itself. If another endpoint has taken over the address, the
+	// error has CodeMisrouted.
+	Dial(ctx context.Context, e Endpoint, team string) (EndpointConn, error)
 }
 
 // DialError means that the endpoint refused the connection.
--- a/internal/gateway/failover_gap_test.go
+++ b/internal/gateway/failover_gap_test.go
@@ -62,9 +62,9 @@
 type slowDialer struct{ gateway.Dialer }
 
 // Dial implements gateway.Dialer.
-func (d slowDialer) Dial(ctx context.Context, e gateway.Endpoint) (gateway.EndpointConn, error) {
+func (d slowDialer) Dial(ctx context.Context, e gateway.Endpoint, team string) (gateway.EndpointConn, error) {
 	time.Sleep(200 * time.Millisecond)
-	return d.Dialer.Dial(ctx, e)
+	return d.Dialer.Dial(ctx, e, team)
 }
 
 // Guards against a claim on a term that no endpoint has told yet, which ended all terms.
--- a/internal/gateway/fake_endpoint_test.go
+++ b/internal/gateway/fake_endpoint_test.go
@@ -170,27 +170,30 @@
 }
 
 // Dial implements gateway.Dialer.
-func (d *fakeDialer) Dial(ctx context.Context, e gateway.Endpoint) (gateway.EndpointConn, error) {
+func (d *fakeDialer) Dial(ctx context.Context, e gateway.Endpoint, team string) (gateway.EndpointConn, error) {
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	t := d.group.endpoints[e.ID]
 	if t.down || d.group.cut[d.host+" "+e.ID] || ctx.Err() != nil {
 		return nil, errors.New("unreachable")
 	}
-	c := &fakeConn{host: d.host, group: d.group, endpoint: t, values: map[string]string{}, prepared: map[string]string{}}
+	c := &fakeConn{host: d.host, team: team, group: d.group, endpoint: t, values: map[string]string{}, prepared: map[string]string{}}
 	t.conns[c] = true
 	return c, nil
 }
 
 // fakeConn is a connection to a fake endpoint.
 type fakeConn struct {
-	host     string
-	group    *fakeGroup
-	endpoint *fakeEndpoint
-	dead     bool
-	values   map[string]string
-	prepared map[string]string
-	queue    []gateway.Request
+	host string
+	team string
+	// ranCaller is true once a statement of a caller has run.
+	ranCaller bool
+	group     *fakeGroup
+	endpoint  *fakeEndpoint
+	dead      bool
+	values    map[string]string
+	prepared  map[string]string
+	queue     []gateway.Request
 	// inTx, failed and pending are the state of the open transaction.
 	inTx, readOnly, failed bool
 	pending                []commit
@@ -209,6 +212,7 @@
 	defer c.group.mu.Unlock()
 	request := c.queue[0]
 	c.queue = c.queue[1:]
+	c.ranCaller = c.ranCaller || request.ID != ""
 	if c.group.cut[c.host+" "+c.endpoint.id] {
 		c.group.mu.Unlock()
 		time.Sleep(time.Until(deadline))
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/beryltrestle/beryltrestle/coord/access"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
@@ -224,9 +225,18 @@
 
 // Catalog implements gateway.Decoder.
 func (fakeDecoder) Catalog(r rows.Row) (*gateway.Catalog, bool, error) {
-	var c gateway.Catalog
+	var c catalogWithTeams
 	err := json.Unmarshal(r.Value, &c)
-	return &c, err == nil, err
+	if err == nil {
+		c.Catalog.Teams, err = access.NewDirectory(c.Entries)
+	}
+	return &c.Catalog, err == nil, err
+}
+
+// catalogWithTeams is a catalog as the fake store keeps it.
+type catalogWithTeams struct {
+	gateway.Catalog
+	Entries []access.Entry
 }
 
 // Endpoint implements gateway.Decoder.
@@ -453,6 +463,7 @@
 // fakeCaller is a caller's session at one host.
 type fakeCaller struct {
 	database   string
+	key        string
 	statements chan session.Statement
 	replies    chan gateway.Reply
 	interrupts chan struct{}
@@ -461,8 +472,13 @@
 
 // caller opens a session at the host.
 func (f *fakeFleet) caller(host, database string) *fakeCaller {
+	return f.callerWithKey(host, database, "")
+}
+
+// callerWithKey opens a session with a key at the host.
+func (f *fakeFleet) callerWithKey(host, database, key string) *fakeCaller {
 	c := &fakeCaller{
-		database: database, statements: make(chan session.Statement), replies: make(chan gateway.Reply, 1),
+		database: database, key: key, statements: make(chan session.Statement), replies: make(chan gateway.Reply, 1),
 		interrupts: make(chan struct{}, 8), ended: make(chan struct{}),
 	}
 	f.mu.Lock()
@@ -505,6 +521,9 @@
 // Database implements gateway.Caller.
 func (c *fakeCaller) Database() string { return c.database }
 
+// Key implements gateway.Caller.
+func (c *fakeCaller) Key() string { return c.key }
+
 // NextStatement implements gateway.Caller.
 func (c *fakeCaller) NextStatement() (session.Statement, error) {
 	select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,9 @@
 	// DrainBound is the time after which an endpoint that drains must get no new work. Zero
 	// means defaultDrainBound.
 	DrainBound time.Duration
+	// RevocationBound is the time within which a withdrawn key must stop working. Zero means
+	// that there is no bound.
+	RevocationBound time.Duration
 	// ZoneDistance is added to the expected response time of endpoints in other
 	// availability zones: such an endpoint is chosen only if it saves more than that.
 	ZoneDistance time.Duration
@@ -143,6 +146,11 @@
 		caller.Close()
 		return
 	}
+	if _, refusal := gw.authorize(caller, Database{}, boottime.Now()); refusal != nil {
+		_ = caller.Refuse(*refusal)
+		caller.Close()
+		return
+	}
 	if gw.sessions.isClosing() {
 		// The load balancer still sends sessions if too few hosts are ready.
 		gw.metrics.Inc(metrics.RefusedDraining)
--- a/internal/gateway/guarded.go
+++ b/internal/gateway/guarded.go
@@ -34,9 +34,9 @@
 }
 
 // Dial implements Dialer.
-func (d guardedDialer) Dial(ctx context.Context, e Endpoint) (out EndpointConn, err error) {
+func (d guardedDialer) Dial(ctx context.Context, e Endpoint, team string) (out EndpointConn, err error) {
 	err = d.guard.Run("dial endpoint", func() error {
-		conn, err := d.dialer.Dial(ctx, e)
+		conn, err := d.dialer.Dial(ctx, e, team)
 		if err == nil {
 			out = guardedConn{conn, d.guard}
 		}
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -50,9 +50,9 @@
 	plan *panicPlan
 }
 
-func (d panickingDialer) Dial(ctx context.Context, e gateway.Endpoint) (gateway.EndpointConn, error) {
+func (d panickingDialer) Dial(ctx context.Context, e gateway.Endpoint, team string) (gateway.EndpointConn, error) {
 	d.plan.reach("dial")
-	conn, err := d.Dialer.Dial(ctx, e)
+	conn, err := d.Dialer.Dial(ctx, e, team)
 	return panickingConn{conn, d.plan}, err
 }
 
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -59,23 +59,32 @@
 // StatusParser parses the rows of the answer to a status request.
 type StatusParser func(rows []string) (Status, error)
 
+// connRequest describes the connection that a statement needs.
+type connRequest struct {
+	admission.QueuedRequest
+	// team is the team that the connection must belong to; empty if it belongs to none.
+	team string
+	// share is the team's part of all work, from 0 to 1.
+	share float64
+}
+
 // checkout returns a connection to the target that the session may use until release.
 // The error is errNoConnection, errRequeue or errEndpointDown; in each case nothing has
 // run.
-func (p *pool) checkout(ctx context.Context, t *target, s *session.State, queued admission.QueuedRequest) (*conn, error) {
-	c, err := p.acquire(ctx, t, s, queued)
+func (p *pool) checkout(ctx context.Context, t *target, s *session.State, r connRequest) (*conn, error) {
+	c, err := p.acquire(ctx, t, s, r)
 	if err == nil {
-		c.queuedRequest = queued
+		c.queuedRequest = r.QueuedRequest
 	}
 	return c, err
 }
 
 // acquire takes an idle connection, opens one, or waits for one.
-func (p *pool) acquire(ctx context.Context, t *target, s *session.State, queued admission.QueuedRequest) (*conn, error) {
+func (p *pool) acquire(ctx context.Context, t *target, s *session.State, r connRequest) (*conn, error) {
 	now := boottime.Now()
-	got, w := t.grantOrQueue(now, s, queued)
+	got, w := t.grantOrQueue(now, s, r)
 	if w == nil {
-		return p.useGrant(ctx, t, got)
+		return p.useGrant(ctx, t, r, got)
 	}
 	defer func() { p.metrics.Observe(metrics.LatencyConnection, boottime.Now().Sub(now)) }()
 	return p.await(ctx, t, w)
@@ -83,23 +92,37 @@
 
 // grantOrQueue grants the request a connection or the right to open one, refuses it, or adds
 // it to the queue. It returns a waiter only in the last case.
-func (t *target) grantOrQueue(now time.Time, s *session.State, queued admission.QueuedRequest) (grant, *waiter) {
+func (t *target) grantOrQueue(now time.Time, s *session.State, r connRequest) (grant, *waiter) {
 	t.group.mu.Lock()
 	defer t.group.mu.Unlock()
 	if t.mayStart(now) {
-		if c := t.takeIdle(s); c != nil {
-			c.busy = true
-			return grant{conn: c}, nil
-		}
-		if t.connCount() < t.limit {
-			t.opening++
-			return grant{mayOpen: true}, nil
+		if got, ok := t.grantNow(s, r.team); ok {
+			return got, nil
 		}
 	}
-	if now.After(queued.WaitDeadline()) || queued.ShouldRefuse(now, t.queueWait(t.waiting.countAhead(queued, now))) {
+	if now.After(r.WaitDeadline()) || r.ShouldRefuse(now, t.queueWait(t.waiting.countAhead(r.QueuedRequest, now))) {
 		return grant{err: errNoConnection}, nil
 	}
-	return grant{}, t.waiting.push(queued)
+	return grant{}, t.waiting.push(r)
+}
+
+// grantNow grants an idle connection of the team, or the right to open one. It closes the
+// connection that has been idle for longest if the limit leaves no room for another one. It
+// returns false if every connection is in use. The group's mutex must be held.
+func (t *target) grantNow(s *session.State, team string) (grant, bool) {
+	if c := t.takeIdle(s, team); c != nil {
+		c.busy = true
+		return grant{conn: c}, true
+	}
+	if t.connCount() >= t.limit && len(t.idle) > 0 {
+		t.drop(t.idle[0])
+		t.idle = t.idle[1:]
+	}
+	if t.connCount() >= t.limit {
+		return grant{}, false
+	}
+	t.opening++
+	return grant{mayOpen: true}, true
 }
 
 // await waits in the target's queue for a connection.
@@ -108,7 +131,7 @@
 	defer timer.Stop()
 	select {
 	case got := <-w.ready:
-		return p.useGrant(ctx, t, got)
+		return p.useGrant(ctx, t, w.connRequest, got)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -132,26 +155,34 @@
 }
 
 // useGrant returns the granted connection, or opens one if the grant allows it.
-func (p *pool) useGrant(ctx context.Context, t *target, got grant) (*conn, error) {
+func (p *pool) useGrant(ctx context.Context, t *target, r connRequest, got grant) (*conn, error) {
 	switch {
 	case got.err != nil:
 		return nil, got.err
 	case got.mayOpen:
-		return p.open(ctx, t)
+		return p.open(ctx, t, r)
 	}
 	return got.conn, nil
 }
 
-// takeIdle removes an idle connection from the pool, preferably one whose session
-// settings match s. The group's mutex must be held.
-func (t *target) takeIdle(s *session.State) *conn {
-	for len(t.idle) > 0 {
-		at := len(t.idle) - 1
+// takeIdle removes an idle connection of the team from the pool, preferably one whose session
+// settings match s, otherwise the one that was used last. It returns nil if there is none. The
+// group's mutex must be held.
+func (t *target) takeIdle(s *session.State, team string) *conn {
+	for {
+		at, matches := -1, false
 		for i, c := range t.idle {
-			if s != nil && c.state.Matches(s) {
-				at = i
+			if c.team != team {
+				continue
+			}
+			m := s != nil && c.state.Matches(s)
+			if m || !matches {
+				at, matches = i, m
 			}
 		}
+		if at < 0 {
+			return nil
+		}
 		c := t.idle[at]
 		t.idle = append(t.idle[:at], t.idle[at+1:]...)
 		if c.Alive() {
@@ -159,19 +190,18 @@
 		}
 		t.drop(c)
 	}
-	return nil
 }
 
 // open opens a connection that is already counted in the target's opening field.
-func (p *pool) open(ctx context.Context, t *target) (*conn, error) {
+func (p *pool) open(ctx context.Context, t *target, r connRequest) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, relayAddress, err := p.dial(ctx, t)
+	raw, relayAddress, err := p.dial(ctx, t, r)
 	if err != nil {
 		p.dialFailed(t, err)
 		return nil, errors.WithSecondaryError(errEndpointDown, err)
 	}
-	c := &conn{Conn: raw, target: t, relayAddress: relayAddress, state: session.NewConnState()}
+	c := &conn{Conn: raw, target: t, relayAddress: relayAddress, team: r.team, state: session.NewConnState()}
 	t.group.mu.Lock()
 	t.opening--
 	t.conns[c] = true
@@ -188,13 +218,13 @@
 
 // dial opens a connection to the endpoint. If the endpoint is reached through a relay
 // host, dial also returns the relay's address.
-func (p *pool) dial(ctx context.Context, t *target) (Conn, string, error) {
+func (p *pool) dial(ctx context.Context, t *target, r connRequest) (Conn, string, error) {
 	t.group.mu.Lock()
 	e, direct := t.Endpoint, !t.usesRelay()
 	var relay string
 	reachable := direct
 	if !direct {
-		relay, reachable = t.nextRelay(boottime.Now())
+		relay, reachable = t.nextRelay(boottime.Now(), r)
 	}
 	t.group.mu.Unlock()
 	switch {
@@ -202,7 +232,7 @@
 		return nil, "", errEndpointDown
 	case direct:
 		p.metrics.Inc(metrics.ConnsOpened)
-		conn, err := p.dialer.Dial(ctx, e)
+		conn, err := p.dialer.Dial(ctx, e, r.team)
 		return conn, "", err
 	}
 	return p.peers.Relay(relay, e), relay, nil
@@ -299,16 +329,13 @@
 func (t *target) grantWaiters() {
 	now := boottime.Now()
 	for t.waiting.len() > 0 && t.mayStart(now) {
-		if c := t.takeIdle(nil); c != nil {
-			c.busy = true
-			t.waiting.pop(now).ready <- grant{conn: c}
-			continue
-		}
-		if t.connCount() >= t.limit {
+		w := t.waiting.first(now)
+		got, ok := t.grantNow(nil, w.team)
+		if !ok {
 			return
 		}
-		t.opening++
-		t.waiting.pop(now).ready <- grant{mayOpen: true}
+		t.waiting.remove(w)
+		w.ready <- got
 	}
 }
 
--- a/internal/gateway/pool_test.go
+++ b/internal/gateway/pool_test.go
@@ -7,14 +7,13 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/beryltrestle/beryltrestle/coord/admission"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
 // queuedAt returns a request with a deadline of 500 ms and no latency objective.
-func queuedAt(priority int, arrived time.Time) admission.QueuedRequest {
-	return Database{Timeout: 500 * time.Millisecond, Priority: priority}.queuedRequest(arrived)
+func queuedAt(priority int, arrived time.Time) connRequest {
+	return connRequest{QueuedRequest: Database{Timeout: 500 * time.Millisecond, Priority: priority}.queuedRequest(arrived)}
 }
 
 // Guards against a statement that waits for an overloaded endpoint until its deadline
@@ -46,9 +45,11 @@
 	late := q.push(queuedAt(1, start.Add(3*time.Millisecond)))
 	early := q.push(queuedAt(1, start))
 	urgent := q.push(queuedAt(0, start.Add(5*time.Millisecond)))
-	g.Expect(q.pop(start)).To(BeIdenticalTo(urgent))
-	g.Expect(q.pop(start)).To(BeIdenticalTo(early))
+	for _, next := range []*waiter{urgent, early} {
+		g.Expect(q.first(start)).To(BeIdenticalTo(next))
+		g.Expect(q.remove(next)).To(BeTrue())
+	}
 	g.Expect(q.remove(late)).To(BeTrue())
 	g.Expect(q.remove(late)).To(BeFalse())
-	g.Expect(q.pop(start)).To(BeNil())
+	g.Expect(q.first(start)).To(BeNil())
 }
--- a/internal/gateway/read_thresholds.go
+++ b/internal/gateway/read_thresholds.go
@@ -31,6 +31,17 @@
 	feedThresholds = readThresholds{readers: 2, fallbackAge: 2000 * time.Millisecond, agePerRank: 100 * time.Millisecond, maxAge: 2300 * time.Millisecond}
 )
 
+// listingThresholds returns the thresholds of a table that is only listed and whose mirror must
+// not be older than the bound. Gossip adds up to two rounds and the way of the messages to the
+// age at which the first reader lists, which is left before the next host reads; what is left of
+// the bound after maxAge is for the reads of the other hosts.
+func listingThresholds(bound time.Duration) readThresholds {
+	return readThresholds{
+		readers: 2, readerAge: bound / 4,
+		fallbackAge: bound * 5 / 10, agePerRank: bound / 50, maxAge: bound * 6 / 10,
+	}
+}
+
 // claimsMaxAge is the age of the claims at which every host reads them. The rest of
 // permission.Duration is left for the read itself.
 const claimsMaxAge = 1150 * time.Millisecond
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -11,6 +11,7 @@
 	errStopping        = errors.New("the host stops")
 	errNoConfiguration = errors.New("no configuration is known yet")
 	errNoEndpoints     = errors.New("no endpoint is known yet")
+	errKeysUnproven    = errors.New("the configuration may be out of date, so that no key is accepted")
 	errCutOff          = errors.New("the host is cut off from a primary and from most hosts")
 )
 
@@ -20,6 +21,9 @@
 	if gw.catalog().Version == 0 {
 		return errNoConfiguration
 	}
+	if gw.keysUnproven(boottime.Now()) {
+		return errKeysUnproven
+	}
 	known := false
 	for _, g := range *gw.currentGroups.Load() {
 		g.mu.Lock()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -30,6 +30,8 @@
 	TransactionID uint64
 	Group         string
 	Endpoint      string
+	// Team is the team whose caller sent the request; empty if it belongs to none.
+	Team          string
 	SessionValues map[string]string
 	// Prepared is the prepared statement that the request executes; nil for other
 	// requests.
@@ -176,10 +178,10 @@
 	if r.PrimaryOnly && !isPrimary {
 		return nil, &Reply{Code: CodeReadOnly, Detail: "the endpoint is not known to lead"}
 	}
-	queued := r.queuedRequest(boottime.Now())
-	c, err := gw.pool.checkout(ctx, t, nil, queued)
+	request := connRequest{QueuedRequest: r.queuedRequest(boottime.Now()), team: r.Team}
+	c, err := gw.pool.checkout(ctx, t, nil, request)
 	for errors.Is(err, errRequeue) {
-		c, err = gw.pool.checkout(ctx, t, nil, queued)
+		c, err = gw.pool.checkout(ctx, t, nil, request)
 	}
 	switch {
 	case errors.Is(err, errEndpointDown):
--- a/internal/gateway/relay_route.go
+++ b/internal/gateway/relay_route.go
@@ -105,7 +105,7 @@
 	c.spawn("try direct connection", func() {
 		ctx, cancel := context.WithTimeout(c.gw.ctx, dialTimeout)
 		defer cancel()
-		conn, err := c.gw.cfg.Dialer.Dial(ctx, e)
+		conn, err := c.gw.cfg.Dialer.Dial(ctx, e, "")
 		if err != nil {
 			// The endpoint is still out of reach. More hosts may reach it by now.
 			c.findRelays(c.gw.ctx, t)
--- a/internal/gateway/reply_code.go
+++ b/internal/gateway/reply_code.go
@@ -34,14 +34,19 @@
 	CodeNoDatabase
 	// CodeOther: the endpoint returned a code that the proxy does not know.
 	CodeOther
+	// CodeUnauthenticated: no team holds the caller's key.
+	CodeUnauthenticated
 )
 
+// LastCode is the highest code that this build knows.
+const LastCode = CodeUnauthenticated
+
 // codeNames holds the names of the codes in log lines.
 var codeNames = [...]string{
 	CodeNone: "none", CodeBusy: "busy", CodeAborted: "aborted", CodeLagging: "lagging", CodeReadOnly: "read_only",
 	CodeMisrouted: "misrouted", CodeTooManyConnections: "too_many", CodeNoStatement: "no_statement", CodeFailed: "failed",
 	CodeTimeout: "timeout", CodeInDoubt: "in_doubt", CodeMalformed: "malformed", CodeNoDatabase: "no_database",
-	CodeOther: "other",
+	CodeOther: "other", CodeUnauthenticated: "unauthenticated",
 }
 
 // String returns the code's name.
--- a/internal/gateway/session_server.go
+++ b/internal/gateway/session_server.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/beryltrestle/beryltrestle/coord/access"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -19,6 +20,8 @@
 	state   *session.State
 	// db is the database of the open transaction or the running statement.
 	db Database
+	// team is the caller's team as of the running statement.
+	team access.Team
 	// pinned is the connection of the open transaction. It is nil before the
 	// transaction's first statement and after the connection was lost.
 	pinned *conn
@@ -87,6 +90,11 @@
 	if tx != nil && tx.Failed && st.Op != session.OpCommit && st.Op != session.OpRollback {
 		return s.newReply(CodeMalformed, "the transaction has failed")
 	}
+	if st.Op != session.OpRollback {
+		if refusal := s.authorizeStatement(); refusal != nil {
+			return s.endRefusedCommit(st, *refusal)
+		}
+	}
 	switch st.Op {
 	case session.OpBegin, session.OpBeginRead:
 		return s.begin(st, arrived)
@@ -102,6 +110,21 @@
 	return s.failStatement(CodeMalformed, "the statement is not understood")
 }
 
+// endRefusedCommit returns the refusal of a statement. The transaction of a refused COMMIT has
+// ended, as it was rolled back.
+func (s *sessionServer) endRefusedCommit(st session.Statement, refusal Reply) Reply {
+	if st.Op == session.OpCommit && s.state.Transaction() != nil {
+		s.state.End()
+		refusal.State = TxIdle
+	}
+	return refusal
+}
+
+// connRequest returns what the statement that arrived at the given time needs of a connection.
+func (s *sessionServer) connRequest(arrived time.Time) connRequest {
+	return connRequest{QueuedRequest: s.db.queuedRequest(arrived), team: s.team.Name, share: s.team.Share}
+}
+
 // run runs a read, a write or a prepared statement.
 func (s *sessionServer) run(st session.Statement, arrived time.Time) Reply {
 	p, ok := s.state.Prepared(st.Name)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -30,14 +30,25 @@
 	g := t.group
 	g.mu.Lock()
 	if t.failures == 0 {
-		if c := t.takeIdle(nil); c != nil {
+		if c := t.takeAnyIdle(); c != nil {
 			g.mu.Unlock()
 			return c, nil
 		}
 	}
 	t.opening++
 	g.mu.Unlock()
-	return p.open(ctx, t)
+	return p.open(ctx, t, connRequest{})
+}
+
+// takeAnyIdle removes an idle connection of any team from the pool, the one that was used last.
+// The team does not matter for the proxy's own statements. The group's mutex must be held.
+func (t *target) takeAnyIdle() *conn {
+	for len(t.idle) > 0 {
+		if c := t.takeIdle(nil, t.idle[len(t.idle)-1].team); c != nil {
+			return c
+		}
+	}
+	return nil
 }
 
 // runCommand runs one of the proxy's own statements whose answer is a status row.
--- a/internal/gateway/table_mirror.go
+++ b/internal/gateway/table_mirror.go
@@ -51,7 +51,7 @@
 		c.gw.metrics.Inc(metrics.StoreReads)
 		began := boottime.Now()
 		var err error
-		if list {
+		if list || c.listsOnly(name) {
 			_, err = c.fetchListing(ctx, name)
 		} else {
 			err = c.fetchChanges(ctx, name)
@@ -76,11 +76,26 @@
 	due := false
 	c.submitAndWait(func() {
 		now := boottime.Now()
-		due = feedThresholds.due(now.Sub(c.completeAsOf[name]), func() int { return c.rankInGroup(now, storeReadersGroup) })
+		due = c.thresholdsOf(name).due(now.Sub(c.completeAsOf[name]), func() int { return c.rankInGroup(now, storeReadersGroup) })
 	})
 	return due
 }
 
+// listsOnly reports whether the table is only listed, without requests for changes. An answer
+// to such a request does not prove that the mirror is complete while the store drops its
+// history, and a withdrawn key must stop working within a bound.
+func (c *controller) listsOnly(name TableName) bool {
+	return name == TableCatalog && c.gw.cfg.RevocationBound > 0
+}
+
+// thresholdsOf returns the ages at which the hosts read the table.
+func (c *controller) thresholdsOf(name TableName) readThresholds {
+	if c.listsOnly(name) {
+		return listingThresholds(min(c.gw.cfg.RevocationBound, c.gw.cfg.ConfigurationBound))
+	}
+	return feedThresholds
+}
+
 // fetchListing reads the whole table into its mirror and returns the rows.
 func (c *controller) fetchListing(ctx context.Context, name TableName) ([]rows.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -162,7 +162,7 @@
 
 // nextRelay returns the address of the relay host for the next connection. It returns
 // false if there is none.
-func (t *target) nextRelay(now time.Time) (string, bool) {
+func (t *target) nextRelay(now time.Time, r connRequest) (string, bool) {
 	if t.relayRoute.Active() {
 		return t.relayRoute.NextRelay(), true
 	}
@@ -178,6 +178,9 @@
 	if len(available) == 0 {
 		return "", false
 	}
+	if r.team != "" {
+		available = routing.TeamRelays(r.team, r.share, t.ID, available)
+	}
 	return available[rand.N(len(available))], true
 }
 
--- a/internal/gateway/target_test.go
+++ b/internal/gateway/target_test.go
@@ -73,11 +73,11 @@
 	g.Expect(dead.closed).To(BeTrue())
 	g.Expect(alive.closed).To(BeFalse())
 	for range 20 {
-		relay, ok := tg.nextRelay(now)
+		relay, ok := tg.nextRelay(now, connRequest{})
 		g.Expect(ok).To(BeTrue())
 		g.Expect(relay).To(Equal("b"))
 	}
-	relay, _ := tg.nextRelay(now.Add(relayBackoff + time.Second))
+	relay, _ := tg.nextRelay(now.Add(relayBackoff+time.Second), connRequest{})
 	g.Expect(tg.relays).To(ContainElement(relay))
 	gw.connectionLost(&conn{Conn: &fakeRelayConn{}, target: tg, relayAddress: "b"}, io.ErrUnexpectedEOF)
 	g.Expect(tg.usable(boottime.Now())).To(BeFalse())
--- a/internal/gateway/wait_queue.go
+++ b/internal/gateway/wait_queue.go
@@ -9,7 +9,7 @@
 
 // waiter is a session that waits for a connection.
 type waiter struct {
-	admission.QueuedRequest
+	connRequest
 	// ready receives the connection, the right to open one, or an error.
 	ready chan grant
 }
@@ -31,14 +31,14 @@
 }
 
 // push adds a waiter.
-func (q *waitQueue) push(r admission.QueuedRequest) *waiter {
-	w := &waiter{QueuedRequest: r, ready: make(chan grant, 1)}
+func (q *waitQueue) push(r connRequest) *waiter {
+	w := &waiter{connRequest: r, ready: make(chan grant, 1)}
 	q.waiters = append(q.waiters, w)
 	return w
 }
 
-// pop removes and returns the waiter that goes first, or nil if the queue is empty.
-func (q *waitQueue) pop(now time.Time) *waiter {
+// first returns the waiter that goes first, or nil if the queue is empty.
+func (q *waitQueue) first(now time.Time) *waiter {
 	if len(q.waiters) == 0 {
 		return nil
 	}
@@ -48,7 +48,6 @@
 			first = w
 		}
 	}
-	q.remove(first)
 	return first
 }
 
--- a/internal/gateway/window_test.go
+++ b/internal/gateway/window_test.go
@@ -83,7 +83,7 @@
 			p, tg := poolWithIdleConns(2, 1)
 			first, err := p.checkout(t.Context(), tg, nil, queuedAt(1, boottime.Now()))
 			g.Expect(err).NotTo(HaveOccurred())
-			_, err = p.checkout(t.Context(), tg, nil, admission.QueuedRequest{Arrived: boottime.Now(), Deadline: boottime.Now().Add(time.Second)})
+			_, err = p.checkout(t.Context(), tg, nil, connRequest{QueuedRequest: admission.QueuedRequest{Arrived: boottime.Now(), Deadline: boottime.Now().Add(time.Second)}})
 			g.Expect(err).To(MatchError(errRequeue))
 			free(p, first)
 			_, err = p.checkout(t.Context(), tg, nil, queuedAt(1, boottime.Now()))
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -36,6 +36,8 @@
 	// RefusedOutdatedConfiguration counts callers whose database is not in a configuration
 	// that may be outdated.
 	RefusedOutdatedConfiguration Name = "refused.outdated_configuration"
+	// RefusedUnknownKey counts callers and statements whose key no team holds.
+	RefusedUnknownKey Name = "refused.unknown_key"
 )
 
 // Retries, by reason. Only requests that have had no effect are retried.
