Quota: lend the tokens of teams over a few voters of the electorate

Cause: the limit of a team holds over all hosts, and nothing counted operations. Three voters a team lend a third of its limit each; a role starts only after every other host has learned of it, with an empty bucket.

--- /dev/null
+++ b/coord/quota/borrower.go
@@ -0,0 +1,318 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// failureBackoff is how long a lender that did not answer is not asked again.
+	failureBackoff = time.Second
+	// notLenderBackoff is how long a host that does not lend is not asked again. Roles change
+	// within RoleDelay of a change of the electorate.
+	notLenderBackoff = 250 * time.Millisecond
+	// hedgeDelay is the age of a call after which another lender is asked as well. A call takes
+	// a few milliseconds unless the lender or its path is disturbed.
+	hedgeDelay = 40 * time.Millisecond
+	// demandWeight is the weight of the newest interval in the mean time between two operations.
+	demandWeight = 0.2
+	// accountKept is how long an account without operations is kept.
+	accountKept = 30 * time.Second
+)
+
+// Decision says how to go on with an operation that needs a token.
+type Decision uint8
+
+// Decisions.
+const (
+	// Taken: a token was taken.
+	Taken Decision = iota
+	// Ask: the lender must be asked, see Order. Then Take is called again.
+	Ask
+	// Wait: a lender is being asked; Take is called again when the call has ended or after
+	// Order.After.
+	Wait
+	// Refused: no lender has a token. Order.After says when one is expected.
+	Refused
+	// Unavailable: no lender can be reached. Order.After says when one is asked again.
+	Unavailable
+)
+
+// Order completes a Decision.
+type Order struct {
+	// Lender is the address of the host to ask.
+	Lender  string
+	Request Request
+	After   time.Duration
+	// Token is the token that was taken; see Borrower.Refund.
+	Token Token
+}
+
+// Token allows one operation. The zero value is that of a team without a limit.
+type Token struct {
+	expires time.Time
+	lender  string
+	// incarnation is that of the lender's process.
+	incarnation uint64
+}
+
+// Borrower keeps the tokens that one host has borrowed. It is not safe for concurrent use.
+type Borrower struct {
+	rules    Rules
+	limits   map[string]Limit
+	voters   []string
+	prefer   func(team string, lenders []string) []string
+	accounts map[string]*account
+	sweptAt  time.Time
+}
+
+// NewBorrower returns a borrower that knows no electorate. prefer returns the lenders of a team
+// in the order in which this host asks them.
+func NewBorrower(rules Rules, prefer func(team string, lenders []string) []string) *Borrower {
+	return &Borrower{rules: rules, prefer: prefer, accounts: make(map[string]*account)}
+}
+
+// account is the state of one team.
+type account struct {
+	portions []portion
+	lenders  []*lenderState
+	// lastUse is when Take was last called for a new operation; interval is the mean time
+	// between such calls, 0 while it is not known.
+	lastUse  time.Time
+	interval time.Duration
+}
+
+// portion is a number of equal tokens.
+type portion struct {
+	Token
+	tokens int
+}
+
+// lenderState is what the host knows about one lender of a team.
+type lenderState struct {
+	address string
+	// askedAt is the start of the call in flight; zero if there is none.
+	askedAt time.Time
+	// notBefore is when the lender may be asked again.
+	notBefore time.Time
+	// refused is true if the lender had no token when it was last asked.
+	refused bool
+	// unused is the number of tokens of the lender's incarnation that expired unused and are
+	// given back with the next request.
+	unused      int
+	incarnation uint64
+}
+
+// SetVoters sets the voters among whom the lenders are. While a change of the electorate is not
+// completed, these are the former voters.
+func (b *Borrower) SetVoters(voters []string) {
+	b.voters = voters
+	for _, a := range b.accounts {
+		a.lenders = nil
+	}
+}
+
+// SetLimits replaces the limits of all teams, by name.
+func (b *Borrower) SetLimits(limits map[string]Limit) {
+	b.limits = limits
+	for team, a := range b.accounts {
+		a.lenders = nil
+		if _, ok := limits[team]; !ok {
+			delete(b.accounts, team)
+		}
+	}
+}
+
+// Take takes a token for an operation of the team. waiting is the number of operations of the
+// team that wait for a token on this host, including this one. repeated is true if Take was
+// called for this operation before.
+func (b *Borrower) Take(now time.Time, team string, waiting int, repeated bool) (Decision, Order) {
+	limit, limited := b.limits[team]
+	if !limited {
+		return Taken, Order{}
+	}
+	b.sweep(now)
+	a := b.account(team, limit)
+	if !repeated {
+		a.observe(now)
+	}
+	if token, ok := a.takeToken(now); ok {
+		return Taken, Order{Token: token}
+	}
+	return a.choose(now, b.request(a, team, limit, waiting))
+}
+
+// account returns the account of the team.
+func (b *Borrower) account(team string, limit Limit) *account {
+	a := b.accounts[team]
+	if a == nil {
+		a = &account{}
+		b.accounts[team] = a
+	}
+	if a.lenders == nil {
+		for _, address := range b.prefer(team, Lenders(team, b.voters, b.rules.terms(limit).lenders)) {
+			a.lenders = append(a.lenders, &lenderState{address: address})
+		}
+	}
+	return a
+}
+
+// request returns the request for a lender.
+func (b *Borrower) request(a *account, team string, limit Limit, waiting int) Request {
+	r := Request{Team: team, Wanted: max(waiting, 1)}
+	if a.interval > 0 {
+		// Half of the tokens' lifetime leaves a chance that all of them are used.
+		r.Extra = int(b.rules.terms(limit).life / 2 / a.interval)
+	}
+	return r
+}
+
+// observe records that an operation needs a token.
+func (a *account) observe(now time.Time) {
+	if !a.lastUse.IsZero() {
+		interval := max(now.Sub(a.lastUse), time.Microsecond)
+		if a.interval == 0 {
+			a.interval = interval
+		}
+		a.interval += time.Duration(demandWeight * float64(interval-a.interval))
+	}
+	a.lastUse = now
+}
+
+// takeToken takes the token that expires first.
+func (a *account) takeToken(now time.Time) (Token, bool) {
+	a.dropExpired(now)
+	first := -1
+	for i, p := range a.portions {
+		if first < 0 || p.expires.Before(a.portions[first].expires) {
+			first = i
+		}
+	}
+	if first < 0 {
+		return Token{}, false
+	}
+	a.portions[first].tokens--
+	return a.portions[first].Token, true
+}
+
+// dropExpired drops the portions that are used up or have expired. Tokens that expired unused
+// are given back to their lender.
+func (a *account) dropExpired(now time.Time) {
+	a.portions = slices.DeleteFunc(a.portions, func(p portion) bool {
+		expired := !now.Before(p.expires)
+		if expired && p.tokens > 0 {
+			a.giveBack(p)
+		}
+		return expired || p.tokens == 0
+	})
+}
+
+// giveBack records that the tokens of the portion will not be used.
+func (a *account) giveBack(p portion) {
+	for _, l := range a.lenders {
+		switch {
+		case l.address != p.lender:
+		case l.incarnation == p.incarnation:
+			l.unused += p.tokens
+		default:
+			l.unused, l.incarnation = p.tokens, p.incarnation
+		}
+	}
+}
+
+// choose decides which lender is asked.
+func (a *account) choose(now time.Time, r Request) (Decision, Order) {
+	if len(a.lenders) == 0 {
+		return Unavailable, Order{After: notLenderBackoff}
+	}
+	asking, refused := false, false
+	next := time.Duration(math.MaxInt64)
+	for _, l := range a.lenders {
+		if !l.askedAt.IsZero() {
+			asking = true
+			if age := now.Sub(l.askedAt); age < hedgeDelay {
+				return Wait, Order{After: hedgeDelay - age}
+			}
+			continue
+		}
+		if now.Before(l.notBefore) {
+			refused = refused || l.refused
+			next = min(next, l.notBefore.Sub(now))
+			continue
+		}
+		l.askedAt = now
+		r.Returned, r.ReturnedTo = l.unused, l.incarnation
+		l.unused = 0
+		return Ask, Order{Lender: l.address, Request: r}
+	}
+	switch {
+	case asking:
+		return Wait, Order{After: hedgeDelay}
+	case refused:
+		return Refused, Order{After: next}
+	}
+	return Unavailable, Order{After: next}
+}
+
+// Answered records a lender's answer to the call that began at the given time.
+func (b *Borrower) Answered(now, began time.Time, team, lender string, g Grant) {
+	a, l := b.find(team, lender)
+	if l == nil {
+		return
+	}
+	l.askedAt, l.refused = time.Time{}, false
+	if !g.Lender {
+		l.notBefore = now.Add(notLenderBackoff)
+		return
+	}
+	if g.Tokens > 0 && g.Life > 0 {
+		token := Token{expires: began.Add(min(g.Life, maxTokenLife)), lender: lender, incarnation: g.Incarnation}
+		a.portions = append(a.portions, portion{Token: token, tokens: clampTokens(g.Tokens)})
+	}
+	if g.RetryAfter > 0 {
+		l.refused, l.notBefore = true, now.Add(min(g.RetryAfter, maxRetryAfter))
+	}
+}
+
+// Failed records that a lender did not answer.
+func (b *Borrower) Failed(now time.Time, team, lender string) {
+	if _, l := b.find(team, lender); l != nil {
+		l.askedAt, l.refused, l.notBefore = time.Time{}, false, now.Add(failureBackoff)
+	}
+}
+
+// find returns the account and the state of a lender, or nil.
+func (b *Borrower) find(team, lender string) (*account, *lenderState) {
+	a := b.accounts[team]
+	if a == nil {
+		return nil, nil
+	}
+	for _, l := range a.lenders {
+		if l.address == lender {
+			return a, l
+		}
+	}
+	return a, nil
+}
+
+// Refund gives back the token of an operation that certainly did not run, for another operation
+// of the team.
+func (b *Borrower) Refund(team string, token Token) {
+	if a := b.accounts[team]; a != nil && !token.expires.IsZero() {
+		a.portions = append(a.portions, portion{Token: token, tokens: 1})
+	}
+}
+
+// sweep drops the accounts of teams that have not needed a token for accountKept.
+func (b *Borrower) sweep(now time.Time) {
+	if now.Sub(b.sweptAt) < accountKept {
+		return
+	}
+	b.sweptAt = now
+	for team, a := range b.accounts {
+		if now.Sub(a.lastUse) > accountKept {
+			delete(b.accounts, team)
+		}
+	}
+}
--- /dev/null
+++ b/coord/quota/quota_test.go
@@ -0,0 +1,205 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var (
+	start = time.Unix(1_000_000, 0)
+	rules = Rules{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+	long  = start.Add(-time.Hour)
+)
+
+// voters returns n addresses.
+func voters(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("h%d", i)
+	}
+	return out
+}
+
+// lenderAt returns a lender at the address that has known the voters for long.
+func lenderAt(address string, incarnation uint64, limit Limit, sets ...[]string) *Lender {
+	l := NewLender(rules, incarnation)
+	l.SetLimits(map[string]Limit{"red": limit})
+	l.SetElectorate(long, address, sets)
+	return l
+}
+
+// Guards against terms under which more is used in a window than allowed: by the burst of all
+// lenders, the rate, and tokens that are kept until they expire.
+func TestTermsStayWithinTheRules(t *testing.T) {
+	g := NewWithT(t)
+	for _, r := range []Rules{rules, {Window: 5 * time.Second}, {Window: time.Second, Overage: 0.5}, {Window: 10 * time.Second, Slack: 1}} {
+		for _, l := range []Limit{{0, 0}, {0.1, 0}, {1, 1}, {5, 10}, {37, 3}, {300, 300}, {100_000, 10}, {0, 50}} {
+			terms := r.terms(l)
+			most := terms.rate*(r.Window+terms.life).Seconds() + terms.capacity
+			g.Expect(most).To(BeNumerically("<=", r.Allowed(l)+1e-6), "%v %v %+v", r, l, terms)
+		}
+	}
+	g.Expect(rules.terms(Limit{Rate: 300, Burst: 300}).rate).To(Equal(300.0))
+	g.Expect(rules.terms(Limit{Rate: 2, Burst: 2}).life).To(Equal(maxTokenLife))
+}
+
+// Guards against a host that lends although it is no lender, or not by both sets of an
+// uncompleted change, or only since shortly.
+func TestOnlyLendersLend(t *testing.T) {
+	g := NewWithT(t)
+	all := voters(20)
+	ranked := Lenders("red", all, maxLenders)
+	limit := Limit{Rate: 30, Burst: 30}
+	lends := 0
+	for _, address := range all {
+		if lenderAt(address, 1, limit, all).Lend(start, Request{Team: "red", Wanted: 1}).Lender {
+			lends++
+		}
+	}
+	g.Expect(lends).To(Equal(3))
+	without := append([]string{"x1", "x2", "x3"}, ranked[1:]...)
+	g.Expect(lenderAt(ranked[0], 1, limit, all, without).Lend(start, Request{Team: "red", Wanted: 1}).Lender).To(BeFalse())
+	l := NewLender(rules, 1)
+	l.SetLimits(map[string]Limit{"red": limit})
+	l.SetElectorate(start, ranked[0], [][]string{all})
+	g.Expect(l.Lend(start.Add(RoleDelay-time.Millisecond), Request{Team: "red", Wanted: 1}).Lender).To(BeFalse())
+	g.Expect(l.Lend(start.Add(RoleDelay+time.Second), Request{Team: "red", Wanted: 1}).Tokens).To(Equal(1))
+	g.Expect(l.Lend(start.Add(time.Minute), Request{Team: "blue", Wanted: 1}).Lender).To(BeFalse())
+}
+
+// Guards against a share that rises at once when voters leave: a host that does not know yet
+// would lend the same share.
+func TestShareRisesAfterDelay(t *testing.T) {
+	g := NewWithT(t)
+	l := lenderAt("h0", 1, Limit{Rate: 30, Burst: 30}, voters(2))
+	g.Expect(l.Lend(start, Request{Team: "red", Wanted: 100}).Tokens).To(Equal(15))
+	l.SetElectorate(start, "h0", [][]string{voters(1)})
+	g.Expect(l.Lend(start.Add(time.Second), Request{Team: "red", Wanted: 100}).Tokens).To(Equal(15))
+	g.Expect(l.Lend(start.Add(time.Minute), Request{Team: "red", Wanted: 100}).Tokens).To(Equal(30))
+}
+
+// Guards against a restarted lender that lends its burst again, and against one that refills its
+// bucket with tokens that an earlier incarnation had lent.
+func TestRestartedLenderStartsEmpty(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLender(rules, 2)
+	l.SetLimits(map[string]Limit{"red": {Rate: 30, Burst: 300}})
+	l.SetElectorate(start, "h0", [][]string{voters(3)})
+	ready := start.Add(RoleDelay)
+	g.Expect(l.Lend(ready, Request{Team: "red", Wanted: 100, Returned: 50, ReturnedTo: 1}).Tokens).To(BeZero())
+	g.Expect(l.Lend(ready.Add(time.Second), Request{Team: "red", Wanted: 100}).Tokens).To(Equal(10))
+	g.Expect(l.Lend(ready.Add(time.Second), Request{Team: "red", Wanted: 100, Returned: 7, ReturnedTo: 2}).Tokens).To(Equal(7))
+}
+
+// Guards against a lowered limit that takes effect only when the bucket has been used up.
+func TestLoweredLimitTakesEffectAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	l := lenderAt("h0", 1, Limit{Rate: 3000, Burst: 3000}, voters(3))
+	g.Expect(l.Lend(start, Request{Team: "red", Wanted: 1}).Tokens).To(Equal(1))
+	l.SetLimits(map[string]Limit{"red": {Rate: 3, Burst: 3}})
+	granted := l.Lend(start, Request{Team: "red", Wanted: 100})
+	g.Expect(granted.Tokens).To(BeNumerically("<=", 1))
+	g.Expect(granted.RetryAfter).To(BeNumerically("~", time.Second, 10*time.Millisecond))
+}
+
+// Guards against one host that borrows in advance what the others need now.
+func TestAdvanceLeavesTokensForOthers(t *testing.T) {
+	g := NewWithT(t)
+	l := lenderAt("h0", 1, Limit{Rate: 3, Burst: 60}, voters(3))
+	g.Expect(l.Lend(start, Request{Team: "red", Wanted: 4, Extra: 1000}).Tokens).To(Equal(8))
+	g.Expect(l.Lend(start, Request{Team: "red", Wanted: math.MaxInt, Extra: -3}).Tokens).To(Equal(12))
+}
+
+// borrower returns a borrower with a limit for the team red and the lenders h0, h1 and h2.
+func borrower() *Borrower {
+	b := NewBorrower(rules, func(_ string, lenders []string) []string { return []string{"h0", "h1", "h2"} })
+	b.SetLimits(map[string]Limit{"red": {Rate: 30, Burst: 30}})
+	b.SetVoters(voters(3))
+	return b
+}
+
+// Guards against a token that is used after it has expired, also by a refund, and against one
+// that is used twice.
+func TestTokensExpire(t *testing.T) {
+	g := NewWithT(t)
+	b := borrower()
+	decision, order := b.Take(start, "red", 1, false)
+	g.Expect(decision).To(Equal(Ask))
+	g.Expect(order.Lender).To(Equal("h0"))
+	b.Answered(start.Add(10*time.Millisecond), start, "red", "h0", Grant{Lender: true, Incarnation: 9, Tokens: 2, Life: time.Second})
+	decision, order = b.Take(start.Add(20*time.Millisecond), "red", 1, true)
+	g.Expect(decision).To(Equal(Taken))
+	b.Refund("red", order.Token)
+	for range 2 {
+		decision, _ = b.Take(start.Add(999*time.Millisecond), "red", 1, false)
+		g.Expect(decision).To(Equal(Taken))
+	}
+	b.Refund("red", order.Token)
+	decision, order = b.Take(start.Add(time.Second), "red", 1, false)
+	g.Expect(decision).To(Equal(Ask))
+	g.Expect(order.Request.Returned).To(Equal(1))
+	g.Expect(order.Request.ReturnedTo).To(Equal(uint64(9)))
+}
+
+// Guards against a host that asks for each refused operation, and against one that gives up
+// although another lender has tokens or can be reached.
+func TestRefusedOperationsDoNotAskAgain(t *testing.T) {
+	g := NewWithT(t)
+	b := borrower()
+	for _, lender := range []string{"h0", "h1", "h2"} {
+		decision, order := b.Take(start, "red", 1, false)
+		g.Expect(decision).To(Equal(Ask))
+		g.Expect(order.Lender).To(Equal(lender))
+		if lender == "h1" {
+			b.Failed(start, "red", lender)
+			continue
+		}
+		b.Answered(start, start, "red", lender, Grant{Lender: true, RetryAfter: 400 * time.Millisecond})
+	}
+	decision, order := b.Take(start.Add(100*time.Millisecond), "red", 1, false)
+	g.Expect(decision).To(Equal(Refused))
+	g.Expect(order.After).To(Equal(300 * time.Millisecond))
+	decision, _ = b.Take(start.Add(400*time.Millisecond), "red", 1, false)
+	g.Expect(decision).To(Equal(Ask))
+}
+
+// Guards against operations that wait for a lender that is frozen although others lend, and
+// against a call for each waiting operation.
+func TestStalledCallIsHedged(t *testing.T) {
+	g := NewWithT(t)
+	b := borrower()
+	_, _ = b.Take(start, "red", 1, false)
+	decision, order := b.Take(start.Add(10*time.Millisecond), "red", 2, false)
+	g.Expect(decision).To(Equal(Wait))
+	decision, order = b.Take(start.Add(10*time.Millisecond).Add(order.After), "red", 2, true)
+	g.Expect(decision).To(Equal(Ask))
+	g.Expect(order.Lender).To(Equal("h1"))
+	g.Expect(order.Request.Wanted).To(Equal(2))
+}
+
+// Guards against a busy host that asks for each operation, and a rarely used one that withholds
+// tokens from the others.
+func TestBusyHostBorrowsInAdvance(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		interval time.Duration
+		least    int
+		most     int
+	}{{10 * time.Millisecond, 20, 150}, {10 * time.Second, 0, 0}} {
+		b := borrower()
+		now := start
+		var order Order
+		for range 50 {
+			now = now.Add(c.interval)
+			if d, o := b.Take(now, "red", 1, false); d == Ask {
+				order = o
+				b.Answered(now, now, "red", o.Lender, Grant{Lender: true, Tokens: 1, Life: time.Millisecond})
+			}
+		}
+		g.Expect(order.Request.Extra).To(And(BeNumerically(">=", c.least), BeNumerically("<=", c.most)))
+	}
+}
