Quota: take a token for each operation that is sent to an endpoint

Change: hosts borrow tokens from the lenders of a team by a new call between hosts; single statements and the first statement of a transaction need one. What did not run keeps its token.

--- a/coord/access/directory.go
+++ b/coord/access/directory.go
@@ -20,20 +20,20 @@
 	// Name is the name under which endpoints know the team.
 	Name string
 	// Rate is the number of operations a second that the team may send, Burst the number that
-	// it may send beyond that at once. Both are 0 for a team without a limit.
+	// it may send beyond that at once. They count only if Limited is true.
 	Rate, Burst float64
+	Limited     bool
 	// Share is the team's part of the sum of all rates, from 0 to 1.
 	Share float64
 }
 
-// Limited reports whether the team has a limit.
-func (t Team) Limited() bool { return t.Rate > 0 || t.Burst > 0 }
-
 // Entry is a team as the operator configures it.
 type Entry struct {
 	Name        string
 	Keys        []string
 	Rate, Burst float64
+	// Limited is false for a team that may send any number of operations.
+	Limited bool
 }
 
 // Directory finds teams by key and by name. It is immutable. A nil Directory has no teams.
@@ -114,7 +114,7 @@
 	if !(e.Burst >= 0 && e.Burst <= MaxBurst) {
 		fault("Burst", "is out of range")
 	}
-	d.teams[e.Name] = Team{Name: e.Name, Rate: e.Rate, Burst: e.Burst}
+	d.teams[e.Name] = Team{Name: e.Name, Rate: e.Rate, Burst: e.Burst, Limited: e.Limited}
 	return faults
 }
 
--- a/coord/quota/borrower.go
+++ b/coord/quota/borrower.go
@@ -12,9 +12,9 @@
 	// notLenderBackoff is how long a host that does not lend is not asked again. Roles change
 	// within RoleDelay of a change of the electorate.
 	notLenderBackoff = 250 * time.Millisecond
-	// hedgeDelay is the age of a call after which another lender is asked as well. A call takes
+	// HedgeDelay is the age of a call after which another lender is asked as well. A call takes
 	// a few milliseconds unless the lender or its path is disturbed.
-	hedgeDelay = 40 * time.Millisecond
+	HedgeDelay = 40 * time.Millisecond
 	// demandWeight is the weight of the newest interval in the mean time between two operations.
 	demandWeight = 0.2
 	// accountKept is how long an account without operations is kept.
@@ -231,8 +231,8 @@
 	for _, l := range a.lenders {
 		if !l.askedAt.IsZero() {
 			asking = true
-			if age := now.Sub(l.askedAt); age < hedgeDelay {
-				return Wait, Order{After: hedgeDelay - age}
+			if age := now.Sub(l.askedAt); age < HedgeDelay {
+				return Wait, Order{After: HedgeDelay - age}
 			}
 			continue
 		}
@@ -248,7 +248,7 @@
 	}
 	switch {
 	case asking:
-		return Wait, Order{After: hedgeDelay}
+		return Wait, Order{After: HedgeDelay}
 	case refused:
 		return Refused, Order{After: next}
 	}
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/beryltrestle/beryltrestle/coord/access"
+	"github.com/beryltrestle/beryltrestle/coord/quota"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
@@ -260,6 +261,8 @@
 	partition map[string]int
 	// exchanges counts the gossip calls of all hosts.
 	exchanges int
+	// lendCalls counts the calls of all hosts to lenders.
+	lendCalls int
 	store     *fakeStore
 	group     *fakeGroup
 	logs      map[string]*logBuffer
@@ -424,6 +427,21 @@
 	return gw.Fence(r)
 }
 
+// Lend implements gateway.PeerClient.
+func (p *fakePeerClient) Lend(ctx context.Context, address string, r quota.Request) (quota.Grant, error) {
+	gw, err := p.reach(address)
+	if err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		return quota.Grant{}, err
+	}
+	p.fleet.mu.Lock()
+	p.fleet.lendCalls++
+	p.fleet.mu.Unlock()
+	return gw.Lend(r), nil
+}
+
 // NotRunning implements gateway.PeerClient.
 func (p *fakePeerClient) NotRunning(err error) bool { return errors.Is(err, errNotRunning) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/beryltrestle/beryltrestle/coord/admission"
+	"github.com/beryltrestle/beryltrestle/coord/quota"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -39,6 +40,8 @@
 	// RevocationBound is the time within which a withdrawn key must stop working. Zero means
 	// that there is no bound.
 	RevocationBound time.Duration
+	// Quota holds the rules for the limits of teams. Without a window there are no limits.
+	Quota quota.Rules
 	// ZoneDistance is added to the expected response time of endpoints in other
 	// availability zones: such an endpoint is chosen only if it saves more than that.
 	ZoneDistance time.Duration
@@ -88,6 +91,9 @@
 	// nanoseconds of the boot clock.
 	permittedUntil atomic.Int64
 
+	// quota keeps the operations of teams within their limits; nil if there are none.
+	quota *quotaKeeper
+
 	sessions            sessionSet
 	relayedTransactions relayedTransactions
 	// draining is true once the host has begun to stop.
@@ -117,6 +123,9 @@
 	gw.currentCatalog.Store(&Catalog{})
 	gw.currentGroups.Store(&map[string]*group{})
 	gw.controller = newController(gw)
+	if cfg.Quota.Window > 0 {
+		gw.quota = newQuotaKeeper(cfg, gw.controller.incarnation)
+	}
 	gw.pool = &pool{
 		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, log: gw.events.log, requestLog: gw.events.request, zone: cfg.AvailabilityZone,
 		zoneDistance: cfg.ZoneDistance, parseStatus: cfg.ParseStatus, onFailure: gw.controller.requestProbe, primaryPermitted: gw.primaryPermitted, drainBound: cfg.DrainBound,
--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -24,6 +24,10 @@
 		if !ok || catalog.Version <= current.Version {
 			continue
 		}
+		if c.gw.quota != nil {
+			// The limits come first: a team must not be served without its limit.
+			c.gw.quota.setLimits(catalog.Teams.Teams())
+		}
 		c.gw.currentCatalog.Store(catalog)
 		c.gw.events.log.Info().Uint64("version", catalog.Version).Uint64("before", current.Version).
 			Int("databases", len(catalog.Databases)).Msg("configuration in force")
--- a/internal/gateway/guarded.go
+++ b/internal/gateway/guarded.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/beryltrestle/beryltrestle/coord/quota"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/recovery"
 )
@@ -161,6 +162,12 @@
 	return out, err
 }
 
+// Lend implements PeerClient.
+func (p guardedPeers) Lend(ctx context.Context, address string, r quota.Request) (out quota.Grant, err error) {
+	err = p.guard.Run("call to a lender", func() (err error) { out, err = p.PeerClient.Lend(ctx, address, r); return err })
+	return out, err
+}
+
 // Relay implements PeerClient.
 func (p guardedPeers) Relay(address string, e Endpoint) RelayConn {
 	return guardedRelay{p.PeerClient.Relay(address, e), p.guard}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -123,6 +123,7 @@
 		membershipChanged = c.applyHostRow(r) || membershipChanged
 	}
 	c.resolveVoters()
+	c.updateQuotaRoles()
 	if membershipChanged {
 		c.fleetSize.Store(int64(len(c.members) + 1))
 		c.updateGroups()
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/coord/quota"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 )
 
@@ -97,6 +98,8 @@
 	// Exchange sends a gossip message and returns that of the other host.
 	Exchange(ctx context.Context, address string, msg GossipMessage) (GossipMessage, error)
 	Fence(ctx context.Context, address string, r FenceRequest) (FenceReply, error)
+	// Lend borrows tokens of a team.
+	Lend(ctx context.Context, address string, r quota.Request) (quota.Grant, error)
 	// Relay returns a connection to the endpoint through the host at the address.
 	Relay(address string, e Endpoint) RelayConn
 	// NotRunning reports whether a call failed because no process listens on the
--- /dev/null
+++ b/internal/gateway/operation_token.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/quota"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+// operationToken is the token of the operation that a session runs. An operation is a single
+// statement, or a transaction from its first statement on.
+type operationToken struct {
+	held  bool
+	team  string
+	token quota.Token
+}
+
+// takeToken takes a token for the operation unless it holds one. It returns the refusal if the
+// limit of the team is reached.
+func (s *sessionServer) takeToken(ctx context.Context) *Reply {
+	if s.token.held || s.gateway.quota == nil || !s.team.Limited {
+		return nil
+	}
+	wait := maxTokenWait
+	if s.db.LatencyObjective > 0 {
+		wait = min(wait, time.Duration(tokenWaitShare*float64(s.db.LatencyObjective)))
+	}
+	token, decision, after := s.gateway.takeToken(ctx, s.team.Name, wait)
+	switch decision {
+	case quota.Refused:
+		return s.refuseByQuota(metrics.RefusedQuota, after)
+	case quota.Unavailable:
+		return s.refuseByQuota(metrics.RefusedQuotaUnavailable, after)
+	}
+	s.token = operationToken{held: true, team: s.team.Name, token: token}
+	return nil
+}
+
+// refuseByQuota counts a refusal and returns the answer with the time after which another try
+// makes sense.
+func (s *sessionServer) refuseByQuota(reason metrics.Name, after time.Duration) *Reply {
+	s.gateway.metrics.Inc(reason)
+	reply := s.failStatement(CodeBusy, string(reason)+" retry-after-ms="+strconv.FormatInt(max(after.Milliseconds(), 1), 10))
+	return &reply
+}
+
+// recordAttempt records whether the attempt used up the operation's token. What certainly did
+// not run keeps it.
+func (s *sessionServer) recordAttempt(a attempt) {
+	if a.sent && (a.err != nil || !a.reply.Code.NotRun()) {
+		s.token = operationToken{}
+	}
+}
+
+// refundToken gives back the token of an operation that did not run.
+func (s *sessionServer) refundToken() {
+	if s.token.held && s.gateway.quota != nil {
+		s.gateway.quota.refund(s.token.team, s.token.token)
+	}
+	s.token = operationToken{}
+}
--- /dev/null
+++ b/internal/gateway/quota.go
@@ -0,0 +1,231 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/access"
+	"github.com/beryltrestle/beryltrestle/coord/placement"
+	"github.com/beryltrestle/beryltrestle/coord/quota"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
+
+const (
+	// lendTimeout limits a call to a lender.
+	lendTimeout = 200 * time.Millisecond
+	// maxTokenWait and tokenWaitShare limit how long an operation waits for a token: at most
+	// that share of its latency objective.
+	maxTokenWait   = 250 * time.Millisecond
+	tokenWaitShare = 0.5
+)
+
+// quotaKeeper lends and borrows the tokens of teams on this host.
+type quotaKeeper struct {
+	host, address, zone string
+
+	mu       sync.Mutex
+	lender   *quota.Lender
+	borrower *quota.Borrower
+	voters   []string
+	// zones holds the availability zones of the other hosts by address.
+	zones map[string]string
+	// waiting is the number of operations of each team that wait for a token.
+	waiting map[string]int
+	// answered is closed and replaced when a call of the team to a lender has ended.
+	answered map[string]chan struct{}
+}
+
+// newQuotaKeeper returns a keeper that knows no electorate.
+func newQuotaKeeper(cfg Config, incarnation uint64) *quotaKeeper {
+	q := &quotaKeeper{
+		host: cfg.Host, address: cfg.Address, zone: cfg.AvailabilityZone, lender: quota.NewLender(cfg.Quota, incarnation),
+		waiting: make(map[string]int), answered: make(map[string]chan struct{}),
+	}
+	q.borrower = quota.NewBorrower(cfg.Quota, q.preferredOrder)
+	return q
+}
+
+// preferredOrder returns the lenders in the order in which this host asks them: those of its own
+// availability zone first, and otherwise in an order that differs from host to host.
+func (q *quotaKeeper) preferredOrder(team string, lenders []string) []string {
+	hosts := make([]placement.Host, len(lenders))
+	for i, address := range lenders {
+		hosts[i].Name = address
+	}
+	var near, far []string
+	for _, h := range placement.Rank(q.host+" asks for "+team, hosts, len(hosts)) {
+		if h.Name == q.address || q.zones[h.Name] == q.zone {
+			near = append(near, h.Name)
+			continue
+		}
+		far = append(far, h.Name)
+	}
+	return append(near, far...)
+}
+
+// setElectorate records the sets of voters that this host knows from now on, and the voters in
+// force.
+func (q *quotaKeeper) setElectorate(now time.Time, sets [][]string, inForce []string, zones map[string]string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.zones = zones
+	q.lender.SetElectorate(now, q.address, sets)
+	if !slices.Equal(q.voters, inForce) {
+		q.voters = inForce
+		q.borrower.SetVoters(inForce)
+	}
+}
+
+// setLimits records the limits of the teams.
+func (q *quotaKeeper) setLimits(teams []access.Team) {
+	limits := make(map[string]quota.Limit)
+	for _, team := range teams {
+		if team.Limited {
+			limits[team.Name] = quota.Limit{Rate: team.Rate, Burst: team.Burst}
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lender.SetLimits(limits)
+	q.borrower.SetLimits(limits)
+}
+
+// lend answers a request for tokens.
+func (q *quotaKeeper) lend(r quota.Request) quota.Grant {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.lender.Lend(boottime.Now(), r)
+}
+
+// refund gives back the token of an operation that did not run.
+func (q *quotaKeeper) refund(team string, token quota.Token) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.borrower.Refund(team, token)
+}
+
+// callEnded records the result of a call to a lender, and wakes the operations that wait for it.
+func (q *quotaKeeper) callEnded(team string, record func(now time.Time)) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	record(boottime.Now())
+	if answered := q.answered[team]; answered != nil {
+		close(answered)
+		delete(q.answered, team)
+	}
+}
+
+// answeredChannel returns the channel that is closed when a call of the team has ended. The
+// mutex must be held.
+func (q *quotaKeeper) answeredChannel(team string) <-chan struct{} {
+	if q.answered[team] == nil {
+		q.answered[team] = make(chan struct{})
+	}
+	return q.answered[team]
+}
+
+// Lend answers another host's request for tokens of a team. The permission to use primaries
+// shows that this host's knowledge of the electorate is not older than quota.RoleDelay. It must
+// be checked first: what it rests on is then known to the lender. Lend may be called from any
+// goroutine.
+func (gw *Gateway) Lend(r quota.Request) quota.Grant {
+	if gw.quota == nil || !gw.primaryPermitted(boottime.Now()) {
+		return quota.Grant{}
+	}
+	grant := gw.quota.lend(r)
+	gw.metrics.Add(metrics.QuotaTokensLent, int64(grant.Tokens))
+	return grant
+}
+
+// takeToken takes a token for an operation of the team, and waits for it up to the given time.
+// The decision is quota.Taken, quota.Refused or quota.Unavailable; the duration is the time
+// after which another try makes sense.
+func (gw *Gateway) takeToken(ctx context.Context, team string, wait time.Duration) (quota.Token, quota.Decision, time.Duration) {
+	q := gw.quota
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.waiting[team]++
+	defer q.leave(team)
+	for repeated := false; ; repeated = true {
+		decision, order := q.borrower.Take(boottime.Now(), team, q.waiting[team], repeated)
+		switch decision {
+		case quota.Taken:
+			return order.Token, decision, 0
+		case quota.Refused, quota.Unavailable:
+			return quota.Token{}, decision, order.After
+		case quota.Ask:
+			go gw.askLender(order)
+			order.After = lendTimeout
+		}
+		answered := q.answeredChannel(team)
+		again := time.NewTimer(min(order.After, quota.HedgeDelay))
+		q.mu.Unlock()
+		expired := false
+		select {
+		case <-answered:
+		case <-again.C:
+		case <-deadline.C:
+			expired = true
+		case <-ctx.Done():
+			expired = true
+		}
+		again.Stop()
+		q.mu.Lock()
+		if expired {
+			return quota.Token{}, quota.Unavailable, maxTokenWait
+		}
+	}
+}
+
+// leave ends the wait of an operation. The mutex must be held.
+func (q *quotaKeeper) leave(team string) {
+	if q.waiting[team]--; q.waiting[team] == 0 {
+		delete(q.waiting, team)
+	}
+}
+
+// askLender asks a lender for tokens.
+func (gw *Gateway) askLender(order quota.Order) {
+	team := order.Request.Team
+	began := boottime.Now()
+	var grant quota.Grant
+	var err error
+	if order.Lender == gw.cfg.Address {
+		grant = gw.Lend(order.Request)
+	} else {
+		ctx, cancel := context.WithTimeout(gw.ctx, lendTimeout)
+		defer cancel()
+		gw.metrics.Inc(metrics.QuotaCalls)
+		grant, err = gw.cfg.Peers.Lend(ctx, order.Lender, order.Request)
+	}
+	gw.quota.callEnded(team, func(now time.Time) {
+		if err != nil {
+			gw.metrics.Inc(metrics.QuotaCallsFailed)
+			gw.quota.borrower.Failed(now, team, order.Lender)
+			return
+		}
+		gw.quota.borrower.Answered(now, began, team, order.Lender, grant)
+	})
+}
+
+// updateQuotaRoles tells the lender and the borrower of the electorate and the host list. It must
+// be called before a permission that rests on them is used.
+func (c *controller) updateQuotaRoles() {
+	if c.gw.quota == nil {
+		return
+	}
+	zones := make(map[string]string, len(c.members))
+	for _, m := range c.members {
+		zones[m.Address] = m.AvailabilityZone
+	}
+	inForce := c.electorate.Voters
+	if c.electorate.Changing() {
+		inForce = c.electorate.Former
+	}
+	c.gw.quota.setElectorate(boottime.Now(), c.electorate.Sets(), inForce, zones)
+}
--- /dev/null
+++ b/internal/gateway/quota_test.go
@@ -0,0 +1,147 @@
+package gateway_test
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/coord/access"
+	"github.com/beryltrestle/beryltrestle/coord/quota"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/gateway"
+)
+
+// testRules have a short window, so that a test spans several of them.
+var testRules = quota.Rules{Window: time.Second, Overage: 0.1, Slack: 5}
+
+// runTimes records when the endpoints ran statements of callers.
+type runTimes struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+// mostInWindow returns the largest number of runs in any window.
+func (r *runTimes) mostInWindow(window time.Duration) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	slices.SortFunc(r.times, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range r.times {
+		for at.Sub(r.times[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// startLimitedFleet starts hosts with a limited team red, whose runs are recorded.
+func startLimitedFleet(t *testing.T, limit quota.Limit, hosts ...string) (*fakeFleet, *runTimes) {
+	t.Helper()
+	f := newFleet(manyConnections)
+	f.configure = func(cfg *gateway.Config) { cfg.Quota = testRules }
+	f.putTeams(2, access.Entry{Name: "red", Keys: []string{"r1"}, Limited: true, Rate: limit.Rate, Burst: limit.Burst})
+	f.startAll(t, hosts...)
+	runs := &runTimes{}
+	f.group.mu.Lock()
+	f.group.onRun = func(_ string, _ *fakeEndpoint, r gateway.Request) {
+		if r.ID != readX.ID {
+			return
+		}
+		runs.mu.Lock()
+		defer runs.mu.Unlock()
+		runs.times = append(runs.times, boottime.Now())
+	}
+	f.group.mu.Unlock()
+	return f, runs
+}
+
+// flood sends statements of the team red through the hosts as fast as they are answered, for a
+// while. It returns how many were served, and the refusals.
+func (f *fakeFleet) flood(duration time.Duration, hosts ...string) (served int, refusals []gateway.Reply) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	end := time.Now().Add(duration)
+	for _, host := range hosts {
+		caller := f.callerWithKey(host, "keyed", "r1")
+		wg.Go(func() {
+			for time.Now().Before(end) {
+				r := caller.do(readX)
+				mu.Lock()
+				if r.OK() {
+					served++
+				} else {
+					refusals = append(refusals, r)
+				}
+				mu.Unlock()
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	return served, refusals
+}
+
+// Guards against a team that is served beyond its limit because each host counts for itself,
+// and against one that does not get what it may have.
+func TestLimitHoldsOverAllHosts(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	limit := quota.Limit{Rate: 40, Burst: 10}
+	f, runs := startLimitedFleet(t, limit, "h1", "h2", "h3", "h4")
+	time.Sleep(quota.RoleDelay + time.Second)
+	served, refusals := f.flood(3*time.Second, "h1", "h2", "h3", "h4")
+	g.Expect(runs.mostInWindow(testRules.Window)).To(BeNumerically("<=", testRules.Allowed(limit)))
+	g.Expect(served).To(BeNumerically(">=", int(0.9*3*limit.Rate)))
+	g.Expect(refusals).NotTo(BeEmpty())
+	for _, r := range refusals {
+		g.Expect(r.Code).To(Equal(gateway.CodeBusy))
+		g.Expect(strings.HasPrefix(r.Detail, "refused.quota retry-after-ms=")).To(BeTrue(), r.Detail)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g.Expect(f.lendCalls).To(BeNumerically("<", len(refusals)))
+}
+
+// Guards against a limit that is exceeded when a lender is killed and starts again with a full
+// bucket, or when a partition leaves lenders on both sides, and against one that is not served
+// any more afterwards.
+func TestLimitHoldsThroughFailures(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	limit := quota.Limit{Rate: 40, Burst: 10}
+	hosts := []string{"h1", "h2", "h3", "h4", "h5"}
+	f, runs := startLimitedFleet(t, limit, hosts...)
+	time.Sleep(quota.RoleDelay + time.Second)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.flood(6*time.Second, hosts...)
+	}()
+	for _, host := range hosts[:2] {
+		time.Sleep(300 * time.Millisecond)
+		f.mu.Lock()
+		f.stops[host]()
+		f.mu.Unlock()
+		f.start(t, host)
+	}
+	f.mu.Lock()
+	f.partition["h4"], f.partition["h5"] = 1, 1
+	f.mu.Unlock()
+	f.store.setUnavailable("h4", true)
+	f.store.setUnavailable("h5", true)
+	time.Sleep(2 * time.Second)
+	f.mu.Lock()
+	f.partition["h4"], f.partition["h5"] = 0, 0
+	f.mu.Unlock()
+	f.store.setUnavailable("h4", false)
+	f.store.setUnavailable("h5", false)
+	<-done
+	g.Expect(runs.mostInWindow(testRules.Window)).To(BeNumerically("<=", testRules.Allowed(limit)))
+	served, _ := f.flood(2*time.Second, hosts...)
+	g.Expect(served).To(BeNumerically(">=", int(0.9*2*limit.Rate)))
+}
--- a/internal/gateway/session_server.go
+++ b/internal/gateway/session_server.go
@@ -22,6 +22,8 @@
 	db Database
 	// team is the caller's team as of the running statement.
 	team access.Team
+	// token is the token of the running operation.
+	token operationToken
 	// pinned is the connection of the open transaction. It is nil before the
 	// transaction's first statement and after the connection was lost.
 	pinned *conn
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -66,6 +66,10 @@
 	if g == nil {
 		return s.refuse(CodeBusy, metrics.RefusedNoPrimary)
 	}
+	if refusal := s.takeToken(ctx); refusal != nil {
+		return *refusal
+	}
+	defer s.refundToken()
 	req := newRequirement(s.db, s.state.Floor, arrived, st.Writes)
 	var last attempt
 	for tries := 1; ; {
@@ -77,11 +81,12 @@
 		if errors.Is(a.err, errRequeue) {
 			continue
 		}
+		s.recordAttempt(a)
 		if done, reply := s.decideOutcome(st, a); done {
 			return reply
 		}
 		last = a
-		if a.queueFull(req) || !s.mayRetry(ctx, tries) {
+		if a.queueFull(req) || !s.mayRetry(ctx, tries) || s.takeToken(ctx) != nil {
 			return s.giveUp(st, last)
 		}
 		tries++
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -32,6 +32,10 @@
 	if g == nil {
 		return s.refuse(CodeBusy, metrics.RefusedNoPrimary)
 	}
+	if refusal := s.takeToken(ctx); refusal != nil {
+		return *refusal
+	}
+	defer s.refundToken()
 	tx := s.state.Transaction()
 	req := newRequirement(s.db, s.state.Floor, tx.Began, !tx.ReadOnly)
 	var last attempt
@@ -46,13 +50,14 @@
 		}
 		if a.err == nil && a.reply.OK() {
 			reply := s.runPinned(ctx, st)
+			s.recordAttempt(attempt{reply: reply, sent: true})
 			if reply.OK() || !s.startOver(st, &reply) {
 				return reply
 			}
 			a = attempt{reply: reply, sent: true, chosen: chosen}
 		}
 		last = a
-		if a.queueFull(req) || !s.mayRetry(ctx, tries) {
+		if a.queueFull(req) || !s.mayRetry(ctx, tries) || s.takeToken(ctx) != nil {
 			return s.giveUpFirst(last)
 		}
 		tries++
@@ -163,6 +168,12 @@
 	g := s.gateway.group(s.db.Group)
 	tx := s.state.Transaction()
 	req := newRequirement(s.db, s.state.Floor, tx.Began, !tx.ReadOnly)
+	if refusal := s.takeToken(ctx); refusal != nil {
+		s.state.End()
+		refusal.State = TxIdle
+		return *refusal
+	}
+	defer s.refundToken()
 	for g != nil {
 		chosen, ok := s.awaitEndpoint(ctx, g, req)
 		if !ok {
@@ -170,6 +181,7 @@
 		}
 		a := s.openTransaction(ctx, chosen, req.primary, arrived)
 		if a.err == nil && a.reply.OK() {
+			s.token = operationToken{}
 			return s.commitPinned(ctx, st)
 		}
 		if !errors.Is(a.err, errRequeue) {
--- a/internal/gen/beryltrestle/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/internal/gen/beryltrestle/fleet/v1/fleetv1connect/fleet.connect.go
@@ -40,6 +40,8 @@
 	FleetServiceFenceProcedure = "/beryltrestle.fleet.v1.FleetService/Fence"
 	// FleetServiceRelayProcedure is the fully-qualified name of the FleetService's Relay RPC.
 	FleetServiceRelayProcedure = "/beryltrestle.fleet.v1.FleetService/Relay"
+	// FleetServiceLendProcedure is the fully-qualified name of the FleetService's Lend RPC.
+	FleetServiceLendProcedure = "/beryltrestle.fleet.v1.FleetService/Lend"
 )
 
 // FleetServiceClient is a client for the beryltrestle.fleet.v1.FleetService service.
@@ -50,6 +52,8 @@
 	Fence(context.Context, *connect.Request[v1.FenceRequest]) (*connect.Response[v1.FenceResponse], error)
 	// Relay runs a request on a connection that the receiver holds.
 	Relay(context.Context, *connect.Request[v1.RelayRequest]) (*connect.Response[v1.RelayResponse], error)
+	// Lend borrows tokens for the operations of a team.
+	Lend(context.Context, *connect.Request[v1.LendRequest]) (*connect.Response[v1.LendResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the beryltrestle.fleet.v1.FleetService service. By
@@ -81,6 +85,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Relay")),
 			connect.WithClientOptions(opts...),
 		),
+		lend: connect.NewClient[v1.LendRequest, v1.LendResponse](
+			httpClient,
+			baseURL+FleetServiceLendProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Lend")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -89,6 +99,7 @@
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	fence    *connect.Client[v1.FenceRequest, v1.FenceResponse]
 	relay    *connect.Client[v1.RelayRequest, v1.RelayResponse]
+	lend     *connect.Client[v1.LendRequest, v1.LendResponse]
 }
 
 // Exchange calls beryltrestle.fleet.v1.FleetService.Exchange.
@@ -106,6 +117,11 @@
 	return c.relay.CallUnary(ctx, req)
 }
 
+// Lend calls beryltrestle.fleet.v1.FleetService.Lend.
+func (c *fleetServiceClient) Lend(ctx context.Context, req *connect.Request[v1.LendRequest]) (*connect.Response[v1.LendResponse], error) {
+	return c.lend.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the beryltrestle.fleet.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Exchange sends what the caller knows and returns what the receiver knows.
@@ -114,6 +130,8 @@
 	Fence(context.Context, *connect.Request[v1.FenceRequest]) (*connect.Response[v1.FenceResponse], error)
 	// Relay runs a request on a connection that the receiver holds.
 	Relay(context.Context, *connect.Request[v1.RelayRequest]) (*connect.Response[v1.RelayResponse], error)
+	// Lend borrows tokens for the operations of a team.
+	Lend(context.Context, *connect.Request[v1.LendRequest]) (*connect.Response[v1.LendResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -141,6 +159,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Relay")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceLendHandler := connect.NewUnaryHandler(
+		FleetServiceLendProcedure,
+		svc.Lend,
+		connect.WithSchema(fleetServiceMethods.ByName("Lend")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/beryltrestle.fleet.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceExchangeProcedure:
@@ -149,6 +173,8 @@
 			fleetServiceFenceHandler.ServeHTTP(w, r)
 		case FleetServiceRelayProcedure:
 			fleetServiceRelayHandler.ServeHTTP(w, r)
+		case FleetServiceLendProcedure:
+			fleetServiceLendHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -169,3 +195,7 @@
 func (UnimplementedFleetServiceHandler) Relay(context.Context, *connect.Request[v1.RelayRequest]) (*connect.Response[v1.RelayResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("beryltrestle.fleet.v1.FleetService.Relay is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) Lend(context.Context, *connect.Request[v1.LendRequest]) (*connect.Response[v1.LendResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("beryltrestle.fleet.v1.FleetService.Lend is not implemented"))
+}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -36,6 +36,10 @@
 	// RefusedOutdatedConfiguration counts callers whose database is not in a configuration
 	// that may be outdated.
 	RefusedOutdatedConfiguration Name = "refused.outdated_configuration"
+	// RefusedQuota counts operations beyond the limit of their team, RefusedQuotaUnavailable
+	// those for which no lender could be reached in time.
+	RefusedQuota            Name = "refused.quota"
+	RefusedQuotaUnavailable Name = "refused.quota_unavailable"
 	// RefusedUnknownKey counts callers and statements whose key no team holds.
 	RefusedUnknownKey Name = "refused.unknown_key"
 )
@@ -115,6 +119,11 @@
 	// GossipInvalid counts parts of gossip messages that were left out because their
 	// numbers are out of range.
 	GossipInvalid Name = "gossip.invalid"
+	// QuotaCalls counts calls to lenders of tokens and QuotaCallsFailed those that failed.
+	QuotaCalls       Name = "quota.calls"
+	QuotaCallsFailed Name = "quota.calls_failed"
+	// QuotaTokensLent counts the tokens that this host has lent.
+	QuotaTokensLent Name = "quota.tokens_lent"
 	// Panics counts panics in the work on one connection, call or row.
 	Panics Name = "panics"
 )
