Quota: spread what a window allows over the window, and lend tokens ahead of time

Change: the terms follow from what is allowed in a window. Tokens that the bucket will hold within 75 ms are lent with a delay. Unused tokens are not returned: a return could be used beside a bucket that had been refilled meanwhile.

--- a/coord/quota/borrower.go
+++ b/coord/quota/borrower.go
@@ -51,10 +51,8 @@
 
 // Token allows one operation. The zero value is that of a team without a limit.
 type Token struct {
-	expires time.Time
-	lender  string
-	// incarnation is that of the lender's process.
-	incarnation uint64
+	// usableFrom and expires limit when it may be used.
+	usableFrom, expires time.Time
 }
 
 // Borrower keeps the tokens that one host has borrowed. It is not safe for concurrent use.
@@ -96,12 +94,10 @@
 	askedAt time.Time
 	// notBefore is when the lender may be asked again.
 	notBefore time.Time
+	// lends is true if the host answered the last call as a lender.
+	lends bool
 	// refused is true if the lender had no token when it was last asked.
 	refused bool
-	// unused is the number of tokens of the lender's incarnation that expired unused and are
-	// given back with the next request.
-	unused      int
-	incarnation uint64
 }
 
 // SetVoters sets the voters among whom the lenders are. While a change of the electorate is not
@@ -140,7 +136,10 @@
 	if token, ok := a.takeToken(now); ok {
 		return Taken, Order{Token: token}
 	}
-	return a.choose(now, b.request(a, team, limit, waiting))
+	if wait := a.delayed(now, waiting); wait > 0 {
+		return Wait, Order{After: wait}
+	}
+	return a.choose(now, a.request(team, waiting))
 }
 
 // account returns the account of the team.
@@ -159,11 +158,11 @@
 }
 
 // request returns the request for a lender.
-func (b *Borrower) request(a *account, team string, limit Limit, waiting int) Request {
+func (a *account) request(team string, waiting int) Request {
 	r := Request{Team: team, Wanted: max(waiting, 1)}
 	if a.interval > 0 {
 		// Half of the tokens' lifetime leaves a chance that all of them are used.
-		r.Extra = int(b.rules.terms(limit).life / 2 / a.interval)
+		r.Extra = min(int(advanceLife/2/a.interval), maxTokens)
 	}
 	return r
 }
@@ -180,11 +179,14 @@
 	a.lastUse = now
 }
 
-// takeToken takes the token that expires first.
+// takeToken takes the token that expires first. It drops portions that have expired.
 func (a *account) takeToken(now time.Time) (Token, bool) {
-	a.dropExpired(now)
+	a.portions = slices.DeleteFunc(a.portions, func(p portion) bool { return p.tokens == 0 || !now.Before(p.expires) })
 	first := -1
 	for i, p := range a.portions {
+		if now.Before(p.usableFrom) {
+			continue
+		}
 		if first < 0 || p.expires.Before(a.portions[first].expires) {
 			first = i
 		}
@@ -196,29 +198,21 @@
 	return a.portions[first].Token, true
 }
 
-// dropExpired drops the portions that are used up or have expired. Tokens that expired unused
-// are given back to their lender.
-func (a *account) dropExpired(now time.Time) {
-	a.portions = slices.DeleteFunc(a.portions, func(p portion) bool {
-		expired := !now.Before(p.expires)
-		if expired && p.tokens > 0 {
-			a.giveBack(p)
-		}
-		return expired || p.tokens == 0
-	})
-}
-
-// giveBack records that the tokens of the portion will not be used.
-func (a *account) giveBack(p portion) {
-	for _, l := range a.lenders {
-		switch {
-		case l.address != p.lender:
-		case l.incarnation == p.incarnation:
-			l.unused += p.tokens
-		default:
-			l.unused, l.incarnation = p.tokens, p.incarnation
+// delayed returns the time until the next token may be used, if there will be one for each
+// waiting operation; otherwise 0.
+func (a *account) delayed(now time.Time, waiting int) time.Duration {
+	tokens := 0
+	var next time.Duration
+	for _, p := range a.portions {
+		tokens += p.tokens
+		if wait := p.usableFrom.Sub(now); next == 0 || wait < next {
+			next = wait
 		}
 	}
+	if tokens < waiting {
+		return 0
+	}
+	return next
 }
 
 // choose decides which lender is asked.
@@ -242,8 +236,6 @@
 			continue
 		}
 		l.askedAt = now
-		r.Returned, r.ReturnedTo = l.unused, l.incarnation
-		l.unused = 0
 		return Ask, Order{Lender: l.address, Request: r}
 	}
 	switch {
@@ -261,27 +253,41 @@
 	if l == nil {
 		return
 	}
-	l.askedAt, l.refused = time.Time{}, false
+	l.askedAt, l.refused, l.lends = time.Time{}, false, g.Lender
 	if !g.Lender {
 		l.notBefore = now.Add(notLenderBackoff)
 		return
 	}
-	if g.Tokens > 0 && g.Life > 0 {
-		token := Token{expires: began.Add(min(g.Life, maxTokenLife)), lender: lender, incarnation: g.Incarnation}
-		a.portions = append(a.portions, portion{Token: token, tokens: clampTokens(g.Tokens)})
-	}
+	delay := min(g.Delay, maxDelay)
+	a.add(g.Tokens, Token{usableFrom: now, expires: began.Add(tokenLife)})
+	a.add(g.Delayed, Token{usableFrom: now.Add(delay), expires: began.Add(delay + tokenLife)})
+	a.add(g.Extra, Token{usableFrom: now, expires: began.Add(advanceLife)})
 	if g.RetryAfter > 0 {
 		l.refused, l.notBefore = true, now.Add(min(g.RetryAfter, maxRetryAfter))
 	}
 }
 
+// add adds a number of equal tokens.
+func (a *account) add(n int, token Token) {
+	if n = clampTokens(n); n > 0 {
+		a.portions = append(a.portions, portion{Token: token, tokens: n})
+	}
+}
+
 // Failed records that a lender did not answer.
 func (b *Borrower) Failed(now time.Time, team, lender string) {
 	if _, l := b.find(team, lender); l != nil {
-		l.askedAt, l.refused, l.notBefore = time.Time{}, false, now.Add(failureBackoff)
+		l.askedAt, l.refused, l.lends, l.notBefore = time.Time{}, false, false, now.Add(failureBackoff)
 	}
 }
 
+// Reachable reports whether a lender of the team answered the last call to it, so that an
+// operation which has waited in vain is refused because of the limit.
+func (b *Borrower) Reachable(team string) bool {
+	a := b.accounts[team]
+	return a != nil && slices.ContainsFunc(a.lenders, func(l *lenderState) bool { return l.lends })
+}
+
 // find returns the account and the state of a lender, or nil.
 func (b *Borrower) find(team, lender string) (*account, *lenderState) {
 	a := b.accounts[team]
--- a/coord/quota/lender.go
+++ b/coord/quota/lender.go
@@ -2,15 +2,28 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
-// extraShare is the part of the tokens in a bucket that a host may borrow in advance, so that
-// one host does not withhold all of them from the others.
-const extraShare = 0.25
-
-// maxTokens limits the tokens of one request.
-const maxTokens = 1_000_000
+const (
+	// advanceShare is the part of a bucket's capacity that may be borrowed in advance.
+	advanceShare = 0.5
+	// hostShare is the part of what may be borrowed in advance that one host gets at once.
+	hostShare = 0.25
+	// maxTokens limits the tokens of one request.
+	maxTokens = 1_000_000
+	// maxDelay limits how far in advance tokens are lent that the bucket does not hold yet.
+	// Operations wait that long for a token; it is half of the shortest latency objective.
+	maxDelay = 75 * time.Millisecond
+	// callsPerToken is how many calls of refused hosts are expected for each token, so that
+	// every token is taken although some hosts do not come back.
+	callsPerToken = 2
+	// minRetryAfter and maxRetryAfter limit the time after which a refused host asks again. The
+	// limit may be raised meanwhile, and the tokens of hosts that do not come back are free.
+	minRetryAfter = 10 * time.Millisecond
+	maxRetryAfter = 400 * time.Millisecond
+)
 
 // Request asks a lender for tokens.
 type Request struct {
@@ -18,10 +31,6 @@
 	// Wanted is the number of operations that wait for a token, Extra the number of tokens to
 	// borrow in advance.
 	Wanted, Extra int
-	// Returned is the number of tokens that are given back unused to the lender's incarnation
-	// ReturnedTo.
-	Returned   int
-	ReturnedTo uint64
 }
 
 // Grant is the answer to a Request.
@@ -29,11 +38,16 @@
 	// Lender is false if the host does not lend for the team now. The other fields are then
 	// not set.
 	Lender bool
-	// Incarnation identifies the lender's process.
-	Incarnation uint64
-	Tokens      int
-	// Life is how long the tokens may be used, from the start of the call that borrowed them.
-	Life time.Duration
+	// Tokens is the number of tokens for operations that wait. They must be used within
+	// tokenLife of the start of the call that borrowed them.
+	Tokens int
+	// Delayed is the number of further tokens that must not be used before Delay after the
+	// answer, and must be used within Delay+tokenLife of the start of the call.
+	Delayed int
+	Delay   time.Duration
+	// Extra is the number of tokens that were borrowed in advance. They must be used within
+	// advanceLife of the start of the call.
+	Extra int
 	// RetryAfter is the time after which the lender expects to have a token; 0 if it has
 	// granted all that was wanted.
 	RetryAfter time.Duration
@@ -41,17 +55,15 @@
 
 // Lender lends the tokens of teams on one host. It is not safe for concurrent use.
 type Lender struct {
-	rules       Rules
-	incarnation uint64
-	roles       roles
-	limits      map[string]Limit
-	buckets     map[string]*bucket
+	rules   Rules
+	roles   roles
+	limits  map[string]Limit
+	buckets map[string]*bucket
 }
 
-// NewLender returns a lender that knows no electorate. The incarnation must differ from that of
-// every earlier process at the same address.
-func NewLender(rules Rules, incarnation uint64) *Lender {
-	return &Lender{rules: rules, incarnation: incarnation, buckets: make(map[string]*bucket)}
+// NewLender returns a lender that knows no electorate.
+func NewLender(rules Rules) *Lender {
+	return &Lender{rules: rules, buckets: make(map[string]*bucket)}
 }
 
 // SetElectorate records the sets of voters that the host at the address self knows from now on:
@@ -93,17 +105,14 @@
 		l.buckets[r.Team] = b
 	}
 	b.refill(now, terms.rate/float64(divisor), terms.capacity/float64(divisor))
-	if r.ReturnedTo == l.incarnation {
-		b.tokens += float64(clampTokens(r.Returned))
-		b.tokens = math.Min(b.tokens, b.capacity)
-	}
 	wanted := clampTokens(r.Wanted)
-	granted := b.take(wanted, 1)
-	granted += b.take(clampTokens(r.Extra), extraShare)
-	out := Grant{Lender: true, Incarnation: l.incarnation, Tokens: granted, Life: terms.life}
-	if granted < wanted {
-		out.RetryAfter = b.nextToken()
+	out := Grant{Lender: true, Tokens: b.take(wanted)}
+	out.Delayed, out.Delay = b.takeDelayed(wanted - out.Tokens)
+	if missing := wanted - out.Tokens - out.Delayed; missing > 0 {
+		out.RetryAfter = b.reserve(now, missing)
+		return out
 	}
+	out.Extra = b.takeAdvance(now, clampTokens(r.Extra))
 	return out
 }
 
@@ -112,9 +121,21 @@
 
 // bucket is a token bucket.
 type bucket struct {
+	// tokens is negative if tokens were lent that the bucket does not hold yet.
 	tokens, rate, capacity float64
 	// at is the time as of which tokens is valid.
 	at time.Time
+	// advances are the tokens that were borrowed in advance and may not have been used yet. They
+	// and tokens together never exceed the capacity.
+	advances []advance
+	// reservedUntil is when the tokens are expected for which hosts have been told to come back.
+	reservedUntil time.Time
+}
+
+// advance is a number of tokens that were borrowed in advance.
+type advance struct {
+	tokens  float64
+	expires time.Time
 }
 
 // refill adds the tokens of the time since the last call, by the rate and up to the capacity
@@ -125,25 +146,60 @@
 		b.tokens += rate * elapsed.Seconds()
 		b.at = now
 	}
-	b.tokens = math.Min(b.tokens, capacity)
+	b.advances = slices.DeleteFunc(b.advances, func(a advance) bool { return !now.Before(a.expires) })
+	b.tokens = math.Min(b.tokens, math.Max(capacity-b.advanced(), 0))
 }
 
-// take takes up to n whole tokens, at most the given share of those in the bucket.
-func (b *bucket) take(n int, share float64) int {
-	taken := min(n, int(b.tokens*share))
+// advanced returns the number of tokens that were borrowed in advance.
+func (b *bucket) advanced() float64 {
+	sum := 0.0
+	for _, a := range b.advances {
+		sum += a.tokens
+	}
+	return sum
+}
+
+// take takes up to n whole tokens.
+func (b *bucket) take(n int) int {
+	taken := min(n, int(math.Max(b.tokens, 0)))
 	b.tokens -= float64(taken)
 	return taken
 }
 
-// maxRetryAfter limits the time after which a refused host asks again, since the limit may be
-// raised meanwhile.
-const maxRetryAfter = time.Second
+// takeDelayed takes up to n tokens that the bucket will hold within maxDelay, and returns the
+// time until it holds all of them.
+func (b *bucket) takeDelayed(n int) (int, time.Duration) {
+	taken := min(n, int(math.Max(b.tokens+b.rate*maxDelay.Seconds(), 0)))
+	if taken <= 0 {
+		return 0, 0
+	}
+	b.tokens -= float64(taken)
+	return taken, time.Duration(math.Max(-b.tokens/b.rate, 0) * float64(time.Second))
+}
+
+// takeAdvance takes up to n tokens in advance.
+func (b *bucket) takeAdvance(now time.Time, n int) int {
+	free := advanceShare*b.capacity - b.advanced()
+	taken := b.take(min(n, int(math.Max(math.Min(b.tokens, free)*hostShare, 0))))
+	if taken > 0 {
+		b.advances = append(b.advances, advance{tokens: float64(taken), expires: now.Add(advanceLife)})
+	}
+	return taken
+}
 
-// nextToken returns the time until the bucket holds a whole token.
-func (b *bucket) nextToken() time.Duration {
-	if b.rate <= 0 || b.capacity < 1 {
+// reserve returns the time after which a host that lacks n tokens asks again. Hosts so come back
+// about as fast as there are tokens, and not all at once.
+func (b *bucket) reserve(now time.Time, n int) time.Duration {
+	if b.rate <= 0 {
 		return maxRetryAfter
 	}
-	seconds := math.Max(1-b.tokens, 0) / b.rate
-	return time.Duration(math.Min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+	if b.reservedUntil.Before(now) {
+		b.reservedUntil = now
+	}
+	seconds := math.Min(float64(n)/b.rate/callsPerToken, maxRetryAfter.Seconds())
+	b.reservedUntil = b.reservedUntil.Add(time.Duration(seconds * float64(time.Second)))
+	if limit := now.Add(maxRetryAfter); b.reservedUntil.After(limit) {
+		b.reservedUntil = limit
+	}
+	return max(b.reservedUntil.Sub(now), minRetryAfter)
 }
--- a/coord/quota/rules.go
+++ b/coord/quota/rules.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math"
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/permission"
@@ -12,16 +11,23 @@
 	// lends. It is the longest time for which another host may act on an older electorate.
 	RoleDelay = permission.Duration
 	// maxLenders is the number of lenders of a team. The loss of one of three leaves two thirds
-	// of the limit, which is above the usual traffic of a team.
+	// of what is allowed, which is above the usual traffic of a team.
 	maxLenders = 3
-	// minTokenLife and maxTokenLife limit how long a borrowed token may be kept. A token must
-	// outlive the call by which it is borrowed; one that is kept for longer than a few seconds
-	// is withheld from other hosts in vain.
-	minTokenLife = 300 * time.Millisecond
-	maxTokenLife = 3 * time.Second
-	// reserveShare is the part of what the rules allow beyond the limit itself that token
-	// lifetimes may use up. The rest covers the drift of clocks.
-	reserveShare = 0.8
+	// tokenLife is how long a token may be kept that an operation waits for. It must outlive the
+	// call by which it is borrowed.
+	tokenLife = 200 * time.Millisecond
+	// advanceLife is how long a token may be kept that was borrowed in advance. One that is kept
+	// for longer is withheld from other hosts in vain.
+	advanceLife = 2 * time.Second
+	// burstShare is the part of what is allowed in a window that may be used at once. The rest is
+	// spread over the window, so that a lender that starts with an empty bucket adds up with its
+	// predecessor. A larger part lowers the rate that a team can use all the time.
+	burstShare = 0.1
+	// tokensPerLender is the smallest capacity of a bucket; with less, two operations of a small
+	// team at the same time would be refused.
+	tokensPerLender = 2
+	// roundingReserve keeps rounding errors from exceeding what is allowed.
+	roundingReserve = 0.001
 )
 
 // Limit is the limit of one team.
@@ -50,32 +56,23 @@
 	lenders int
 	// rate and capacity are those of the buckets of all lenders together.
 	rate, capacity float64
-	// life is how long a borrowed token may be kept.
-	life time.Duration
 }
 
-// terms returns the terms for a limit. A token that was lent at time g is used by g+life, so
-// that the operations of one window were lent within Window+life.
+// terms returns the terms for a limit. They depend only on what is allowed in a window: a team
+// may use that all the time, in any distribution that the capacity permits. A token that was lent
+// at time g is used by g+tokenLife, so that the operations of one window were lent within
+// Window+tokenLife. Tokens that were borrowed in advance count against the capacity until they
+// expire.
 func (r Rules) terms(l Limit) terms {
-	allowed, window := r.Allowed(l), r.Window.Seconds()
-	t := terms{lenders: maxLenders, rate: l.Rate, capacity: wholeTokens(l.Burst, maxLenders)}
-	spare := func() float64 { return allowed - l.Rate*window - t.capacity }
-	if spare() < (1-reserveShare)*(allowed-l.Rate*window-l.Burst) {
-		// Too little is allowed for a token at each of several lenders.
-		t.lenders, t.capacity = 1, wholeTokens(l.Burst, 1)
+	if l.Rate <= 0 && l.Burst <= 0 {
+		return terms{lenders: 1}
 	}
-	if spare() < 0 {
-		t.capacity = max(allowed-l.Rate*window, 0)
+	allowed := r.Allowed(l) * (1 - roundingReserve)
+	t := terms{lenders: maxLenders, capacity: max(burstShare*allowed, maxLenders*tokensPerLender)}
+	if t.capacity > allowed/2 {
+		// Too little is allowed for several buckets.
+		t.lenders, t.capacity = 1, min(max(burstShare*allowed, 1), allowed)
 	}
-	t.life = maxTokenLife
-	if l.Rate > 0 {
-		seconds := min(reserveShare*spare()/l.Rate, maxTokenLife.Seconds())
-		t.life = max(time.Duration(seconds*float64(time.Second)), minTokenLife)
-	}
-	t.rate = min(l.Rate, max(allowed-t.capacity, 0)/(window+t.life.Seconds()))
+	t.rate = (allowed - t.capacity) / (r.Window + tokenLife).Seconds()
 	return t
 }
-
-// wholeTokens returns the capacity of all buckets together for a burst. A bucket that never
-// holds a whole token could lend none.
-func wholeTokens(burst float64, lenders int) float64 { return math.Max(burst, float64(lenders)) }
--- a/internal/fleet/lend.go
+++ b/internal/fleet/lend.go
@@ -10,15 +10,15 @@
 	fleetv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/fleet/v1"
 )
 
-// maxLendTimes limits the times in the answer of a lender.
-const maxLendTimes = time.Hour
+// maxRetryAfter limits the time in the answer of a lender.
+const maxRetryAfter = time.Hour
 
 // Lend implements gateway.PeerClient.
 func (c *Client) Lend(ctx context.Context, address string, r quota.Request) (quota.Grant, error) {
 	peer := c.connTo(address)
 	began := time.Now()
 	response, err := peer.client.Lend(ctx, connect.NewRequest(&fleetv1.LendRequest{
-		Team: r.Team, Wanted: int64(r.Wanted), Extra: int64(r.Extra), Returned: int64(r.Returned), ReturnedTo: r.ReturnedTo,
+		Team: r.Team, Wanted: int64(r.Wanted), Extra: int64(r.Extra),
 	}))
 	c.recordResult(address, peer, began, err)
 	if err != nil {
@@ -26,19 +26,18 @@
 	}
 	m := response.Msg
 	return quota.Grant{
-		Lender: !m.GetNotLender(), Incarnation: m.GetIncarnation(), Tokens: int(m.GetTokens()),
-		Life: clampedMicros(m.GetLifeUs(), maxLendTimes), RetryAfter: clampedMicros(m.GetRetryAfterUs(), maxLendTimes),
+		Lender: !m.GetNotLender(), Tokens: int(m.GetTokens()), Extra: int(m.GetExtra()),
+		Delayed: int(m.GetDelayed()), Delay: clampedMicros(m.GetDelayUs(), maxRetryAfter),
+		RetryAfter: clampedMicros(m.GetRetryAfterUs(), maxRetryAfter),
 	}, nil
 }
 
 // Lend implements fleetv1connect.FleetServiceHandler.
 func (s *Server) Lend(_ context.Context, r *connect.Request[fleetv1.LendRequest]) (*connect.Response[fleetv1.LendResponse], error) {
 	m := r.Msg
-	g := s.Gateway.Lend(quota.Request{
-		Team: m.GetTeam(), Wanted: int(m.GetWanted()), Extra: int(m.GetExtra()), Returned: int(m.GetReturned()), ReturnedTo: m.GetReturnedTo(),
-	})
+	g := s.Gateway.Lend(quota.Request{Team: m.GetTeam(), Wanted: int(m.GetWanted()), Extra: int(m.GetExtra())})
 	return connect.NewResponse(&fleetv1.LendResponse{
-		NotLender: !g.Lender, Incarnation: g.Incarnation, Tokens: int64(g.Tokens),
-		LifeUs: g.Life.Microseconds(), RetryAfterUs: g.RetryAfter.Microseconds(),
+		NotLender: !g.Lender, Tokens: int64(g.Tokens), Extra: int64(g.Extra), RetryAfterUs: g.RetryAfter.Microseconds(),
+		Delayed: int64(g.Delayed), DelayUs: g.Delay.Microseconds() + 1,
 	}), nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,7 +124,7 @@
 	gw.currentGroups.Store(&map[string]*group{})
 	gw.controller = newController(gw)
 	if cfg.Quota.Window > 0 {
-		gw.quota = newQuotaKeeper(cfg, gw.controller.incarnation)
+		gw.quota = newQuotaKeeper(cfg)
 	}
 	gw.pool = &pool{
 		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, log: gw.events.log, requestLog: gw.events.request, zone: cfg.AvailabilityZone,
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -39,9 +39,9 @@
 }
 
 // newQuotaKeeper returns a keeper that knows no electorate.
-func newQuotaKeeper(cfg Config, incarnation uint64) *quotaKeeper {
+func newQuotaKeeper(cfg Config) *quotaKeeper {
 	q := &quotaKeeper{
-		host: cfg.Host, address: cfg.Address, zone: cfg.AvailabilityZone, lender: quota.NewLender(cfg.Quota, incarnation),
+		host: cfg.Host, address: cfg.Address, zone: cfg.AvailabilityZone, lender: quota.NewLender(cfg.Quota),
 		waiting: make(map[string]int), answered: make(map[string]chan struct{}),
 	}
 	q.borrower = quota.NewBorrower(cfg.Quota, q.preferredOrder)
@@ -136,7 +136,7 @@
 		return quota.Grant{}
 	}
 	grant := gw.quota.lend(r)
-	gw.metrics.Add(metrics.QuotaTokensLent, int64(grant.Tokens))
+	gw.metrics.Add(metrics.QuotaTokensLent, int64(grant.Tokens+grant.Delayed+grant.Extra))
 	return grant
 }
 
@@ -145,6 +145,7 @@
 // after which another try makes sense.
 func (gw *Gateway) takeToken(ctx context.Context, team string, wait time.Duration) (quota.Token, quota.Decision, time.Duration) {
 	q := gw.quota
+	until := boottime.Now().Add(wait)
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	q.mu.Lock()
@@ -152,18 +153,21 @@
 	q.waiting[team]++
 	defer q.leave(team)
 	for repeated := false; ; repeated = true {
-		decision, order := q.borrower.Take(boottime.Now(), team, q.waiting[team], repeated)
+		now := boottime.Now()
+		decision, order := q.borrower.Take(now, team, q.waiting[team], repeated)
 		switch decision {
 		case quota.Taken:
 			return order.Token, decision, 0
 		case quota.Refused, quota.Unavailable:
-			return quota.Token{}, decision, order.After
+			if now.Add(order.After).After(until) {
+				return quota.Token{}, decision, order.After
+			}
 		case quota.Ask:
 			go gw.askLender(order)
-			order.After = lendTimeout
+			order.After = quota.HedgeDelay
 		}
 		answered := q.answeredChannel(team)
-		again := time.NewTimer(min(order.After, quota.HedgeDelay))
+		again := time.NewTimer(order.After)
 		q.mu.Unlock()
 		expired := false
 		select {
@@ -176,7 +180,10 @@
 		}
 		again.Stop()
 		q.mu.Lock()
-		if expired {
+		switch {
+		case expired && q.borrower.Reachable(team):
+			return quota.Token{}, quota.Refused, maxTokenWait
+		case expired:
 			return quota.Token{}, quota.Unavailable, maxTokenWait
 		}
 	}
