--- a/coord/access/access_test.go
+++ b/coord/access/access_test.go
@@ -36,12 +36,15 @@
 	}
 }
 
-// Guards against a team that is not found by one of its keys, and against shares that do not
-// follow the rates.
+// Guards against a team that is not found by one of its keys, against shares that do not follow
+// the rates, and against a configuration that is refused because all keys of a team have been
+// withdrawn: the withdrawal would not take effect, and a host that starts would have none.
 func TestDirectoryFindsTeams(t *testing.T) {
 	g := NewWithT(t)
 	d, err := access.NewDirectory([]access.Entry{{Name: "a", Keys: []string{"k", "l"}, Rate: 3}, {Name: "b", Keys: []string{"m"}, Rate: 1}})
 	g.Expect(err).NotTo(HaveOccurred())
+	_, err = access.NewDirectory([]access.Entry{{Name: "a", Keys: []string{}}})
+	g.Expect(err).NotTo(HaveOccurred())
 	team, ok := d.TeamOfKey("l")
 	g.Expect(ok).To(BeTrue())
 	g.Expect(team).To(Equal(access.Team{Name: "a", Rate: 3, Share: 0.75}))
--- a/coord/access/directory.go
+++ b/coord/access/directory.go
@@ -29,7 +29,8 @@
 
 // Entry is a team as the operator configures it.
 type Entry struct {
-	Name        string
+	Name string
+	// Keys is empty, but not nil, for a team whose keys have all been withdrawn.
 	Keys        []string
 	Rate, Burst float64
 	// Limited is false for a team that may send any number of operations.
@@ -93,8 +94,8 @@
 	if _, repeated := d.teams[e.Name]; repeated {
 		fault("Name", "is that of another team")
 	}
-	if len(e.Keys) == 0 {
-		fault("Keys", "is empty")
+	if e.Keys == nil {
+		fault("Keys", "is missing")
 	}
 	for _, key := range e.Keys {
 		owner, taken := d.byKey[key]
