--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -229,7 +229,7 @@
 	var c catalogWithTeams
 	err := json.Unmarshal(r.Value, &c)
 	if err == nil {
-		c.Catalog.Teams, err = access.NewDirectory(c.Entries)
+		c.Teams, err = access.NewDirectory(c.Entries)
 	}
 	return &c.Catalog, err == nil, err
 }
--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -7,6 +7,7 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
 // applyCatalog applies a newer configuration.
@@ -17,6 +18,7 @@
 		}
 		catalog, ok, err := c.gw.cfg.Decoder.Catalog(r)
 		if err != nil {
+			c.gw.metrics.Inc(metrics.ConfigurationInvalid)
 			c.gw.events.log.Error().Err(err).Uint64("row_version", r.Version).Msg("configuration row cannot be decoded; the previous configuration stays in force")
 			continue
 		}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -119,6 +119,8 @@
 	// GossipInvalid counts parts of gossip messages that were left out because their
 	// numbers are out of range.
 	GossipInvalid Name = "gossip.invalid"
+	// ConfigurationInvalid counts the versions of the configuration that this host has refused.
+	ConfigurationInvalid Name = "configuration.invalid"
 	// QuotaCalls counts calls to lenders of tokens and QuotaCallsFailed those that failed.
 	QuotaCalls       Name = "quota.calls"
 	QuotaCallsFailed Name = "quota.calls_failed"
