Share what is known about silent lenders; try another relay host at once

Change: a lender that does not answer is left out for all teams; the connection to such a relay host is closed, and up to three other relay hosts are tried without using up attempts.

--- a/coord/quota/borrower.go
+++ b/coord/quota/borrower.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -62,13 +63,16 @@
 	voters   []string
 	prefer   func(team string, lenders []string) []string
 	accounts map[string]*account
-	sweptAt  time.Time
+	// downUntil holds, by address, until when a host that did not answer is not asked, for
+	// whichever team.
+	downUntil map[string]time.Time
+	sweptAt   time.Time
 }
 
 // NewBorrower returns a borrower that knows no electorate. prefer returns the lenders of a team
 // in the order in which this host asks them.
 func NewBorrower(rules Rules, prefer func(team string, lenders []string) []string) *Borrower {
-	return &Borrower{rules: rules, prefer: prefer, accounts: make(map[string]*account)}
+	return &Borrower{rules: rules, prefer: prefer, accounts: make(map[string]*account), downUntil: make(map[string]time.Time)}
 }
 
 // account is the state of one team.
@@ -139,7 +143,7 @@
 	if wait := a.delayed(now, waiting); wait > 0 {
 		return Wait, Order{After: wait}
 	}
-	return a.choose(now, a.request(team, waiting))
+	return a.choose(now, a.request(team, waiting), b.downUntil)
 }
 
 // account returns the account of the team.
@@ -216,7 +220,7 @@
 }
 
 // choose decides which lender is asked.
-func (a *account) choose(now time.Time, r Request) (Decision, Order) {
+func (a *account) choose(now time.Time, r Request, downUntil map[string]time.Time) (Decision, Order) {
 	if len(a.lenders) == 0 {
 		return Unavailable, Order{After: notLenderBackoff}
 	}
@@ -230,9 +234,13 @@
 			}
 			continue
 		}
-		if now.Before(l.notBefore) {
+		notBefore := l.notBefore
+		if down := downUntil[l.address]; down.After(notBefore) {
+			notBefore = down
+		}
+		if now.Before(notBefore) {
 			refused = refused || l.refused
-			next = min(next, l.notBefore.Sub(now))
+			next = min(next, notBefore.Sub(now))
 			continue
 		}
 		l.askedAt = now
@@ -254,6 +262,7 @@
 		return
 	}
 	l.askedAt, l.refused, l.lends = time.Time{}, false, g.Lender
+	delete(b.downUntil, lender)
 	if !g.Lender {
 		l.notBefore = now.Add(notLenderBackoff)
 		return
@@ -274,10 +283,11 @@
 	}
 }
 
-// Failed records that a lender did not answer.
+// Failed records that a lender did not answer. It is not asked for a while, for any team.
 func (b *Borrower) Failed(now time.Time, team, lender string) {
+	b.downUntil[lender] = now.Add(failureBackoff)
 	if _, l := b.find(team, lender); l != nil {
-		l.askedAt, l.refused, l.lends, l.notBefore = time.Time{}, false, false, now.Add(failureBackoff)
+		l.askedAt, l.refused, l.lends = time.Time{}, false, false
 	}
 }
 
@@ -316,6 +326,7 @@
 		return
 	}
 	b.sweptAt = now
+	maps.DeleteFunc(b.downUntil, func(_ string, until time.Time) bool { return now.After(until) })
 	for team, a := range b.accounts {
 		if now.Sub(a.lastUse) > accountKept {
 			delete(b.accounts, team)
--- a/coord/quota/quota_test.go
+++ b/coord/quota/quota_test.go
@@ -193,6 +193,20 @@
 	g.Expect(decision).To(Equal(Ask))
 }
 
+// Guards against a host that finds out for each team that a lender does not answer.
+func TestLenderThatDoesNotAnswerIsLeftOutForAllTeams(t *testing.T) {
+	g := NewWithT(t)
+	b := borrower()
+	b.SetLimits(map[string]Limit{"red": {Rate: 30, Burst: 30}, "blue": {Rate: 30, Burst: 30}})
+	_, order := b.Take(start, "red", 1, false)
+	g.Expect(order.Lender).To(Equal("h0"))
+	b.Failed(start, "red", "h0")
+	_, order = b.Take(start, "blue", 1, false)
+	g.Expect(order.Lender).To(Equal("h1"))
+	_, order = b.Take(start.Add(failureBackoff), "blue", 1, false)
+	g.Expect(order.Lender).To(Equal("h0"))
+}
+
 // Guards against operations that wait for a lender that is frozen although others lend, and
 // against a call for each waiting operation.
 func TestStalledCallIsHedged(t *testing.T) {
--- a/internal/gateway/operation_token.go
+++ b/internal/gateway/operation_token.go
@@ -23,11 +23,7 @@
 	if s.token.held || s.gateway.quota == nil || !s.team.Limited {
 		return nil
 	}
-	wait := maxTokenWait
-	if s.db.LatencyObjective > 0 {
-		wait = min(wait, time.Duration(tokenWaitShare*float64(s.db.LatencyObjective)))
-	}
-	token, decision, after := s.gateway.takeToken(ctx, s.team.Name, wait)
+	token, decision, after := s.gateway.takeToken(ctx, s.team.Name, maxTokenWait)
 	switch decision {
 	case quota.Refused:
 		return s.refuseByQuota(metrics.RefusedQuota, after)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -406,6 +406,8 @@
 			// controller probe the endpoint.
 			t.failures++
 			t.relayFailed(now, c.relayAddress)
+			// The next statement must not take this connection and meet the same host.
+			c.broken = true
 		}
 		return
 	}
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -16,10 +16,13 @@
 const (
 	// lendTimeout limits a call to a lender.
 	lendTimeout = 200 * time.Millisecond
-	// maxTokenWait and tokenWaitShare limit how long an operation waits for a token: at most
-	// that share of its latency objective.
-	maxTokenWait   = 250 * time.Millisecond
-	tokenWaitShare = 0.5
+	// maxTokenWait limits how long an operation waits for the answer of a lender. Lenders answer
+	// within milliseconds and lend tokens no more than 75 ms ahead, so that operations wait
+	// longer only if several lenders do not answer.
+	maxTokenWait = 250 * time.Millisecond
+	// maxRefusalWait limits how long an operation waits for a lender that has refused to have a
+	// token again.
+	maxRefusalWait = 50 * time.Millisecond
 )
 
 // quotaKeeper lends and borrows the tokens of teams on this host.
@@ -159,7 +162,7 @@
 		case quota.Taken:
 			return order.Token, decision, 0
 		case quota.Refused, quota.Unavailable:
-			if now.Add(order.After).After(until) {
+			if order.After > maxRefusalWait || now.Add(order.After).After(until) {
 				return quota.Token{}, decision, order.After
 			}
 		case quota.Ask:
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -23,6 +23,9 @@
 	// minReadTimeout is the minimum wait for the answer to a read. It is above the run
 	// time of nearly all statements.
 	minReadTimeout = 250 * time.Millisecond
+	// maxRelayChanges limits how often one statement is sent to another relay host of the same
+	// endpoint because a host does not hold connections to it. There are no more relay hosts.
+	maxRelayChanges = directHosts
 	// busyPause is the pause before a statement returns to an endpoint that rejected it
 	// as busy. It is about the run time of one statement.
 	busyPause = 15 * time.Millisecond
@@ -45,6 +48,13 @@
 	chosen choice
 }
 
+// wrongRelay reports whether the host that was asked to relay the statement does not hold
+// connections to the endpoint, which it then knows nothing about. Hosts disagree on the relay
+// hosts for a while after hosts have joined or left.
+func (a attempt) wrongRelay() bool {
+	return a.err == nil && a.reply.FromRelay && a.reply.Code == CodeMisrouted
+}
+
 // queueFull reports whether a statement that only the primary can run was refused
 // because too many statements wait there.
 func (a attempt) queueFull(r requirement) bool { return r.primary && errors.Is(a.err, errNoConnection) }
@@ -72,6 +82,7 @@
 	defer s.refundToken()
 	req := newRequirement(s.db, s.state.Floor, arrived, st.Writes)
 	var last attempt
+	relayChanges := 0
 	for tries := 1; ; {
 		chosen, ok := s.awaitEndpoint(ctx, g, req)
 		if !ok {
@@ -81,6 +92,11 @@
 		if errors.Is(a.err, errRequeue) {
 			continue
 		}
+		if a.wrongRelay() && relayChanges < maxRelayChanges {
+			relayChanges++
+			s.gateway.metrics.Inc(metrics.RetryWrongRelay)
+			continue
+		}
 		s.recordAttempt(a)
 		if done, reply := s.decideOutcome(st, a); done {
 			return reply
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -39,6 +39,7 @@
 	tx := s.state.Transaction()
 	req := newRequirement(s.db, s.state.Floor, tx.Began, !tx.ReadOnly)
 	var last attempt
+	relayChanges := 0
 	for tries := 1; ; {
 		chosen, ok := s.awaitEndpoint(ctx, g, req)
 		if !ok {
@@ -48,6 +49,11 @@
 		if errors.Is(a.err, errRequeue) {
 			continue
 		}
+		if a.wrongRelay() && relayChanges < maxRelayChanges {
+			relayChanges++
+			s.gateway.metrics.Inc(metrics.RetryWrongRelay)
+			continue
+		}
 		if a.err == nil && a.reply.OK() {
 			reply := s.runPinned(ctx, st)
 			s.recordAttempt(attempt{reply: reply, sent: true})
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -109,7 +109,10 @@
 	RetryReadOnly     Name = "retry.read_only"
 	RetryAnswerLost   Name = "retry.answer_lost"
 	RetryNoConnection Name = "retry.no_connection"
-	StoreReads        Name = "store.reads"
+	// RetryWrongRelay counts statements that were sent to a host which does not hold connections
+	// to the endpoint, and then to another relay host.
+	RetryWrongRelay Name = "retry.wrong_relay"
+	StoreReads      Name = "store.reads"
 	// GossipCalls counts the calls of gossip rounds and GossipFailed those that failed.
 	GossipCalls  Name = "gossip.calls"
 	GossipFailed Name = "gossip.failed"
