Use the learned concurrency limit as the window of direct connections

Cause: a host with direct connections to an endpoint allows its share of two statements for each slot, whatever the endpoint takes well.

Change: with gateway.Config.AdaptiveConcurrency the window is the host's share of the limit that coord/concurrency learns from the endpoint's answers. It is off by default. Relayed requests carry the name of the database, since response times are compared within a database. Counters, gauges and log lines show the limits.

--- a/internal/fleet/convert_test.go
+++ b/internal/fleet/convert_test.go
@@ -9,6 +9,14 @@
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
 )
 
+// Guards against relay hosts that compare the response times of different databases, because
+// the name of the database is lost on the way.
+func TestRelayRequestKeepsDatabase(t *testing.T) {
+	g := NewWithT(t)
+	request := gateway.RelayRequest{Database: "d", Team: "t"}
+	g.Expect(decodeRelayRequest(encodeRelayRequest(request))).To(Equal(request))
+}
+
 // Guards against a host that never heard from the primary and reports that the primary has just
 // answered it: each failover was aborted until the primary's row was gone.
 func TestNeverAnsweredIsNotJustAnswered(t *testing.T) {
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -110,7 +110,7 @@
 // encodeRelayRequest converts a relay request to protobuf.
 func encodeRelayRequest(r gateway.RelayRequest) *fleetv1.RelayRequest {
 	out := &fleetv1.RelayRequest{
-		Lease: r.TransactionID, Group: r.Group, Endpoint: r.Endpoint, Values: r.SessionValues, Team: r.Team,
+		Lease: r.TransactionID, Group: r.Group, Endpoint: r.Endpoint, Values: r.SessionValues, Team: r.Team, Database: r.Database,
 		Id: r.Request.ID, Text: r.Request.Text, Op: uint32(r.Request.Op), Name: r.Request.Name,
 		Args: r.Request.Args, Writes: r.Request.Writes, Primary: r.PrimaryOnly, Continues: r.InTransaction, Priority: int64(r.Priority), ObjectiveUs: r.TimeToObjective.Microseconds(), TimeoutUs: r.Timeout.Microseconds(),
 		After: encodePosition(r.Request.After),
@@ -124,7 +124,7 @@
 // decodeRelayRequest converts a relay request from protobuf.
 func decodeRelayRequest(m *fleetv1.RelayRequest) gateway.RelayRequest {
 	r := gateway.RelayRequest{
-		TransactionID: m.GetLease(), Group: m.GetGroup(), Endpoint: m.GetEndpoint(), SessionValues: m.GetValues(), Team: m.GetTeam(),
+		TransactionID: m.GetLease(), Group: m.GetGroup(), Endpoint: m.GetEndpoint(), SessionValues: m.GetValues(), Team: m.GetTeam(), Database: m.GetDatabase(),
 		PrimaryOnly: m.GetPrimary(), Timeout: clampedMicros(m.GetTimeoutUs(), maxRelayTimeout), Rollback: m.GetAbandon(), InTransaction: m.GetContinues(),
 		Priority: int(m.GetPriority()), TimeToObjective: clampedMicros(m.GetObjectiveUs(), maxRelayTimeout),
 		Request: gateway.Request{
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -32,6 +32,12 @@
 	usesPrimary bool
 	// queuedRequest is the request that the connection was checked out for.
 	queuedRequest admission.QueuedRequest
+	// database is the name of the database that the connection was checked out for.
+	database string
+	// inFlightAtSend is the number of this host's statements in flight to the endpoint
+	// when the last one was sent on the connection, including it. The group's mutex guards
+	// it.
+	inFlightAtSend int
 	// busy connections count against the target's window: from checkout to release,
 	// except while an open transaction is idle between two statements.
 	busy bool
@@ -64,7 +70,7 @@
 
 // runRelayed sends the request with the session state to the relay host, which runs it.
 func (c *conn) runRelayed(relay RelayConn, deadline time.Time, s *session.State, p session.Prepared, execute bool, r Request) (Reply, error) {
-	request := RelayRequest{Team: c.team, SessionValues: s.Values(), Request: r, PrimaryOnly: c.usesPrimary, Priority: c.queuedRequest.Priority, TimeToObjective: c.queuedRequest.TimeToObjective(boottime.Now())}
+	request := RelayRequest{Team: c.team, Database: c.database, SessionValues: s.Values(), Request: r, PrimaryOnly: c.usesPrimary, Priority: c.queuedRequest.Priority, TimeToObjective: c.queuedRequest.TimeToObjective(boottime.Now())}
 	if execute {
 		request.Prepared = &p
 	}
--- a/internal/gateway/conn_plan.go
+++ b/internal/gateway/conn_plan.go
@@ -43,6 +43,9 @@
 	// window is the maximum number of statements in flight to the endpoint.
 	window    int
 	viaRelays bool
+	// directHosts is the number of hosts with connections to the endpoint, and rank this
+	// host's place among them, if it is one.
+	directHosts, rank int
 	// relays holds the addresses of the hosts that have connections to the endpoint.
 	relays []string
 }
@@ -64,13 +67,17 @@
 		if listed > hostsPerSlot*max(e.Slots, 1) {
 			least = 1
 		}
-		return connPlan{limit: max(share/restartDivisor, least), window: max(windowFor(e, listed), minConnections)}
+		plan := connPlan{limit: max(share/restartDivisor, least), window: max(windowFor(e, listed), minConnections), directHosts: listed}
+		if c.gw.cfg.AdaptiveConcurrency {
+			plan.rank = hosts.directPosition(e, c.gw.cfg.Host)
+		}
+		return plan
 	}
 	direct := hosts.rankDirectHosts(e, directHosts)
 	out := connPlan{limit: maxRelayedRequests, window: maxRelayedRequests, viaRelays: true}
-	for _, h := range direct {
+	for rank, h := range direct {
 		if h.Name == c.gw.cfg.Host {
-			return connPlan{limit: max(config.connectionShare(len(direct))/restartDivisor, 1), window: windowFor(e, len(direct))}
+			return connPlan{limit: max(config.connectionShare(len(direct))/restartDivisor, 1), window: windowFor(e, len(direct)), directHosts: len(direct), rank: rank}
 		}
 		out.relays = append(out.relays, c.members[h.Name].Address)
 	}
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -216,6 +216,7 @@
 		c.lastSweep = now
 		c.updateGroups()
 		c.checkMirrorAges(now)
+		c.reportWindows()
 	}
 	for name, g := range *c.gw.currentGroups.Load() {
 		c.checkGroup(now, name, g)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,9 @@
 	// ZoneDistance is added to the expected response time of endpoints in other
 	// availability zones: such an endpoint is chosen only if it saves more than that.
 	ZoneDistance time.Duration
+	// AdaptiveConcurrency learns how many statements each endpoint should have in flight.
+	// Without it, two statements for each of its slots are allowed.
+	AdaptiveConcurrency bool
 
 	Dialer      Dialer
 	Store       Store
@@ -120,6 +123,7 @@
 	gw.pool = &pool{
 		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, log: gw.events.log, requestLog: gw.events.request, zone: cfg.AvailabilityZone,
 		zoneDistance: cfg.ZoneDistance, parseStatus: cfg.ParseStatus, onFailure: gw.controller.requestProbe, primaryPermitted: gw.primaryPermitted, drainBound: cfg.DrainBound,
+		adaptiveConcurrency: cfg.AdaptiveConcurrency,
 	}
 	return gw
 }
--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -210,6 +210,7 @@
 		t.limit = plan.limit
 	}
 	t.viaRelays, t.relays, t.window = plan.viaRelays, plan.relays, plan.window
+	t.applyShare(plan)
 	t.limit = min(plan.limit, t.limit+1)
 	t.idle = slices.DeleteFunc(t.idle, func(c *conn) bool {
 		if t.mayReuse(c) {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -47,6 +47,8 @@
 	zone         string
 	zoneDistance time.Duration
 	parseStatus  StatusParser
+	// adaptiveConcurrency is Config.AdaptiveConcurrency.
+	adaptiveConcurrency bool
 	// primaryPermitted reports whether this host may use primaries at the given time.
 	primaryPermitted func(time.Time) bool
 	// drainBound is the time after which an endpoint that drains must get no new work.
@@ -66,6 +68,8 @@
 	team string
 	// share is the team's part of all work, from 0 to 1.
 	share float64
+	// database is the name of the database that the statement is for.
+	database string
 }
 
 // checkout returns a connection to the target that the session may use until release.
@@ -74,7 +78,7 @@
 func (p *pool) checkout(ctx context.Context, t *target, s *session.State, r connRequest) (*conn, error) {
 	c, err := p.acquire(ctx, t, s, r)
 	if err == nil {
-		c.queuedRequest = r.QueuedRequest
+		c.queuedRequest, c.database = r.QueuedRequest, r.database
 	}
 	return c, err
 }
@@ -349,6 +353,7 @@
 	began := p.statementStarted(c, primary)
 	reply, err := c.run(deadline, s, inTransaction, r)
 	p.statementEnded(c, began, &reply, err, r.After)
+	p.observeLimit(c, began, r, &reply, err)
 	return reply, boottime.Now().Sub(began), err
 }
 
@@ -378,6 +383,7 @@
 	c.usesPrimary = primary
 	c.busy = true
 	c.target.inFlight++
+	c.inFlightAtSend = c.target.inFlight
 	g.mu.Unlock()
 	return now
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -33,6 +33,9 @@
 	// Team is the team whose caller sent the request; empty if it belongs to none.
 	Team          string
 	SessionValues map[string]string
+	// Database is the name of the database that the request is for. Response times are
+	// compared within a database.
+	Database string
 	// Prepared is the prepared statement that the request executes; nil for other
 	// requests.
 	Prepared *session.Prepared
@@ -178,7 +181,7 @@
 	if r.PrimaryOnly && !isPrimary {
 		return nil, &Reply{Code: CodeReadOnly, Detail: "the endpoint is not known to lead"}
 	}
-	request := connRequest{QueuedRequest: r.queuedRequest(boottime.Now()), team: r.Team}
+	request := connRequest{QueuedRequest: r.queuedRequest(boottime.Now()), team: r.Team, database: r.Database}
 	c, err := gw.pool.checkout(ctx, t, nil, request)
 	for errors.Is(err, errRequeue) {
 		c, err = gw.pool.checkout(ctx, t, nil, request)
--- a/internal/gateway/session_server.go
+++ b/internal/gateway/session_server.go
@@ -122,7 +122,7 @@
 
 // connRequest returns what the statement that arrived at the given time needs of a connection.
 func (s *sessionServer) connRequest(arrived time.Time) connRequest {
-	return connRequest{QueuedRequest: s.db.queuedRequest(arrived), team: s.team.Name, share: s.team.Share}
+	return connRequest{QueuedRequest: s.db.queuedRequest(arrived), team: s.team.Name, share: s.team.Share, database: s.db.Name}
 }
 
 // run runs a read, a write or a prepared statement.
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/beryltrestle/beryltrestle/coord/concurrency"
 	"github.com/beryltrestle/beryltrestle/coord/routing"
 )
 
@@ -65,6 +66,10 @@
 
 	// window limits the number of busy connections.
 	window int
+	// limiter learns the endpoint's concurrency limit, from which the window follows; nil
+	// if the window is fixed. reduced is true while the limit is below the slots.
+	limiter *concurrency.Limiter
+	reduced bool
 
 	inFlight    int
 	serviceTime time.Duration
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -115,6 +115,15 @@
 	// GossipInvalid counts parts of gossip messages that were left out because their
 	// numbers are out of range.
 	GossipInvalid Name = "gossip.invalid"
+	// ConcurrencyLowered and ConcurrencyRaised count the changes of the learned
+	// concurrency limits of endpoints.
+	ConcurrencyLowered Name = "concurrency.lowered"
+	ConcurrencyRaised  Name = "concurrency.raised"
+	// ConcurrencyWindows is the number of statements that this host may have in flight to
+	// the endpoints whose limits it learns, and ConcurrencyReduced the number of those
+	// endpoints whose limit is below their slots.
+	ConcurrencyWindows Name = "concurrency.windows"
+	ConcurrencyReduced Name = "concurrency.reduced"
 	// Panics counts panics in the work on one connection, call or row.
 	Panics Name = "panics"
 )
