Share what hosts see at endpoints, and choose and refuse by it

Cause: a host that reaches an endpoint through relay hosts has about one statement a second there. It judges the endpoint by samples that are too few and too old, and sends statements for an overloaded primary to relay hosts that refuse them.

Change: with AdaptiveConcurrency, gossip carries the reports of the hosts with connections to each endpoint: limit, statements in flight and waiting, mean response time, with their age. Calls hold the caller's own reports only, unless it is a zone aggregator or the fleet is small; answers hold all. Reads are chosen by routing.Spread with these loads. A statement for the primary is refused at once if the least wait by the reports is too long, but for one in eight. Reports out of range are left out and counted.

The tests of internal/gateway and internal/fleet pass (45 s and 4 s beside load).

--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -33,7 +33,7 @@
 	for _, g := range msg.Groups {
 		out.Groups = append(out.Groups, &fleetv1.GroupNews{
 			Group: g.Group, Term: g.Term, Primary: g.Primary, Fence: encodeFence(g.Fence), AgeUs: g.Age.Microseconds(),
-			Position: encodePosition(g.Position),
+			Position: encodePosition(g.Position), Endpoints: encodeReports(g.Endpoints),
 		})
 	}
 	for _, t := range msg.Tables {
@@ -89,7 +89,7 @@
 		out.Groups = append(out.Groups, gateway.GroupState{
 			Group: g.GetGroup(), Term: g.GetTerm(), Primary: g.GetPrimary(), Fence: decodeFence(g.GetFence()),
 			Position: decodePosition(g.GetPosition()),
-			Age:      age,
+			Age:      age, Endpoints: decodeReports(g.GetEndpoints(), &out),
 		})
 	}
 	for _, t := range m.GetTables() {
--- a/internal/fleet/ranges.go
+++ b/internal/fleet/ranges.go
@@ -20,6 +20,11 @@
 	maxNegativeAge = time.Second
 	// maxRelayTimeout limits how long a relayed request may take.
 	maxRelayTimeout = time.Hour
+	// maxReportHosts limits the hosts of a report, and maxReportCount its other counts.
+	maxReportHosts = 1 << 16
+	maxReportCount = 1 << 20
+	// maxServiceTime limits the mean response time of an endpoint.
+	maxServiceTime = time.Hour
 	// maxFenceGrace limits how long a fence request may leave work in flight. Hosts ask
 	// for less than a second.
 	maxFenceGrace = 10 * time.Second
@@ -58,6 +63,14 @@
 	return ok && m.GetTerm() <= logpos.MaxTerm && validFence(m.GetFence()) && validPosition(m.GetPosition())
 }
 
+// validReport reports whether the numbers of a report on an endpoint are in range.
+func validReport(m *fleetv1.EndpointReport) bool {
+	_, ok := decodeAge(m.GetAgeUs())
+	service := micros(m.GetServiceUs())
+	return ok && m.GetHosts() <= maxReportHosts && m.GetRank() < m.GetHosts() && service >= 0 && service <= maxServiceTime &&
+		max(m.GetLimit(), m.GetInFlight(), m.GetWaiting(), m.GetLastPriority()) <= maxReportCount
+}
+
 // validChanges reports whether the versions of a table's changes are in range and no row is
 // newer than the version up to which the changes are complete.
 func validChanges(m *fleetv1.TableNews) bool {
--- a/internal/gateway/adaptive_window.go
+++ b/internal/gateway/adaptive_window.go
@@ -18,6 +18,7 @@
 // sets the window accordingly. The limit is learned where this host has direct connections
 // and the hosts are few enough to keep a limit together. The group's mutex must be held.
 func (t *target) applyShare(plan connPlan) {
+	t.directHosts, t.rank = plan.directHosts, plan.rank
 	if !t.group.pool.adaptiveConcurrency || plan.viaRelays || plan.directHosts > concurrency.MaxPerSlot*max(t.Slots, 1) {
 		t.limiter = nil
 		return
@@ -47,7 +48,10 @@
 		return
 	}
 	before := t.limiter.Limit()
-	sample := concurrency.Sample{Kind: kind, Outcome: outcome, Took: now.Sub(began), InFlight: c.inFlightAtSend}
+	sample := concurrency.Sample{
+		Kind: kind, Outcome: outcome, Took: now.Sub(began),
+		InFlight: c.inFlightAtSend, OthersInFlight: t.view.OthersInFlight(now, t.rank),
+	}
 	if !t.limiter.Observe(now, sample) {
 		return
 	}
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -54,6 +54,8 @@
 	lastGossip   time.Time
 	// gossipToAll makes the next gossip round call every host.
 	gossipToAll bool
+	// isAggregator is true if this host was a zone aggregator in the last gossip round.
+	isAggregator bool
 	// askingMajority is true if this host asked the majority in the last gossip round.
 	askingMajority bool
 	// resumedAt is when this host last refreshed its state after a pause.
--- a/internal/gateway/endpoint_choice.go
+++ b/internal/gateway/endpoint_choice.go
@@ -54,14 +54,11 @@
 	if !ok {
 		return choice{target: primary}
 	}
-	// fallback is used if the health check admits no endpoint.
-	best, fallback := choice{}, choice{}
+	var able, admitted []choice
 	consider := func(c choice) {
-		if fallback.target == nil || g.cheaper(c.target, fallback.target) {
-			fallback = c
-		}
-		if g.health.Admit(c.target.ID) && (best.target == nil || g.cheaper(c.target, best.target)) {
-			best = c
+		able = append(able, c)
+		if g.health.Admit(c.target.ID) {
+			admitted = append(admitted, c)
 		}
 	}
 	if primary != nil && !req.avoid[primary.ID] {
@@ -75,10 +72,10 @@
 			consider(choice{target: t, after: after})
 		}
 	}
-	if best.target == nil {
-		return fallback
+	if len(admitted) == 0 {
+		admitted = able
 	}
-	return best
+	return g.pick(now, admitted)
 }
 
 // cheaper reports whether a is expected to answer sooner than b.
@@ -94,8 +91,11 @@
 
 // cost returns the expected time of a statement on the target plus the penalties for
 // another zone and for the primary.
-func (g *group) cost(t *target) time.Duration {
-	cost := t.expectedWait()
+func (g *group) cost(t *target) time.Duration { return t.expectedWait() + g.penalty(t) }
+
+// penalty returns the penalties of the target's zone and role.
+func (g *group) penalty(t *target) time.Duration {
+	cost := time.Duration(0)
 	if t.AvailabilityZone != g.pool.zone {
 		cost += g.pool.zoneDistance
 	}
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -26,7 +26,9 @@
 // gossip starts a gossip round if one is due.
 func (c *controller) gossip(now time.Time) {
 	for _, m := range c.dueGossipTargets(now) {
-		c.startExchange(m.Name, m.Address, c.gossipMessage(now, m.mirrorVersions))
+		msg := c.gossipMessage(now, m.mirrorVersions)
+		c.addReports(now, &msg, c.passesReportsOn())
+		c.startExchange(m.Name, m.Address, msg)
 	}
 	if c.lastGossip.Equal(now) && len(c.members) == 0 && len(c.gw.cfg.Seeds) > 0 {
 		seed := c.gw.cfg.Seeds[rand.N(len(c.gw.cfg.Seeds))]
@@ -112,7 +114,9 @@
 	var own GossipMessage
 	gw.controller.submitAndWait(func() {
 		gw.controller.applyGossip(msg, time.Time{})
-		own = gw.controller.gossipMessage(boottime.Now(), msg.MirrorVersions)
+		now := boottime.Now()
+		own = gw.controller.gossipMessage(now, msg.MirrorVersions)
+		gw.controller.addReports(now, &own, true)
 	})
 	return own
 }
@@ -194,6 +198,11 @@
 	for _, state := range msg.Groups {
 		if g := c.gw.group(state.Group); g != nil {
 			c.applyGroupState(g, state, began)
+			asOf := now
+			if !began.IsZero() {
+				asOf = began
+			}
+			g.applyReports(state.Endpoints, asOf)
 		}
 	}
 	c.recordAnswer(msg, began)
--- a/internal/gateway/gossip_targets.go
+++ b/internal/gateway/gossip_targets.go
@@ -148,8 +148,9 @@
 		}
 	}
 	own := c.zoneOf(c.gw.cfg.Host)
+	c.isAggregator = slices.Contains(aggregators[own], c.gw.cfg.Host)
 	chosen := []string{rotate(aggregators[own], c.gossipRound)}
-	if slices.Contains(aggregators[own], c.gw.cfg.Host) {
+	if c.isAggregator {
 		chosen = append(slices.Clone(aggregators[own]), ranked[0].Name)
 		for zone, names := range aggregators {
 			if zone != own {
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -17,6 +17,8 @@
 	Position logpos.Position
 	Age      time.Duration
 	Fence    FenceState
+	// Endpoints holds reports on the group's endpoints.
+	Endpoints []EndpointReports
 }
 
 // TableChanges holds the changes of a table after version From, complete up to version
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -70,6 +70,8 @@
 	share float64
 	// database is the name of the database that the statement is for.
 	database string
+	// primaryOnly requests have no other endpoint to go to.
+	primaryOnly bool
 }
 
 // checkout returns a connection to the target that the session may use until release.
@@ -99,6 +101,9 @@
 func (t *target) grantOrQueue(now time.Time, s *session.State, r connRequest) (grant, *waiter) {
 	t.group.mu.Lock()
 	defer t.group.mu.Unlock()
+	if t.refuseEarly(now, r) {
+		return grant{err: errNoConnection}, nil
+	}
 	if t.mayStart(now) {
 		if got, ok := t.grantNow(s, r.team); ok {
 			return got, nil
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -136,7 +136,9 @@
 
 // sendOnce sends the statement to the endpoint once.
 func (s *sessionServer) sendOnce(ctx context.Context, st session.Statement, chosen choice, primary bool, arrived time.Time) attempt {
-	c, err := s.gateway.pool.checkout(ctx, chosen.target, s.state, s.connRequest(arrived))
+	request := s.connRequest(arrived)
+	request.primaryOnly = primary
+	c, err := s.gateway.pool.checkout(ctx, chosen.target, s.state, request)
 	if err != nil {
 		return attempt{err: err, chosen: chosen}
 	}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -70,6 +70,11 @@
 	// if the window is fixed. reduced is true while the limit is below the slots.
 	limiter *concurrency.Limiter
 	reduced bool
+	// directHosts and rank are those of the plan; directHosts is 0 without direct
+	// connections.
+	directHosts, rank int
+	// view holds what the hosts with connections to the endpoint report.
+	view concurrency.View
 
 	inFlight    int
 	serviceTime time.Duration
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -74,7 +74,9 @@
 // openTransaction begins the transaction on a connection to the chosen endpoint.
 // arrived is when the first statement arrived.
 func (s *sessionServer) openTransaction(ctx context.Context, chosen choice, primary bool, arrived time.Time) attempt {
-	c, err := s.gateway.pool.checkout(ctx, chosen.target, s.state, s.connRequest(arrived))
+	request := s.connRequest(arrived)
+	request.primaryOnly = primary
+	c, err := s.gateway.pool.checkout(ctx, chosen.target, s.state, request)
 	if err != nil {
 		return attempt{err: err, chosen: chosen}
 	}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -124,6 +124,9 @@
 	// endpoints whose limit is below their slots.
 	ConcurrencyWindows Name = "concurrency.windows"
 	ConcurrencyReduced Name = "concurrency.reduced"
+	// ConcurrencyRefusedEarly counts the statements for a primary that were refused by what
+	// the hosts with connections to it report.
+	ConcurrencyRefusedEarly Name = "concurrency.refused_early"
 	// Panics counts panics in the work on one connection, call or row.
 	Panics Name = "panics"
 )
