Judge the concurrency limit by medians of several seeds

Cause: the tests judged three single seeds. The start of a limiter was logged as an endpoint that takes fewer statements than it has slots.

Change: the tests judge the medians of nine seeds, with the mechanism and without. A test for a relay host that has most statements is added. The start is not logged.

--- a/coord/concurrency/limiter.go
+++ b/coord/concurrency/limiter.go
@@ -170,6 +170,9 @@
 // Learned reports whether the limit follows from response times.
 func (l *Limiter) Learned() bool { return l.adjusted }
 
+// Starting reports whether the limit is still rising from the floor for the first time.
+func (l *Limiter) Starting() bool { return l.starting }
+
 // Window returns the number of statements that this host may have in flight.
 func (l *Limiter) Window() int {
 	rounded := int(math.Round(l.limit))
--- a/coord/concurrency/limiter_test.go
+++ b/coord/concurrency/limiter_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,56 +23,74 @@
 	model model
 	// disable disables the mechanism that the scenario needs.
 	disable func(*model, *params)
-	// failure returns what is wrong with the result, or nothing.
-	failure func(r modelResult, fixed modelResult) string
+	// measure measures a result. fixed is that of a fixed window of two statements for each
+	// slot.
+	measure func(r, fixed modelResult) []measurement
 }
 
-// check checks that the limiter meets the criterion for three seeds and misses it without
-// the mechanism for at least one. fixed is a run with two statements for each slot.
+// measurement is a value and the bounds that it must keep.
+type measurement struct {
+	name             string
+	value, low, high float64
+}
+
+// medianFailures returns the measurements whose median over all runs is out of bounds.
+func medianFailures(runs [][]measurement) (failures []string) {
+	for i, m := range runs[0] {
+		var values []float64
+		for _, run := range runs {
+			values = append(values, run[i].value)
+		}
+		slices.Sort(values)
+		if median := values[len(values)/2]; median < m.low || median > m.high {
+			failures = append(failures, fmt.Sprintf("%s %.2f, not from %.2f to %.2f", m.name, median, m.low, m.high))
+		}
+	}
+	return failures
+}
+
+// check checks that the limiter meets the criteria, by the median of several seeds, and
+// misses one of them without the mechanism. Single seeds differ by about a tenth, as one
+// statement in 100 is long.
 func (s scenario) check(t *testing.T) {
+	const seeds = 9
 	g := NewWithT(t)
-	missed := ""
-	for seed := uint64(1); seed <= 3; seed++ {
+	var with, without [][]measurement
+	for seed := uint64(1); seed <= seeds; seed++ {
 		m := s.model
 		m.seed = seed
 		fixed := m
 		fixed.fixedWindow = initialPerSlot * m.slots / m.hosts
 		reference := fixed.run()
-		g.Expect(s.failure(m.run(), reference)).To(BeEmpty(), "seed %d", seed)
+		with = append(with, s.measure(m.run(), reference))
 		m.params = defaultParams()
 		s.disable(&m, m.params)
-		if f := s.failure(m.run(), reference); f != "" {
-			missed = f
-		}
+		without = append(without, s.measure(m.run(), reference))
 	}
-	g.Expect(missed).NotTo(BeEmpty(), "the criterion does not depend on the mechanism")
+	g.Expect(medianFailures(with)).To(BeEmpty())
+	missed := medianFailures(without)
+	g.Expect(missed).NotTo(BeEmpty(), "the criteria do not depend on the mechanism")
 	t.Log("without the mechanism:", missed)
 }
 
-// outside describes a value that is not between the bounds.
-func outside(name string, value, low, high float64) string {
-	if value >= low && value <= high {
-		return ""
-	}
-	return fmt.Sprintf("%s %.2f, not from %.2f to %.2f; ", name, value, low, high)
-}
-
 // kneeModel is an endpoint of 6 slots that slows down from the fourth running statement on.
 func kneeModel() model {
 	return model{slots: 6, hosts: 3, delay: near, statement: always(10 * time.Millisecond), rate: overload, length: 20 * time.Second,
 		slowdown: func(_ time.Duration, running int) float64 { return 1 + 0.8*float64(max(running-3, 0)) }}
 }
 
-// kneeFailure requires shorter response times than with a fixed window, and as many answers.
-func kneeFailure(r, fixed modelResult) string {
+// kneeMeasurements requires shorter response times than with a fixed window, and as many answers.
+func kneeMeasurements(r, fixed modelResult) []measurement {
 	from, to := 10*time.Second, 20*time.Second
-	return outside("response time", mean(between(r.took, from, to))/mean(between(fixed.took, from, to)), 0, 0.5) +
-		outside("answers", mean(between(r.answered, from, to))/mean(between(fixed.answered, from, to)), 1.05, 2)
+	return []measurement{
+		{"response time", mean(between(r.took, from, to)) / mean(between(fixed.took, from, to)), 0, 0.5},
+		{"answers", mean(between(r.answered, from, to)) / mean(between(fixed.answered, from, to)), 1, 2},
+	}
 }
 
 // Guards against a limit that fills an endpoint which slows down long before it is full.
 func TestEndpointThatSlowsDownBeforeItIsFull(t *testing.T) {
-	scenario{model: kneeModel(), failure: kneeFailure, disable: func(_ *model, p *params) {
+	scenario{model: kneeModel(), measure: kneeMeasurements, disable: func(_ *model, p *params) {
 		p.tolerance, p.queuePerSlot = math.Inf(1), math.Inf(1)
 	}}.check(t)
 }
@@ -79,7 +98,7 @@
 // Guards against baselines that contain the congestion, because the endpoint was overloaded
 // from the first statement on.
 func TestOverloadFromTheStart(t *testing.T) {
-	scenario{model: kneeModel(), failure: kneeFailure, disable: func(_ *model, p *params) {
+	scenario{model: kneeModel(), measure: kneeMeasurements, disable: func(_ *model, p *params) {
 		p.startAtFloor = false
 	}}.check(t)
 }
@@ -87,7 +106,7 @@
 // Guards against a host whose own statements are few and which takes the congestion that
 // the other hosts cause for the normal state.
 func TestCongestionByOtherHostsDoesNotRaiseBaselines(t *testing.T) {
-	scenario{model: kneeModel(), failure: kneeFailure, disable: func(m *model, _ *params) { m.isolated = true }}.check(t)
+	scenario{model: kneeModel(), measure: kneeMeasurements, disable: func(m *model, _ *params) { m.isolated = true }}.check(t)
 }
 
 // Guards against a limit that stays low after an endpoint was 8 times slower for 5 s.
@@ -95,10 +114,12 @@
 	scenario{
 		model: model{slots: 4, hosts: 3, delay: near, statement: always(10 * time.Millisecond), rate: overload, length: 13 * time.Second,
 			slowdown: during(5*time.Second, 10*time.Second, 8)},
-		failure: func(r, fixed modelResult) string {
+		measure: func(r, fixed modelResult) []measurement {
 			from, to := 11*time.Second, 13*time.Second
-			return outside("windows", mean(between(r.windows, from, to)), 5, 9) +
-				outside("answers", mean(between(r.answered, from, to))/mean(between(fixed.answered, from, to)), 0.95, 2)
+			return []measurement{
+				{"windows", mean(between(r.windows, from, to)), 5, 10},
+				{"answers", mean(between(r.answered, from, to)) / mean(between(fixed.answered, from, to)), 0.95, 2},
+			}
 		},
 		disable: func(_ *model, p *params) { p.probe = 0 },
 	}.check(t)
@@ -110,10 +131,12 @@
 	scenario{
 		model: model{slots: 4, hosts: 3, delay: near, statement: always(10 * time.Millisecond), rate: overload, length: 16 * time.Second,
 			slowdown: during(5*time.Second, time.Hour, 3)},
-		failure: func(r, fixed modelResult) string {
+		measure: func(r, fixed modelResult) []measurement {
 			from, to := 8*time.Second, 16*time.Second
-			return outside("windows", mean(between(r.windows, from, to)), 4.5, 9) +
-				outside("answers", mean(between(r.answered, from, to))/mean(between(fixed.answered, from, to)), 0.9, 2)
+			return []measurement{
+				{"windows", mean(between(r.windows, from, to)), 4.5, 9},
+				{"answers", mean(between(r.answered, from, to)) / mean(between(fixed.answered, from, to)), 0.95, 2},
+			}
 		},
 		disable: func(_ *model, p *params) { p.riseShare = 0 },
 	}.check(t)
@@ -132,11 +155,13 @@
 				return overload(at)
 			},
 			slowdown: during(0, 2*time.Second, 1.6)},
-		failure: func(r, fixed modelResult) string {
+		measure: func(r, fixed modelResult) []measurement {
 			from, to := 4*time.Second, 9*time.Second
-			return outside("queue", mean(between(r.queued, from, to)), 0, 4) +
-				outside("answers after the cold phase", mean(between(r.answered, from, to))/mean(between(fixed.answered, from, to)), 0.95, 2) +
-				outside("answers in the cold phase", mean(between(r.answered, time.Second, 2*time.Second))/mean(between(fixed.answered, time.Second, 2*time.Second)), 0.85, 2)
+			return []measurement{
+				{"queue", mean(between(r.queued, from, to)), 0, 3.75},
+				{"answers after the cold phase", mean(between(r.answered, from, to)) / mean(between(fixed.answered, from, to)), 0.95, 2},
+				{"answers in the cold phase", mean(between(r.answered, time.Second, 2*time.Second)) / mean(between(fixed.answered, time.Second, 2*time.Second)), 0.9, 2},
+			}
 		},
 		disable: func(_ *model, p *params) { p.followWeight, p.jumpWeight = 0, 0 },
 	}.check(t)
@@ -164,10 +189,12 @@
 				}
 				return Kind{Database: "a"}, 3 * time.Millisecond
 			}},
-		failure: func(r, fixed modelResult) string {
+		measure: func(r, fixed modelResult) []measurement {
 			from, to := 5500*time.Millisecond, 7*time.Second
-			return outside("windows", mean(between(r.windows, from, to)), 4.25, 10) +
-				outside("answers", mean(between(r.answered, from, to))/mean(between(fixed.answered, from, to)), 0.95, 2)
+			return []measurement{
+				{"windows", mean(between(r.windows, from, to)), 4.5, 10},
+				{"answers", mean(between(r.answered, from, to)) / mean(between(fixed.answered, from, to)), 0.95, 2},
+			}
 		},
 		disable: merged,
 	}.check(t)
@@ -186,16 +213,20 @@
 
 // Guards against a limit that sinks because callers send long work.
 func TestLongWork(t *testing.T) {
-	scenario{model: longWork(), disable: merged, failure: func(r, _ modelResult) string {
-		return outside("windows", mean(between(r.windows, 5500*time.Millisecond, 8*time.Second)), 5, 10)
+	scenario{model: longWork(), disable: merged, measure: func(r, _ modelResult) []measurement {
+		return []measurement{
+			{"windows", mean(between(r.windows, 5500*time.Millisecond, 8*time.Second)), 6, 10},
+		}
 	}}.check(t)
 }
 
 // Guards against a long queue because work that is first seen at a full endpoint makes the
 // waiting there look normal.
 func TestFirstStatementsAtFullEndpoint(t *testing.T) {
-	scenario{model: longWork(), disable: func(_ *model, p *params) { p.firstCorrection = 0 }, failure: func(r, _ modelResult) string {
-		return outside("queue", mean(between(r.queued, 7*time.Second, 10*time.Second)), 0, 4.5)
+	scenario{model: longWork(), disable: func(_ *model, p *params) { p.firstCorrection = 0 }, measure: func(r, _ modelResult) []measurement {
+		return []measurement{
+			{"queue", mean(between(r.queued, 7*time.Second, 10*time.Second)), 0, 4},
+		}
 	}}.check(t)
 }
 
@@ -220,9 +251,11 @@
 						}
 						return fault(r)
 					}},
-				failure: func(r, _ modelResult) string {
-					return outside("windows", mean(between(r.windows, 4*time.Second, 6*time.Second)), 5.5, 10) +
-						outside("windows afterwards", mean(between(r.windows, 6500*time.Millisecond, 8*time.Second)), 5.5, 10)
+				measure: func(r, _ modelResult) []measurement {
+					return []measurement{
+						{"windows", mean(between(r.windows, 4*time.Second, 6*time.Second)), 5.5, 11},
+						{"windows afterwards", mean(between(r.windows, 6500*time.Millisecond, 8*time.Second)), 5.75, 10},
+					}
 				},
 				disable: func(m *model, _ *params) {
 					m.observe = func(s Sample) Sample {
@@ -250,10 +283,29 @@
 func TestRisesAboveFixedWindowForDistantEndpoint(t *testing.T) {
 	scenario{
 		model: model{slots: 4, hosts: 3, delay: 4 * time.Millisecond, statement: always(3 * time.Millisecond), rate: overload, length: 8 * time.Second},
-		failure: func(r, fixed modelResult) string {
+		measure: func(r, fixed modelResult) []measurement {
+			from, to := 3*time.Second, 8*time.Second
+			return []measurement{
+				{"answers", mean(between(r.answered, from, to)) / mean(between(fixed.answered, from, to)), 1.4, 5},
+				{"queue", mean(between(r.queued, from, to)), 0, 4},
+			}
+		},
+		disable: func(_ *model, p *params) { p.perSlot = initialPerSlot },
+	}.check(t)
+}
+
+// Guards against unused slots while one of three hosts has nearly all statements: teams have
+// relay hosts of their own, and a few teams send most of the statements.
+func TestHostWithMostStatementsUsesFreeSlots(t *testing.T) {
+	scenario{
+		model: model{slots: 4, hosts: 3, delay: near, statement: always(10 * time.Millisecond), length: 8 * time.Second, firstHostShare: 0.9,
+			rate: func(time.Duration) float64 { return 400 }},
+		measure: func(r, fixed modelResult) []measurement {
 			from, to := 3*time.Second, 8*time.Second
-			return outside("answers", mean(between(r.answered, from, to))/mean(between(fixed.answered, from, to)), 1.4, 5) +
-				outside("queue", mean(between(r.queued, from, to)), 0, 4)
+			return []measurement{
+				{"answers", mean(between(r.answered, from, to)) / mean(between(fixed.answered, from, to)), 1.55, 3},
+				{"queue", mean(between(r.queued, from, to)), 0, 4},
+			}
 		},
 		disable: func(_ *model, p *params) { p.perSlot = initialPerSlot },
 	}.check(t)
--- a/coord/concurrency/model_test.go
+++ b/coord/concurrency/model_test.go
@@ -32,6 +32,9 @@
 	fault func(r *rand.Rand, at time.Duration) (Outcome, time.Duration)
 	// observe changes a sample before the limiter gets it.
 	observe func(Sample) Sample
+	// firstHostShare is the share of the statements that arrive at the first host; 0
+	// spreads them evenly.
+	firstHostShare float64
 	// isolated hosts do not know how many statements the others have in flight.
 	isolated bool
 	seed     uint64
@@ -181,6 +184,9 @@
 func (r *modelRun) arrive(at time.Duration) {
 	kind, mean := r.statement(r.rand, at)
 	host := r.rand.IntN(r.hosts)
+	if r.rand.Float64() < r.firstHostShare {
+		host = 0
+	}
 	r.waiting[host] = append(r.waiting[host], &modelStatement{host: host, kind: kind, mean: mean, arrived: at})
 	r.send(at, host)
 	r.after(at, time.Duration(r.rand.ExpFloat64()/r.rate(at)*float64(time.Second)), r.arrive)
--- a/internal/gateway/adaptive_window.go
+++ b/internal/gateway/adaptive_window.go
@@ -20,7 +20,7 @@
 func (t *target) applyShare(plan connPlan) {
 	t.directHosts, t.rank = plan.directHosts, plan.rank
 	if !t.group.pool.adaptiveConcurrency || plan.viaRelays || plan.directHosts > concurrency.MaxPerSlot*max(t.Slots, 1) {
-		t.limiter = nil
+		t.limiter, t.reduced = nil, false
 		return
 	}
 	share := concurrency.Share{Slots: t.Slots, Hosts: plan.directHosts, Rank: plan.rank}
@@ -97,7 +97,7 @@
 // again. The group's mutex must be held.
 func (t *target) logReduced() {
 	limit, slots := t.limiter.Limit(), float64(max(t.Slots, 1))
-	reduced := limit < slots || t.reduced && limit < recoveredPerSlot*slots
+	reduced := limit < slots && !t.limiter.Starting() || t.reduced && limit < recoveredPerSlot*slots
 	if reduced == t.reduced {
 		return
 	}
--- a/internal/gateway/adaptive_window_test.go
+++ b/internal/gateway/adaptive_window_test.go
@@ -51,6 +51,10 @@
 func TestWindowFollowsResponseTimes(t *testing.T) {
 	g := NewWithT(t)
 	p, tg := adaptiveTarget(true, directPlan)
+	for range 100 {
+		answerAll(p, tg, 2, 10*time.Millisecond, "", Reply{}, nil)
+		g.Expect(tg.reduced).To(BeFalse(), "the start is no reduction")
+	}
 	answerAll(p, tg, 200, 10*time.Millisecond, "", Reply{}, nil)
 	g.Expect(tg.window).To(BeNumerically(">=", 3))
 	g.Expect(answerAll(p, tg, 120, 100*time.Millisecond, "", Reply{}, nil)).To(Equal(1))
