--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -129,6 +129,18 @@
 	QuotaCallsFailed Name = "quota.calls_failed"
 	// QuotaTokensLent counts the tokens that this host has lent.
 	QuotaTokensLent Name = "quota.tokens_lent"
+	// ConcurrencyLowered and ConcurrencyRaised count the changes of the learned
+	// concurrency limits of endpoints.
+	ConcurrencyLowered Name = "concurrency.lowered"
+	ConcurrencyRaised  Name = "concurrency.raised"
+	// ConcurrencyWindows is the number of statements that this host may have in flight to
+	// the endpoints whose limits it learns, and ConcurrencyReduced the number of those
+	// endpoints whose limit is below their slots.
+	ConcurrencyWindows Name = "concurrency.windows"
+	ConcurrencyReduced Name = "concurrency.reduced"
+	// ConcurrencyRefusedEarly counts the statements for a primary that were refused by what
+	// the hosts with connections to it report.
+	ConcurrencyRefusedEarly Name = "concurrency.refused_early"
 	// Panics counts panics in the work on one connection, call or row.
 	Panics Name = "panics"
 )
