--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -46,6 +46,8 @@
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	Log           zerolog.Logger
+	// limits are the Limits of the hosts' settings.
+	limits map[string]float64
 	// script, if set, replaces the random faults. Each caller then uses one host and the
 	// strict database, and the connections between hosts can be cut.
 	script func(ctx context.Context, r *runner, random *rand.Rand)
@@ -100,10 +102,14 @@
 	closers      []func()
 }
 
+func newRunner(cfg Config) *runner {
+	return &runner{cfg: cfg, log: cfg.Log, store: newStore(), group: newGroup("records", groupSize), paths: paths{cuts: make(map[[2]string]bool)}}
+}
+
 // Run runs the soak test and returns its report. An error means that the test could not
 // be run.
 func Run(ctx context.Context, cfg Config) (Report, error) {
-	r := &runner{cfg: cfg, log: cfg.Log, store: newStore(), group: newGroup("records", groupSize), paths: paths{cuts: make(map[[2]string]bool)}}
+	r := newRunner(cfg)
 	ctx, cancel := context.WithCancel(ctx)
 	defer r.close()
 	defer cancel()
@@ -199,7 +205,7 @@
 		if n == 0 {
 			seeds = []string{admin}
 		}
-		h, err := newHost(r.cfg.Dir, r.cfg.DaemonPath, name, fmt.Sprintf("zone-%d", n%3), address, cloudAddress, seeds, ports[portsPerHost*n:portsPerHost*(n+1)])
+		h, err := newHost(r.cfg.Dir, r.cfg.DaemonPath, name, fmt.Sprintf("zone-%d", n%3), address, cloudAddress, seeds, ports[portsPerHost*n:portsPerHost*(n+1)], r.cfg.limits)
 		if err != nil {
 			return err
 		}
