Budget of bytes and descriptors for clients

Lines beyond the read buffer, answers, values and prepared statements are charged before they are kept. Connections with much session state are not pooled.

--- a/coord/session/conn_state.go
+++ b/coord/session/conn_state.go
@@ -7,8 +7,13 @@
 	values map[string]string
 	// aliases holds the aliases of the prepared statements.
 	aliases map[string]bool
+	// bytes is the size of the texts in values and aliases.
+	bytes int
 }
 
+// Bytes returns the size of what is set on the connection.
+func (c *ConnState) Bytes() int { return c.bytes }
+
 // NewConnState returns the state of a new connection.
 func NewConnState() *ConnState {
 	return &ConnState{values: map[string]string{}, aliases: map[string]bool{}}
@@ -29,11 +34,17 @@
 		out = append(out, Statement{Op: OpReset})
 		c.values = map[string]string{}
 		c.aliases = map[string]bool{}
+		c.bytes = 0
 	}
 	for name, value := range s.values {
-		if held, ok := c.values[name]; ok && held == value {
+		held, ok := c.values[name]
+		if ok && held == value {
 			continue
 		}
+		if ok {
+			c.bytes -= len(name) + len(held)
+		}
+		c.bytes += len(name) + len(value)
 		out = append(out, Statement{Op: OpSet, Name: name, Args: value})
 		c.values[name] = value
 	}
@@ -48,12 +59,19 @@
 		return nil
 	}
 	c.aliases[alias] = true
+	c.bytes += len(alias)
 	return []Statement{{Op: OpPrepare, Name: alias, Args: p.Definition, Writes: p.Writes}}
 }
 
 // ForgetPrepared records that p is not prepared on the connection, after the endpoint
 // reported that it does not know p.
-func (c *ConnState) ForgetPrepared(p Prepared) { delete(c.aliases, p.Alias()) }
+func (c *ConnState) ForgetPrepared(p Prepared) {
+	alias := p.Alias()
+	if c.aliases[alias] {
+		c.bytes -= len(alias)
+	}
+	delete(c.aliases, alias)
+}
 
 // hasForeignValues reports whether a value is set on the connection that the session lacks.
 func (c *ConnState) hasForeignValues(s *State) bool {
--- a/coord/session/session_test.go
+++ b/coord/session/session_test.go
@@ -66,3 +66,26 @@
 	s.End()
 	g.Expect(s.Transaction()).To(BeNil())
 }
+
+// Guards against connections that keep the texts of ended sessions without limit, because their
+// size is not known.
+func TestSizeOfConnState(t *testing.T) {
+	g := NewWithT(t)
+	conn := session.NewConnState()
+	a, b := session.New(), session.New()
+	a.Set("zone", "1234")
+	conn.SwitchTo(a, false)
+	g.Expect(conn.Bytes()).To(Equal(8))
+	a.Set("zone", "1")
+	conn.SwitchTo(a, false)
+	g.Expect(conn.Bytes()).To(Equal(5))
+	p := session.Prepared{Definition: "READ q1"}
+	conn.PrepareIfMissing(p)
+	conn.PrepareIfMissing(p)
+	g.Expect(conn.Bytes()).To(Equal(5 + len(p.Alias())))
+	conn.ForgetPrepared(p)
+	conn.ForgetPrepared(p)
+	g.Expect(conn.Bytes()).To(Equal(5))
+	conn.SwitchTo(b, false)
+	g.Expect(conn.Bytes()).To(BeZero())
+}
--- a/coord/session/state.go
+++ b/coord/session/state.go
@@ -77,6 +77,9 @@
 // Bytes returns the size of the session's values and prepared statements.
 func (s *State) Bytes() int { return s.bytes }
 
+// Entries returns the number of the session's values and prepared statements.
+func (s *State) Entries() int { return len(s.values) + len(s.prepared) }
+
 // Prepared returns the prepared statement with the name.
 func (s *State) Prepared(name string) (Prepared, bool) {
 	p, ok := s.prepared[name]
--- a/deploy/soak/clients_test.go
+++ b/deploy/soak/clients_test.go
@@ -136,6 +136,25 @@
 	}
 }
 
+// Guards against limits that refuse a single message of the greatest legal length, and its
+// answer, although nothing else uses the host.
+func TestLongestMessageIsServedInCalm(t *testing.T) {
+	g := NewWithT(t)
+	c := startCrowd(t)
+	conn, err := net.Dial("tcp", c.host.callerAddress)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	head := "QUERY w WRITE big "
+	text := strings.Repeat("x", 1<<20-len(head)-len("\r\n"))
+	messages := "STARTUP " + strictDatabase + " calm\r\n" + strings.Repeat(head+text+"\r\nQUERY r READ big\r\n", 3) + "TERMINATE\r\n"
+	go func() { _, _ = io.WriteString(conn, messages) }()
+	answers, err := io.ReadAll(conn)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(strings.Count(string(answers), "COMPLETE")).To(Equal(6))
+	g.Expect(strings.Count(string(answers), "ROW "+text+" ")).To(Equal(3))
+	c.check()
+}
+
 // Guards against a host whose memory is used up by messages that arrived in part: a host with
 // 206 MB and 400 connections that each stopped inside a message of 900 KiB peaked at 514 MB.
 func TestClientsThatStopInsideMessage(t *testing.T) {
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -13,6 +13,11 @@
 // errReplayRefused means that the session state could not be replayed on a connection.
 var errReplayRefused = errors.New("the endpoint refused a statement that replays session state")
 
+// maxConnStateBytes limits the session state on a connection that returns to the pool. The
+// connection keeps the texts after their session has ended: one session may have 32 MiB, and an
+// endpoint more than 100 connections.
+const maxConnStateBytes = 256 << 10
+
 // conn is a pooled connection and the session state that is set on it. From checkout to
 // release it belongs to one session.
 type conn struct {
@@ -56,6 +61,10 @@
 		replay = append(replay, c.state.PrepareIfMissing(prepared)...)
 	}
 	reply, err := c.replayAndRun(c.Conn.(EndpointConn), deadline, replay, r)
+	if c.state.Bytes() > maxConnStateBytes {
+		// The connection is not used for another session.
+		c.broken = true
+	}
 	if err == nil && execute && reply.Code == CodeNoStatement {
 		c.state.ForgetPrepared(prepared)
 	}
--- a/internal/gateway/endpoint_conn.go
+++ b/internal/gateway/endpoint_conn.go
@@ -6,6 +6,7 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/budget"
 )
 
 // Request is one statement for an endpoint.
@@ -17,6 +18,8 @@
 	// After is the log position that the endpoint must have applied to run the
 	// statement; zero for none.
 	After logpos.Position
+	// Account pays for the answer; nil if no client does.
+	Account *budget.Account
 }
 
 // Conn is a connection to an endpoint, either direct or through a relay host. Only
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -7,3 +7,6 @@
 
 // ErrMalformed means that a message violates the protocol.
 var ErrMalformed = errors.New("malformed message")
+
+// ErrOversize means that a message exceeds the protocol's limit.
+var ErrOversize = errors.New("oversize message")
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/access"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/budget"
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
@@ -524,6 +525,9 @@
 // Key implements gateway.Caller.
 func (c *fakeCaller) Key() string { return c.key }
 
+// Account implements gateway.Caller.
+func (c *fakeCaller) Account() *budget.Account { return nil }
+
 // NextStatement implements gateway.Caller.
 func (c *fakeCaller) NextStatement() (session.Statement, error) {
 	select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,7 +162,7 @@
 		caller.Close()
 		return
 	}
-	s := &sessionServer{gateway: gw, caller: caller, state: session.New()}
+	s := &sessionServer{gateway: gw, caller: caller, account: caller.Account(), state: session.New()}
 	gw.sessions.add(s)
 	defer gw.sessions.remove(s)
 	// The guard logs a panic, and s has closed the caller's connection.
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -18,6 +18,9 @@
 	// FromRelay marks an error of the relay host; the endpoint has not received the
 	// request.
 	FromRelay bool
+	// Dropped means that the statement ran, but the memory for clients did not suffice for
+	// its answer, so that Rows is empty.
+	Dropped bool
 }
 
 // OK reports whether the statement succeeded.
--- a/internal/gateway/session_server.go
+++ b/internal/gateway/session_server.go
@@ -10,6 +10,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/access"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/budget"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
@@ -17,7 +18,10 @@
 type sessionServer struct {
 	gateway *Gateway
 	caller  Caller
-	state   *session.State
+	account *budget.Account
+	// kept is what the account has paid for the values and prepared statements.
+	kept  int64
+	state *session.State
 	// db is the database of the open transaction or the running statement.
 	db Database
 	// team is the caller's team as of the running statement.
@@ -43,6 +47,7 @@
 		if err := s.caller.Reply(reply); err != nil {
 			return
 		}
+		s.account.EndStatement()
 		s.releaseEndedTransaction()
 	}
 }
@@ -76,11 +81,14 @@
 	s.caller.SetIdleDeadline(at)
 }
 
-// logSessionEnd logs why a session ended, unless the caller ended it.
+// logSessionEnd logs and counts why a session ended, unless the caller ended it.
 func (s *sessionServer) logSessionEnd(err error) {
 	if errors.Is(err, io.EOF) {
 		return
 	}
+	if errors.Is(err, ErrOversize) {
+		s.gateway.metrics.Inc(metrics.RefusedOversize)
+	}
 	s.gateway.events.sessionEnded(s.caller.Database(), err)
 }
 
--- a/internal/gateway/session_state.go
+++ b/internal/gateway/session_state.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strings"
+
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
@@ -9,6 +11,10 @@
 // 300 prepared statements of 0.9 MB in one session took 273 MB; the smallest hosts have 136 MB.
 const maxSessionStateBytes = 32 << 20
 
+// stateEntryBytes is the memory that a value or a prepared statement takes besides its texts.
+// 1,000,000 prepared statements with 10 bytes of text took 119 bytes each; maps grow in steps.
+const stateEntryBytes = 160
+
 // changeState answers a statement that changes the session's values or prepared statements.
 // One that would exceed the limit of the host is refused; the session's state stays as it is.
 func (s *sessionServer) changeState(st session.Statement) Reply {
@@ -16,6 +22,14 @@
 	if st.Op != session.OpDeallocate && s.gateway.sessionStateBytes.Load()+added > maxSessionStateBytes {
 		return s.refuse(CodeBusy, metrics.RefusedSessionState)
 	}
+	if st.Op != session.OpDeallocate {
+		if err := s.account.Keep(added + stateEntryBytes); err != nil {
+			return s.refuse(CodeBusy, metrics.RefusedSessionState)
+		}
+		s.kept += added + stateEntryBytes
+		// The rest of the message is not kept.
+		st.Name, st.Args = strings.Clone(st.Name), strings.Clone(st.Args)
+	}
 	before := s.state.Bytes()
 	switch st.Op {
 	case session.OpSet:
@@ -26,5 +40,14 @@
 		s.state.Deallocate(st.Name)
 	}
 	s.gateway.sessionStateBytes.Add(int64(s.state.Bytes() - before))
+	s.forgetReplaced()
 	return s.newReply(CodeNone, "")
 }
+
+// forgetReplaced gives back what the account paid for values and prepared statements that were
+// replaced or removed.
+func (s *sessionServer) forgetReplaced() {
+	size := int64(s.state.Bytes()) + int64(s.state.Entries())*stateEntryBytes
+	s.account.Forget(s.kept - size)
+	s.kept = size
+}
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -152,7 +152,11 @@
 // answer came.
 func (s *sessionServer) send(c *conn, primary bool, deadline time.Time, inTransaction bool, r Request) (Reply, error) {
 	defer s.gateway.pool.releaseAfterPanic(c)
+	r.Account = s.account
 	reply, waited, err := s.gateway.pool.run(c, primary, deadline, s.state, inTransaction, r)
+	if reply.Dropped {
+		reply = s.droppedAnswer(r, inTransaction, reply)
+	}
 	if err != nil {
 		s.gateway.events.answerLost(r.ID, s.db.Name, c.target, waited, err)
 		s.gateway.connectionLost(c, err)
@@ -160,6 +164,21 @@
 	return reply, err
 }
 
+// droppedAnswer returns the error for a statement that ran but whose answer could not be kept.
+// Nothing of a read is kept, and a transaction is rolled back. A write outside a transaction,
+// and a commit, cannot be undone.
+func (s *sessionServer) droppedAnswer(r Request, inTransaction bool, reply Reply) Reply {
+	reply.Code = CodeBusy
+	switch {
+	case r.Op == session.OpCommit || r.Writes && !inTransaction:
+		reply.Code = CodeInDoubt
+	case inTransaction:
+		reply.Code = CodeAborted
+	}
+	reply.Detail = s.gateway.retryHint(metrics.RefusedMemory)
+	return reply
+}
+
 // answerDeadline returns the time until which to wait for the answer. Reads leave time
 // for another attempt.
 func (s *sessionServer) answerDeadline(ctx context.Context, st session.Statement) time.Time {
@@ -175,6 +194,9 @@
 // decideOutcome reports whether the attempt is final, and if so returns the answer.
 func (s *sessionServer) decideOutcome(st session.Statement, a attempt) (bool, Reply) {
 	switch {
+	case a.reply.Dropped:
+		// Another attempt would need the memory as well.
+		return true, a.reply
 	case a.err != nil && !a.sent:
 		return false, Reply{}
 	case a.err != nil && !st.Writes:
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -116,6 +116,9 @@
 		s.gateway.pool.release(c)
 		return s.refuse(CodeAborted, metrics.RefusedTransactionLost)
 	}
+	if reply.Dropped {
+		return s.failStatement(reply.Code, reply.Detail)
+	}
 	tx.Wrote = tx.Wrote || st.Writes
 	tx.Failed = reply.State == TxFailed
 	if reply.State == TxIdle {
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -38,6 +38,20 @@
 	RefusedOutdatedConfiguration Name = "refused.outdated_configuration"
 	// RefusedUnknownKey counts callers and statements whose key no team holds.
 	RefusedUnknownKey Name = "refused.unknown_key"
+	// RefusedMemory counts messages, statements and answers for which the memory of the
+	// process did not suffice.
+	RefusedMemory Name = "refused.memory"
+)
+
+// Callers that lost their connections because the memory or the descriptors of the process did
+// not suffice for all, by reason.
+const (
+	// EvictedStalled counts callers that did not send the rest of a message or read an answer.
+	EvictedStalled Name = "evicted.stalled"
+	// EvictedLargest counts callers that held most of the memory.
+	EvictedLargest Name = "evicted.largest"
+	// EvictedIdle counts callers whose connections were idle.
+	EvictedIdle Name = "evicted.idle"
 )
 
 // Retries, by reason. Only requests that have had no effect are retried.
