Relayed statements and answers are paid for and limited

Cause: a relay host read statements of any number and size for other hosts, messages between hosts had no limit. A statement that was refused for memory within a transaction would have left the transaction open at the endpoint. A relayed statement or answer states the size of its texts in a header, and its receiver charges it to an account before it reads it. A host that lacks memory answers BUSY, or ABORTED in a transaction, which it rolls back; it does not count as failed. Measured: tests of internal/fleet and the tests of dropped answers in internal/gateway pass; the transaction's test fails without the rollback.

--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -10,8 +10,10 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/budget"
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
 	fleetv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/fleet/v1"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
 const (
@@ -52,11 +54,22 @@
 	defer cancel()
 	request.TransactionID, request.Group, request.Endpoint, request.InTransaction = r.transactionID, r.group, r.endpoint, r.inTransaction
 	request.Timeout = max(time.Until(deadline)-relayMargin, 0)
+	size, account := requestSize(request), request.Request.Account
+	if err := take(account, size, 1); err != nil {
+		return r.refusedForMemory(), nil
+	}
 	peer := r.client.connTo(r.address)
 	began := time.Now()
-	response, err := peer.client.Relay(ctx, connect.NewRequest(encodeRelayRequest(request)))
+	call := connect.NewRequest(encodeRelayRequest(request))
+	setSize(call.Header(), size)
+	response, err := peer.client.Relay(budget.NewContext(ctx, account), call)
 	r.client.recordResult(r.address, peer, began, err)
-	if err != nil {
+	switch {
+	case refusedBeforeRun(err):
+		return r.refusedForMemory(), nil
+	case answerDropped(err):
+		return gateway.Reply{State: r.refusedForMemory().State, FromRelay: true, Dropped: true}, nil
+	case err != nil:
 		if r.notRunning(err) {
 			return gateway.Reply{}, errors.WithSecondaryError(gateway.ErrNotSent, err)
 		}
@@ -73,6 +86,16 @@
 	return reply, nil
 }
 
+// refusedForMemory returns the answer to a request for which the memory for clients does not
+// suffice here or at the relay host. An open transaction fails.
+func (r *relayConn) refusedForMemory() gateway.Reply {
+	reply := gateway.Reply{Code: gateway.CodeBusy, Detail: string(metrics.RefusedMemory), FromRelay: true, Dropped: true}
+	if r.inTransaction {
+		reply.State = gateway.TxFailed
+	}
+	return reply
+}
+
 // Alive implements gateway.Conn.
 func (r *relayConn) Alive() bool { return true }
 
@@ -104,7 +127,29 @@
 	if err != nil {
 		return connect.NewResponse(&fleetv1.RelayResponse{Lost: true}), nil
 	}
-	return connect.NewResponse(encodeReply(reply)), nil
+	size := replySize(reply)
+	if err := take(budget.FromContext(ctx), size, 1); err != nil {
+		if reply, err = s.dropRows(ctx, r.Msg, reply); err != nil {
+			return connect.NewResponse(&fleetv1.RelayResponse{Lost: true}), nil
+		}
+		size = 0
+	}
+	response := connect.NewResponse(encodeReply(reply))
+	setSize(response.Header(), size)
+	return response, nil
+}
+
+// dropRows returns the answer to a relayed statement that ran, for whose answer the memory for
+// clients does not suffice. It rolls back the statement's transaction.
+func (s *Server) dropRows(ctx context.Context, m *fleetv1.RelayRequest, reply gateway.Reply) (gateway.Reply, error) {
+	out := reply.WithoutRows(decodeRelayRequest(m).Request, m.GetContinues())
+	out.FromRelay = true
+	if reply.State == gateway.TxIdle {
+		return out, nil
+	}
+	out.State = gateway.TxFailed
+	_, err := s.Gateway.Relay(ctx, gateway.RelayRequest{TransactionID: m.GetLease(), Rollback: true})
+	return out, err
 }
 
 // encodeRelayRequest converts a relay request to protobuf.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"github.com/beryltrestle/beryltrestle/internal/budget"
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
 	fleetv1 "github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/fleet/v1"
 	"github.com/beryltrestle/beryltrestle/internal/gen/beryltrestle/fleet/v1/fleetv1connect"
@@ -15,11 +16,15 @@
 // Server serves the calls of other hosts.
 type Server struct {
 	Gateway *gateway.Gateway
+	// Budget pays for the statements that are relayed through this host; nil if nothing limits
+	// them.
+	Budget *budget.Budget
 }
 
 // Handler returns the URL path and the HTTP handler of the service.
 func (s *Server) Handler() (string, http.Handler) {
-	return fleetv1connect.NewFleetServiceHandler(s, connect.WithCompressMinBytes(compressMinBytes))
+	path, handler := fleetv1connect.NewFleetServiceHandler(s, connect.WithCompressMinBytes(compressMinBytes), connect.WithReadMaxBytes(maxMessageBytes))
+	return path, payingHandler(s.Budget, handler)
 }
 
 // Exchange implements fleetv1connect.FleetServiceHandler.
--- a/internal/gateway/fake_endpoint_test.go
+++ b/internal/gateway/fake_endpoint_test.go
@@ -315,8 +315,14 @@
 	return c.write(r.ID, r.Args)
 }
 
+// droppedItem is an item whose answer the memory for clients does not hold.
+const droppedItem = "dropped"
+
 // read returns the newest data of the item and the session's tz value.
 func (c *fakeConn) read(item string) gateway.Reply {
+	if item == droppedItem {
+		return gateway.Reply{Dropped: true, Signature: c.endpoint.id}
+	}
 	data := "-"
 	for _, e := range c.endpoint.log {
 		if e.item == item {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,6 +10,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/admission"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/budget"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
@@ -133,12 +134,22 @@
 		state.Prepare(r.Request.Name, r.Prepared.Definition, r.Prepared.Writes)
 	}
 	deadline, _ := ctx.Deadline()
+	r.Request.Account = budget.FromContext(ctx)
 	reply, _, err := gw.pool.run(c, r.PrimaryOnly, deadline, state, held != nil, r.Request)
 	if err != nil {
 		gw.connectionLost(c, err)
 		gw.pool.release(c)
 		return Reply{}, errors.WithSecondaryError(ErrAnswerLost, err)
 	}
+	if reply.Dropped {
+		reply = reply.WithoutRows(r.Request, held != nil)
+		reply.FromRelay = true
+		if reply.State != TxIdle {
+			gw.rollbackOn(c)
+			reply.State = TxFailed
+			return reply, nil
+		}
+	}
 	if reply.State == TxIdle {
 		gw.pool.release(c)
 		return reply, nil
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/beryltrestle/beryltrestle/coord/logpos"
+import (
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
+)
 
 // Reply is the answer to one statement.
 type Reply struct {
@@ -18,11 +22,26 @@
 	// FromRelay marks an error of the relay host; the endpoint has not received the
 	// request.
 	FromRelay bool
-	// Dropped means that the statement ran, but the memory for clients did not suffice for
-	// its answer, so that Rows is empty.
+	// Dropped means that the memory for clients did not suffice for the statement or its
+	// answer, so that Rows is empty. The statement ran unless Code says otherwise. It is not
+	// sent between hosts.
 	Dropped bool
 }
 
+// WithoutRows returns the error for a statement that ran but whose answer could not be kept.
+// Nothing of a read is kept, and an open transaction must be rolled back by the calling
+// function. A write outside a transaction, and a commit, cannot be undone.
+func (r Reply) WithoutRows(request Request, inTransaction bool) Reply {
+	out := Reply{Code: CodeBusy, Detail: string(metrics.RefusedMemory), State: r.State, Position: r.Position, Dropped: true}
+	switch {
+	case request.Op == session.OpCommit || request.Writes && !inTransaction:
+		out.Code = CodeInDoubt
+	case inTransaction:
+		out.Code = CodeAborted
+	}
+	return out
+}
+
 // OK reports whether the statement succeeded.
 func (r *Reply) OK() bool { return r.Code == CodeNone }
 
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -154,8 +154,8 @@
 	defer s.gateway.pool.releaseAfterPanic(c)
 	r.Account = s.account
 	reply, waited, err := s.gateway.pool.run(c, primary, deadline, s.state, inTransaction, r)
-	if reply.Dropped {
-		reply = s.droppedAnswer(r, inTransaction, reply)
+	if reply.Dropped && reply.OK() {
+		reply = reply.WithoutRows(r, inTransaction)
 	}
 	if err != nil {
 		s.gateway.events.answerLost(r.ID, s.db.Name, c.target, waited, err)
@@ -164,21 +164,6 @@
 	return reply, err
 }
 
-// droppedAnswer returns the error for a statement that ran but whose answer could not be kept.
-// Nothing of a read is kept, and a transaction is rolled back. A write outside a transaction,
-// and a commit, cannot be undone.
-func (s *sessionServer) droppedAnswer(r Request, inTransaction bool, reply Reply) Reply {
-	reply.Code = CodeBusy
-	switch {
-	case r.Op == session.OpCommit || r.Writes && !inTransaction:
-		reply.Code = CodeInDoubt
-	case inTransaction:
-		reply.Code = CodeAborted
-	}
-	reply.Detail = s.gateway.retryHint(metrics.RefusedMemory)
-	return reply
-}
-
 // answerDeadline returns the time until which to wait for the answer. Reads leave time
 // for another attempt.
 func (s *sessionServer) answerDeadline(ctx context.Context, st session.Statement) time.Time {
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -117,6 +117,7 @@
 		return s.refuse(CodeAborted, metrics.RefusedTransactionLost)
 	}
 	if reply.Dropped {
+		// The endpoint does not know that the statement failed.
 		return s.failStatement(reply.Code, reply.Detail)
 	}
 	tx.Wrote = tx.Wrote || st.Writes
