--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -175,7 +175,11 @@
 // answer came.
 func (s *sessionServer) send(c *conn, primary bool, deadline time.Time, inTransaction bool, r Request) (Reply, error) {
 	defer s.gateway.pool.releaseAfterPanic(c)
+	r.Account = s.account
 	reply, waited, err := s.gateway.pool.run(c, primary, deadline, s.state, inTransaction, r)
+	if reply.Dropped && reply.OK() {
+		reply = reply.WithoutRows(r, inTransaction)
+	}
 	if err != nil {
 		s.gateway.events.answerLost(r.ID, s.db.Name, c.target, waited, err)
 		s.gateway.connectionLost(c, err)
@@ -198,6 +202,9 @@
 // decideOutcome reports whether the attempt is final, and if so returns the answer.
 func (s *sessionServer) decideOutcome(st session.Statement, a attempt) (bool, Reply) {
 	switch {
+	case a.reply.Dropped:
+		// Another attempt would need the memory as well.
+		return true, a.reply
 	case a.err != nil && !a.sent:
 		return false, Reply{}
 	case a.err != nil && !st.Writes:
