--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -8,6 +8,12 @@
 	// failuresUntilUnresponsive is the number of consecutive failed calls after which a
 	// host no longer counts as alive. A refused connection is enough on its own.
 	failuresUntilUnresponsive = 2
+	// unresponsiveLifetime is how long failed calls to a host count if it has not been called
+	// again. In a large fleet a host calls any other one only about once in a hundred seconds,
+	// so that hosts would otherwise go on to disagree on who is alive, and so on the relay hosts
+	// and the readers of the store, after a network partition has ended. In a small fleet every
+	// host is called within permission.Duration.
+	unresponsiveLifetime = 5 * time.Second
 	// reportLifetime is how long another host's report about an unresponsive host
 	// counts.
 	reportLifetime = 3 * time.Second
@@ -74,7 +80,7 @@
 // alive reports whether the host is considered to be running: calls to it have not
 // failed, here or on another host, since its last contact.
 func (m *member) alive(now time.Time) bool {
-	if m.leaving || m.failures >= failuresUntilUnresponsive {
+	if m.leaving || m.failures >= failuresUntilUnresponsive && now.Sub(m.failedAt) < unresponsiveLifetime {
 		return false
 	}
 	return m.reportedUnresponsiveAt.IsZero() || m.reportedUnresponsiveAt.Before(m.lastContact) || now.Sub(m.reportedUnresponsiveAt) > reportLifetime
--- a/internal/gateway/member_test.go
+++ b/internal/gateway/member_test.go
@@ -88,3 +88,15 @@
 	}
 	g.Expect(c.failedCallAges(now)).To(HaveLen(maxReportedFailures))
 }
+
+// Guards against a host of a large fleet that regards another one as lost long after a network
+// partition has ended, because it hardly ever calls it: the hosts then chose different relay
+// hosts, and a statement for every ninth reached a host without connections (amag-cl-grown
+// scale-1, 110 a second until the end of the day).
+func TestFailedCallsAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	m := &member{knownSince: now.Add(-time.Hour), lastContact: now.Add(-time.Minute), failures: failuresUntilUnresponsive, failedAt: now}
+	g.Expect(m.alive(now.Add(unresponsiveLifetime - time.Millisecond))).To(BeFalse())
+	g.Expect(m.alive(now.Add(unresponsiveLifetime))).To(BeTrue())
+}
