--- a/internal/peer/exchange_client_test.go
+++ b/internal/peer/exchange_client_test.go
@@ -264,7 +264,9 @@
 // within about 1 s as not sent.
 func TestUnreachableOwner(t *testing.T) {
 	g := NewWithT(t)
-	refusing := listen(t, "127.0.0.1:0")
+	// Outgoing connections of other tests come from 127.0.0.1. There they could take the port
+	// between its release and its second use.
+	refusing := listen(t, "127.0.0.2:0")
 	refusing.Close()
 	unresponsive := listen(t, "127.0.0.1:0")
 	t.Cleanup(func() { unresponsive.Close() })
