Keep voters that answer the poll before a change of the electorate

Cause: in a large fleet one late answer to any host made a voter look unresponsive. Change: the poll that precedes a change decides; who answers it stays a voter.

--- a/internal/gateway/electorate.go
+++ b/internal/gateway/electorate.go
@@ -329,8 +329,9 @@
 		poll := c.pollHosts(c.gw.ctx, own, addresses, request, primaryReportTimeout)
 		c.submit(func() {
 			c.electorate.writing = false
+			next := present.Change(append(slices.Clone(next.Voters), answeringVoters(poll.replies, present)...))
 			switch {
-			case !poll.quorum(present, left):
+			case !poll.quorum(present, left), next.Equal(present):
 				c.electorate.retryAt = boottime.Now().Add(proposalRetryDelay)
 			case c.electorate.Equal(present):
 				c.writeElectorate(next)
@@ -339,6 +340,19 @@
 	})
 }
 
+// answeringVoters returns the addresses of the present voters that have answered a poll. They stay voters whatever
+// other hosts report: in a large fleet a single call that was answered late makes a host look
+// unresponsive, and each change of the electorate suspends the lenders of tokens that it concerns.
+func answeringVoters(replies map[string]FenceReply, present electorate.Electorate) []string {
+	var out []string
+	for address := range replies {
+		if present.Includes(address) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 // pollRequest returns a request that asks hosts for an answer without any effect. It returns
 // false if no group is known yet, as no host could answer.
 func (c *controller) pollRequest() (FenceRequest, bool) {
