--- a/coord/quota/borrower.go
+++ b/coord/quota/borrower.go
@@ -53,6 +53,8 @@
 type Token struct {
 	// usableFrom and expires limit when it may be used.
 	usableFrom, expires time.Time
+	// epoch is that of the account when the token was borrowed.
+	epoch int
 }
 
 // Borrower keeps the tokens that one host has borrowed. It is not safe for concurrent use.
@@ -63,6 +65,8 @@
 	prefer   func(team string, lenders []string) []string
 	accounts map[string]*account
 	sweptAt  time.Time
+	// epoch counts the calls of SetLimits.
+	epoch int
 }
 
 // NewBorrower returns a borrower that knows no electorate. prefer returns the lenders of a team
@@ -79,6 +83,8 @@
 	// between such calls, 0 while it is not known.
 	lastUse  time.Time
 	interval time.Duration
+	// epoch is that of the team's limit.
+	epoch int
 }
 
 // portion is a number of equal tokens.
@@ -109,13 +115,20 @@
 	}
 }
 
-// SetLimits replaces the limits of all teams, by name.
+// SetLimits replaces the limits of all teams, by name. The tokens of a team whose limit has
+// changed are dropped, and so are those of calls that have not ended: a lowered limit binds a
+// window that begins now.
 func (b *Borrower) SetLimits(limits map[string]Limit) {
+	former := b.limits
 	b.limits = limits
+	b.epoch++
 	for team, a := range b.accounts {
-		a.lenders = nil
-		if _, ok := limits[team]; !ok {
+		limit, ok := limits[team]
+		switch {
+		case !ok:
 			delete(b.accounts, team)
+		case limit != former[team]:
+			a.epoch, a.lenders, a.portions = b.epoch, nil, nil
 		}
 	}
 }
@@ -146,7 +159,7 @@
 func (b *Borrower) account(team string, limit Limit) *account {
 	a := b.accounts[team]
 	if a == nil {
-		a = &account{}
+		a = &account{epoch: b.epoch}
 		b.accounts[team] = a
 	}
 	if a.lenders == nil {
@@ -250,7 +263,8 @@
 // Answered records a lender's answer to the call that began at the given time.
 func (b *Borrower) Answered(now, began time.Time, team, lender string, g Grant) {
 	a, l := b.find(team, lender)
-	if l == nil {
+	if l == nil || l.askedAt.IsZero() || began.Before(l.askedAt) {
+		// The call began before the lenders or the limit changed.
 		return
 	}
 	l.askedAt, l.refused, l.lends = time.Time{}, false, g.Lender
@@ -269,6 +283,7 @@
 
 // add adds a number of equal tokens.
 func (a *account) add(n int, token Token) {
+	token.epoch = a.epoch
 	if n = clampTokens(n); n > 0 {
 		a.portions = append(a.portions, portion{Token: token, tokens: n})
 	}
@@ -305,7 +320,7 @@
 // Refund gives back the token of an operation that certainly did not run, for another operation
 // of the team.
 func (b *Borrower) Refund(team string, token Token) {
-	if a := b.accounts[team]; a != nil && !token.expires.IsZero() {
+	if a := b.accounts[team]; a != nil && !token.expires.IsZero() && token.epoch == a.epoch {
 		a.portions = append(a.portions, portion{Token: token, tokens: 1})
 	}
 }
--- a/coord/quota/lender.go
+++ b/coord/quota/lender.go
@@ -1,8 +1,8 @@
 package quota
 
 import (
+	"maps"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -11,6 +11,8 @@
 	advanceShare = 0.5
 	// hostShare is the part of what may be borrowed in advance that one host gets at once.
 	hostShare = 0.25
+	// bucketKept is how long a bucket is kept that nobody asks for.
+	bucketKept = 30 * time.Second
 	// maxTokens limits the tokens of one request.
 	maxTokens = 1_000_000
 	// maxDelay limits how far in advance tokens are lent that the bucket does not hold yet.
@@ -59,6 +61,7 @@
 	roles   roles
 	limits  map[string]Limit
 	buckets map[string]*bucket
+	sweptAt time.Time
 }
 
 // NewLender returns a lender that knows no electorate.
@@ -66,10 +69,16 @@
 	return &Lender{rules: rules, buckets: make(map[string]*bucket)}
 }
 
-// SetElectorate records the sets of voters that the host at the address self knows from now on:
-// the voters and, until a change is completed, the former voters. Without sets it does not lend.
-func (l *Lender) SetElectorate(now time.Time, self string, sets [][]string) {
-	l.roles.set(now, self, sets)
+// SetElectorate records the electorate that the host at the address self knows from now on.
+// Without sets of voters it does not lend.
+func (l *Lender) SetElectorate(now time.Time, self string, e Electorate) {
+	switch l.roles.set(now, self, e) {
+	case unchanged:
+		return
+	case restarted:
+		clear(l.buckets)
+		return
+	}
 	for team := range l.buckets {
 		if l.roles.views[len(l.roles.views)-1].divisor(team, self, l.rules.terms(l.limits[team]).lenders) == 0 {
 			delete(l.buckets, team)
@@ -77,15 +86,22 @@
 	}
 }
 
-// SetLimits replaces the limits of all teams, by name. Teams without a limit are left out.
+// SetLimits replaces the limits of all teams, by name. Teams without a limit are left out. Their
+// buckets are kept in case the limit is restored before the window has passed.
 func (l *Lender) SetLimits(limits map[string]Limit) {
 	l.limits = limits
 	l.roles.forgetDivisors()
-	for team := range l.buckets {
-		if _, ok := limits[team]; !ok {
-			delete(l.buckets, team)
-		}
+}
+
+// sweep drops the buckets that nobody has asked for since so long that no window has tokens of
+// before and after.
+func (l *Lender) sweep(now time.Time) {
+	kept := max(bucketKept, 2*l.rules.Window)
+	if now.Sub(l.sweptAt) < kept {
+		return
 	}
+	l.sweptAt = now
+	maps.DeleteFunc(l.buckets, func(_ string, b *bucket) bool { return now.Sub(b.at) > kept })
 }
 
 // Lend answers a request. The host must have the permission that the package comment names.
@@ -99,12 +115,14 @@
 	if divisor == 0 {
 		return Grant{}
 	}
+	l.sweep(now)
+	rate, capacity := terms.rate/float64(divisor), terms.capacity/float64(divisor)
 	b := l.buckets[r.Team]
 	if b == nil {
-		b = &bucket{at: l.roles.since(r.Team, terms.lenders)}
+		b = &bucket{rate: rate, capacity: capacity, at: l.roles.since(r.Team, terms.lenders)}
 		l.buckets[r.Team] = b
 	}
-	b.refill(now, terms.rate/float64(divisor), terms.capacity/float64(divisor))
+	b.refill(now, rate, capacity)
 	wanted := clampTokens(r.Wanted)
 	out := Grant{Lender: true, Tokens: b.take(wanted)}
 	out.Delayed, out.Delay = b.takeDelayed(wanted - out.Tokens)
@@ -125,8 +143,8 @@
 	tokens, rate, capacity float64
 	// at is the time as of which tokens is valid.
 	at time.Time
-	// advances are the tokens that were borrowed in advance and may not have been used yet. They
-	// and tokens together never exceed the capacity.
+	// advances are the tokens that were borrowed in advance and may not have been used yet, in
+	// order of expiry. They and tokens together never exceed the capacity.
 	advances []advance
 	// reservedUntil is when the tokens are expected for which hosts have been told to come back.
 	reservedUntil time.Time
@@ -138,16 +156,27 @@
 	expires time.Time
 }
 
-// refill adds the tokens of the time since the last call, by the rate and up to the capacity
-// that are in force from now on. A time that lies before the last one adds nothing.
+// refill adds the tokens of the time since the last call, and sets the rate and the capacity from
+// now on. For the time before, the smaller ones count, as the larger ones may not have been in
+// force. A time that lies before the last one adds nothing.
 func (b *bucket) refill(now time.Time, rate, capacity float64) {
+	b.rate, b.capacity = min(rate, b.rate), min(capacity, b.capacity)
+	for len(b.advances) > 0 && !now.Before(b.advances[0].expires) {
+		// Until it expires, the advance keeps the bucket from filling up.
+		b.fill(b.advances[0].expires)
+		b.advances = b.advances[1:]
+	}
+	b.fill(now)
 	b.rate, b.capacity = rate, capacity
-	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.tokens += rate * elapsed.Seconds()
-		b.at = now
+}
+
+// fill adds the tokens of the time up to the given one.
+func (b *bucket) fill(until time.Time) {
+	if elapsed := until.Sub(b.at); elapsed > 0 {
+		b.tokens += b.rate * elapsed.Seconds()
+		b.at = until
 	}
-	b.advances = slices.DeleteFunc(b.advances, func(a advance) bool { return !now.Before(a.expires) })
-	b.tokens = math.Min(b.tokens, math.Max(capacity-b.advanced(), 0))
+	b.tokens = math.Min(b.tokens, math.Max(b.capacity-b.advanced(), 0))
 }
 
 // advanced returns the number of tokens that were borrowed in advance.
--- a/coord/quota/quota_test.go
+++ b/coord/quota/quota_test.go
@@ -28,7 +28,7 @@
 func lenderAt(address string, limit Limit, sets ...[]string) *Lender {
 	l := NewLender(rules)
 	l.SetLimits(map[string]Limit{"red": limit})
-	l.SetElectorate(long, address, sets)
+	l.SetElectorate(long, address, Electorate{Version: 1, Sets: sets})
 	return l
 }
 
@@ -68,7 +68,7 @@
 	g.Expect(lenderAt(ranked[0], limit, all, without).Lend(start, Request{Team: "red", Wanted: 1}).Lender).To(BeFalse())
 	l := NewLender(rules)
 	l.SetLimits(map[string]Limit{"red": limit})
-	l.SetElectorate(start, ranked[0], [][]string{all})
+	l.SetElectorate(start, ranked[0], Electorate{Version: 1, Sets: [][]string{all}})
 	g.Expect(l.Lend(start.Add(RoleDelay-time.Millisecond), Request{Team: "red", Wanted: 1}).Lender).To(BeFalse())
 	g.Expect(l.Lend(start.Add(RoleDelay+time.Second), Request{Team: "red", Wanted: 1}).Tokens).To(Equal(1))
 	g.Expect(l.Lend(start.Add(time.Minute), Request{Team: "blue", Wanted: 1}).Lender).To(BeFalse())
@@ -82,7 +82,7 @@
 	capacity := rules.terms(Limit{Rate: 30, Burst: 30}).capacity
 	all := Request{Team: "red", Wanted: 1000}
 	g.Expect(l.Lend(start, all).Tokens).To(Equal(int(capacity / 2)))
-	l.SetElectorate(start, "h0", [][]string{voters(1)})
+	l.SetElectorate(start, "h0", Electorate{Version: 3, Base: 1, Sets: [][]string{voters(1)}})
 	g.Expect(l.Lend(start.Add(RoleDelay-time.Millisecond), all).Tokens).To(Equal(int(capacity / 2)))
 	g.Expect(l.Lend(start.Add(time.Minute), all).Tokens).To(Equal(int(capacity)))
 }
@@ -93,7 +93,7 @@
 	limit := Limit{Rate: 30, Burst: 300}
 	l := NewLender(rules)
 	l.SetLimits(map[string]Limit{"red": limit})
-	l.SetElectorate(start, "h0", [][]string{voters(3)})
+	l.SetElectorate(start, "h0", Electorate{Version: 1, Sets: [][]string{voters(3)}})
 	ready := start.Add(RoleDelay)
 	g.Expect(l.Lend(ready, Request{Team: "red", Wanted: 0}).Tokens).To(BeZero())
 	later := l.Lend(ready.Add(200*time.Millisecond), Request{Team: "red", Wanted: 100})
@@ -166,8 +166,9 @@
 	b.Refund("red", order.Token)
 	decision, order = b.Take(start.Add(advanceLife), "red", 1, false)
 	g.Expect(decision).To(Equal(Ask))
-	b.Answered(start.Add(advanceLife), start.Add(advanceLife-tokenLife), "red", order.Lender, Grant{Lender: true, Tokens: 1})
-	decision, _ = b.Take(start.Add(advanceLife), "red", 1, true)
+	late := start.Add(advanceLife + tokenLife)
+	b.Answered(late, start.Add(advanceLife), "red", order.Lender, Grant{Lender: true, Tokens: 1})
+	decision, _ = b.Take(late, "red", 1, true)
 	g.Expect(decision).To(Equal(Ask))
 }
 
@@ -229,3 +230,101 @@
 		g.Expect(order.Request.Extra).To(And(BeNumerically(">=", c.least), BeNumerically("<=", c.most)))
 	}
 }
+
+// Guards against tokens that a bucket gains while tokens borrowed in advance may still be used,
+// if nobody asks in between: both could be used in one window.
+func TestBucketStaysFullUntilAdvancesExpire(t *testing.T) {
+	g := NewWithT(t)
+	limit := Limit{Rate: 300, Burst: 300}
+	terms := rules.terms(limit)
+	l := lenderAt("h0", limit, voters(3))
+	for range 20 {
+		l.Lend(start, Request{Team: "red", Extra: 1000})
+	}
+	later := start.Add(advanceLife + 10*time.Millisecond)
+	most := terms.capacity/3 - l.reservedFor("red").advanced() + terms.rate/3*0.01
+	g.Expect(l.Lend(later, Request{Team: "red", Wanted: 1000}).Tokens).To(BeNumerically("<=", most))
+}
+
+// Guards against a host that goes on to lend although another one may have lent in between, by an
+// electorate that this host never knew: its bucket would be full, and the other one may still lend.
+func TestUnseenElectorateRestartsTheRole(t *testing.T) {
+	g := NewWithT(t)
+	all := [][]string{voters(3)}
+	for _, c := range []struct {
+		next Electorate
+		goes bool
+	}{
+		{Electorate{Version: 5, Sets: all}, true},
+		{Electorate{Version: 7, Base: 5, Sets: append(all, voters(4)[1:])}, true},
+		{Electorate{Version: 8, Base: 5, Sets: [][]string{voters(3)}}, true},
+		{Electorate{Version: 12, Base: 10, Sets: all}, false},
+		{Electorate{Version: 12, Sets: all}, false},
+	} {
+		l := NewLender(rules)
+		limit := Limit{Rate: 30, Burst: 30}
+		l.SetLimits(map[string]Limit{"red": limit})
+		l.SetElectorate(long, "h1", Electorate{Version: 5, Sets: all})
+		wanted := Request{Team: "red", Wanted: 1}
+		g.Expect(l.Lend(start, wanted).Tokens).To(Equal(1))
+		l.SetElectorate(start, "h1", c.next)
+		g.Expect(l.Lend(start, wanted).Lender).To(Equal(c.goes), "%+v", c)
+		g.Expect(l.Lend(start.Add(RoleDelay), wanted).Lender).To(BeTrue(), "%+v", c)
+		if !c.goes {
+			g.Expect(l.reservedFor("red").tokens).To(BeNumerically("<=", 0))
+		}
+	}
+}
+
+// Guards against an idle bucket that is credited with a larger share, or a limit, for the time
+// before it was in force.
+func TestRisenShareCountsFromNowOn(t *testing.T) {
+	g := NewWithT(t)
+	limit := Limit{Rate: 30, Burst: 30}
+	l := lenderAt("h0", limit, voters(2))
+	former := rules.terms(limit).capacity / 2
+	g.Expect(l.Lend(start, Request{Team: "red", Wanted: 1}).Tokens).To(Equal(1))
+	l.SetElectorate(start, "h0", Electorate{Version: 3, Base: 1, Sets: [][]string{voters(1)}})
+	g.Expect(l.Lend(start.Add(RoleDelay+time.Second), Request{Team: "red", Wanted: 1000}).Tokens).To(BeNumerically("<=", former))
+}
+
+// Guards against a limit that is removed and restored, so that a full bucket is lent twice.
+func TestRestoredLimitKeepsTheBucket(t *testing.T) {
+	g := NewWithT(t)
+	limits := map[string]Limit{"red": {Rate: 30, Burst: 30}}
+	l := lenderAt("h0", limits["red"], voters(3))
+	g.Expect(l.Lend(start, Request{Team: "red", Wanted: 1000}).Tokens).To(BeNumerically(">", 0))
+	l.SetLimits(nil)
+	g.Expect(l.Lend(start, Request{Team: "red", Wanted: 1}).Lender).To(BeFalse())
+	l.SetLimits(limits)
+	g.Expect(l.Lend(start, Request{Team: "red", Wanted: 1000}).Tokens).To(BeZero())
+}
+
+// Guards against tokens of a limit that has been lowered since: those that the host holds, and
+// those that a lender granted before it knew.
+func TestTokensOfAFormerLimitAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	b := borrower()
+	_, order := b.Take(start, "red", 1, false)
+	b.Answered(start, start, "red", order.Lender, Grant{Lender: true, Extra: 10})
+	b.SetLimits(map[string]Limit{"red": {Rate: 1}, "blue": {Rate: 1}})
+	decision, order := b.Take(start, "red", 1, false)
+	g.Expect(decision).To(Equal(Ask))
+	later := start.Add(time.Millisecond)
+	b.SetLimits(map[string]Limit{"red": {Rate: 1}})
+	decision, _ = b.Take(start, "red", 1, false)
+	g.Expect(decision).To(Equal(Wait), "the limit of the team has not changed")
+	b.SetLimits(map[string]Limit{"red": {Rate: 0.5}})
+	decision, _ = b.Take(later, "red", 1, false)
+	g.Expect(decision).To(Equal(Ask))
+	b.Answered(later, start, "red", order.Lender, Grant{Lender: true, Extra: 10})
+	decision, _ = b.Take(later, "red", 1, true)
+	g.Expect(decision).To(Equal(Wait))
+	b.Answered(later, later, "red", order.Lender, Grant{Lender: true, Tokens: 1})
+	decision, taken := b.Take(later, "red", 1, true)
+	g.Expect(decision).To(Equal(Taken))
+	b.SetLimits(map[string]Limit{"red": {Rate: 0.1}})
+	b.Refund("red", taken.Token)
+	decision, _ = b.Take(later, "red", 1, false)
+	g.Expect(decision).To(Equal(Ask))
+}
--- a/coord/quota/roles.go
+++ b/coord/quota/roles.go
@@ -25,11 +25,47 @@
 	return out
 }
 
+// PreferredOrder returns the lenders of a team in the order in which a host asks them: near ones
+// first, and otherwise in an order that differs from host to host.
+func PreferredOrder(host, team string, lenders []string, near func(address string) bool) []string {
+	hosts := make([]placement.Host, len(lenders))
+	for i, address := range lenders {
+		hosts[i].Name = address
+	}
+	var first, rest []string
+	for _, h := range placement.Rank(host+" asks for "+team, hosts, len(hosts)) {
+		if near(h.Name) {
+			first = append(first, h.Name)
+			continue
+		}
+		rest = append(rest, h.Name)
+	}
+	return append(first, rest...)
+}
+
+// Electorate is a record of the electorate.
+type Electorate struct {
+	// Version is the record's version, Base that of the completed record that it changes, or
+	// whose change it completes; 0 if it is not known.
+	Version, Base uint64
+	// Sets holds the voters and, until a change is completed, the former voters.
+	Sets [][]string
+}
+
+// follows reports whether no electorate was completed between the earlier record and this one,
+// except for the one that this record completes.
+func (e Electorate) follows(earlier Electorate) bool {
+	completed := earlier.Version
+	if len(earlier.Sets) > 1 {
+		completed = earlier.Base
+	}
+	return e.Base != 0 && e.Base == completed
+}
+
 // view is the electorate as this host knows it from a time on.
 type view struct {
-	since time.Time
-	// sets holds the voters and, until a change is completed, the former voters.
-	sets [][]string
+	since  time.Time
+	record Electorate
 	// divisors caches divisor by team.
 	divisors map[string]int
 }
@@ -41,7 +77,7 @@
 		return d
 	}
 	d := 0
-	for _, voters := range v.sets {
+	for _, voters := range v.record.Sets {
 		ranked := Lenders(team, voters, lenders)
 		if !slices.Contains(ranked, self) {
 			d = 0
@@ -60,15 +96,42 @@
 	views []*view
 }
 
-// set records the electorate as of now. Without sets nobody lends.
-func (r *roles) set(now time.Time, self string, sets [][]string) {
-	if self != r.self {
-		r.self, r.views = self, nil
+// transition is the effect of a record of the electorate.
+type transition int
+
+const (
+	// unchanged: the record was known.
+	unchanged transition = iota
+	// continued: the record follows the one that was known.
+	continued
+	// restarted: there may have been a completed electorate in between.
+	restarted
+)
+
+// set records the electorate as of now. If the host does not know that no other electorate was
+// completed in between, it begins anew as a lender: another host may have lent under that one.
+func (r *roles) set(now time.Time, self string, e Electorate) transition {
+	next := &view{since: now, record: e, divisors: make(map[string]int)}
+	switch last := r.last(); {
+	case self == r.self && last != nil && e.Version == last.record.Version:
+		return unchanged
+	case self != r.self || last == nil || !e.follows(last.record):
+		r.self, r.views = self, []*view{next}
+		return restarted
 	}
-	r.views = append(r.views, &view{since: now, sets: sets, divisors: make(map[string]int)})
+	r.views = append(r.views, next)
 	for len(r.views) > 1 && now.Sub(r.views[1].since) > rolesKept {
 		r.views = r.views[1:]
 	}
+	return continued
+}
+
+// last returns the view in force, or nil.
+func (r *roles) last() *view {
+	if len(r.views) == 0 {
+		return nil
+	}
+	return r.views[len(r.views)-1]
 }
 
 // forgetDivisors makes the roles be computed again, after limits have changed.
--- a/internal/gateway/electorate.go
+++ b/internal/gateway/electorate.go
@@ -44,6 +44,8 @@
 	// version is the version of the row; 0 if there is none. A row that cannot be decoded
 	// has a version and no voters.
 	version uint64
+	// base is that of the row; see electorateRecord.
+	base uint64
 	// writtenVersion is the newest version that this host has written.
 	writtenVersion uint64
 	// ownAddress is the address in this host's row; empty unless this incarnation wrote
@@ -75,7 +77,7 @@
 // applyElectorate applies the row of the electorate.
 func (c *controller) applyElectorate(r rows.Row) {
 	e := &c.electorate
-	e.Electorate, e.version, e.changedAt = electorate.Electorate{}, r.Version, boottime.Now()
+	e.Electorate, e.version, e.base, e.changedAt = electorate.Electorate{}, r.Version, 0, boottime.Now()
 	if r.Deleted {
 		e.version = 0
 		return
@@ -85,7 +87,7 @@
 		c.gw.events.log.Warn().Err(err).Msg("electorate row cannot be decoded")
 		return
 	}
-	e.Electorate = record.Electorate
+	e.Electorate, e.base = record.Electorate, record.Base
 	c.gw.events.log.Info().Int("voters", len(e.Voters)).Int("former", len(e.Former)).Uint64("version", r.Version).Msg("electorate changed")
 }
 
@@ -350,10 +352,13 @@
 
 // writeElectorate writes the electorate on the condition that it has not changed.
 func (c *controller) writeElectorate(next electorate.Electorate) {
-	version := c.electorate.version
+	version, base := c.electorate.version, c.electorate.version
+	if c.electorate.Changing() {
+		base = c.electorate.base
+	}
 	c.electorate.writing = true
 	c.spawn("write electorate", func() {
-		written, err := c.writeStateRow(c.gw.ctx, electorateKey, version, encodeRecord(electorateRecord{next}))
+		written, err := c.writeStateRow(c.gw.ctx, electorateKey, version, encodeRecord(electorateRecord{Electorate: next, Base: base}))
 		c.submit(func() {
 			c.electorate.writing = false
 			if err != nil {
--- a/internal/gateway/membership_model_test.go
+++ b/internal/gateway/membership_model_test.go
@@ -59,7 +59,7 @@
 	for range size {
 		m.join()
 	}
-	m.write(electorateKey, encodeRecord(electorateRecord{electorate.New(slices.Collect(maps.Keys(m.hosts)), nil)}))
+	m.write(electorateKey, encodeRecord(electorateRecord{Electorate: electorate.New(slices.Collect(maps.Keys(m.hosts)), nil)}))
 	for name, c := range m.hosts {
 		m.list(name)
 		c.markComplete(TableState, m.now)
@@ -163,12 +163,12 @@
 	addresses := slices.Sorted(maps.Keys(listed))
 	switch victim := addresses[m.random.IntN(len(addresses))]; {
 	case e.MayComplete(c.voteOnChange(listed)):
-		m.write(electorateKey, encodeRecord(electorateRecord{e.Complete()}))
+		m.write(electorateKey, encodeRecord(electorateRecord{Electorate: e.Complete()}))
 	case !e.Includes(victim):
 		m.write(hostPrefix+victim, nil)
 	case !e.Changing() || m.random.IntN(4) == 0:
 		desired := slices.DeleteFunc(addresses, func(string) bool { return m.random.IntN(4) == 0 })
-		m.write(electorateKey, encodeRecord(electorateRecord{e.Change(append(desired, name))}))
+		m.write(electorateKey, encodeRecord(electorateRecord{Electorate: e.Change(append(desired, name))}))
 	}
 }
 
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/access"
-	"github.com/beryltrestle/beryltrestle/coord/placement"
 	"github.com/beryltrestle/beryltrestle/coord/quota"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -51,28 +50,17 @@
 // preferredOrder returns the lenders in the order in which this host asks them: those of its own
 // availability zone first, and otherwise in an order that differs from host to host.
 func (q *quotaKeeper) preferredOrder(team string, lenders []string) []string {
-	hosts := make([]placement.Host, len(lenders))
-	for i, address := range lenders {
-		hosts[i].Name = address
-	}
-	var near, far []string
-	for _, h := range placement.Rank(q.host+" asks for "+team, hosts, len(hosts)) {
-		if h.Name == q.address || q.zones[h.Name] == q.zone {
-			near = append(near, h.Name)
-			continue
-		}
-		far = append(far, h.Name)
-	}
-	return append(near, far...)
+	return quota.PreferredOrder(q.host, team, lenders, func(address string) bool {
+		return address == q.address || q.zones[address] == q.zone
+	})
 }
 
-// setElectorate records the sets of voters that this host knows from now on, and the voters in
-// force.
-func (q *quotaKeeper) setElectorate(now time.Time, sets [][]string, inForce []string, zones map[string]string) {
+// setElectorate records the electorate that this host knows from now on, and the voters in force.
+func (q *quotaKeeper) setElectorate(now time.Time, e quota.Electorate, inForce []string, zones map[string]string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.zones = zones
-	q.lender.SetElectorate(now, q.address, sets)
+	q.lender.SetElectorate(now, q.address, e)
 	if !slices.Equal(q.voters, inForce) {
 		q.voters = inForce
 		q.borrower.SetVoters(inForce)
@@ -234,5 +222,6 @@
 	if c.electorate.Changing() {
 		inForce = c.electorate.Former
 	}
-	c.gw.quota.setElectorate(boottime.Now(), c.electorate.Sets(), inForce, zones)
+	record := quota.Electorate{Version: c.electorate.version, Base: c.electorate.base, Sets: c.electorate.Sets()}
+	c.gw.quota.setElectorate(boottime.Now(), record, inForce, zones)
 }
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -89,7 +89,12 @@
 }
 
 // electorateRecord is the value of the electorate's row: which hosts count towards majorities.
-type electorateRecord struct{ electorate.Electorate }
+type electorateRecord struct {
+	electorate.Electorate
+	// Base is the version of the completed record that this one changes, or whose change it
+	// completes; 0 if there is none, and in records of builds that did not write it.
+	Base uint64 `json:"base,omitempty"`
+}
 
 // check implements record.
 func (e electorateRecord) check(string) error {
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -24,7 +24,7 @@
 	}
 	other := start("h2")
 	other.applyListing(TableState, []rows.Row{
-		{Key: electorateKey, Version: 3, Value: encodeRecord(electorateRecord{electorate.New([]string{"h1", "h2", "h3"}, nil)})},
+		{Key: electorateKey, Version: 3, Value: encodeRecord(electorateRecord{Electorate: electorate.New([]string{"h1", "h2", "h3"}, nil)})},
 		{Key: hostPrefix + "h1", Version: 1, Value: encodeRecord(hostRecord{Name: "h1", Address: "h1", Incarnation: 5})},
 		{Key: hostPrefix + "h2", Version: 2, Value: encodeRecord(hostRecord{Name: "h2", Address: "h2", Incarnation: other.incarnation})},
 	}, 3)
--- a/internal/gateway/restoration.go
+++ b/internal/gateway/restoration.go
@@ -199,7 +199,7 @@
 	}
 	if formers := c.restoration.formerElectorates; len(formers) > 0 {
 		if newest := formers[len(formers)-1]; !newest.Equal(c.electorate.Electorate) {
-			out = append(out, stateRow{key: electorateKey, version: c.electorate.version, value: encodeRecord(electorateRecord{newest})})
+			out = append(out, stateRow{key: electorateKey, version: c.electorate.version, value: encodeRecord(electorateRecord{Electorate: newest})})
 		}
 	}
 	return out
