Learn and report limits only where hosts share connections; more connections for teams

Relay hosts had 18 connections for 25 teams. Change: reports and the spreading of reads need relay hosts. With teams a relay host may use three quarters of its share of connections.

--- a/internal/gateway/adaptive_window.go
+++ b/internal/gateway/adaptive_window.go
@@ -19,7 +19,7 @@
 // and the hosts are few enough to keep a limit together. The group's mutex must be held.
 func (t *target) applyShare(plan connPlan) {
 	t.directHosts, t.rank = plan.directHosts, plan.rank
-	if !t.group.pool.adaptiveConcurrency || plan.viaRelays || plan.directHosts > concurrency.MaxPerSlot*max(t.Slots, 1) {
+	if !t.group.pool.adaptiveConcurrency || plan.viaRelays || plan.directHosts == 0 || plan.directHosts > concurrency.MaxPerSlot*max(t.Slots, 1) {
 		t.limiter, t.reduced = nil, false
 		return
 	}
--- a/internal/gateway/conn_plan.go
+++ b/internal/gateway/conn_plan.go
@@ -21,6 +21,10 @@
 	// endpoint keeps the old connections for seconds and would refuse new ones. Fewer
 	// connections also mean fewer statements that the endpoint's queue has to reject.
 	restartDivisor = 2
+	// teamConnections is the part of its share that a relay host may use if connections belong to
+	// teams. With half of it, 25 teams had 18 connections to take turns on, and each change of
+	// the team costs the endpoint the opening of a connection.
+	teamConnections = 0.75
 	// hostsPerSlot is the number of hosts per slot of an endpoint above which a host
 	// rarely has two statements there, so that one connection is enough. With two
 	// connections from each of 132 hosts to endpoints that allow 283, the restarted
@@ -43,8 +47,8 @@
 	// window is the maximum number of statements in flight to the endpoint.
 	window    int
 	viaRelays bool
-	// directHosts is the number of hosts with connections to the endpoint, and rank this
-	// host's place among them, if it is one.
+	// directHosts is the number of hosts with connections to the endpoint and rank this host's
+	// place among them, if it is one and not all hosts have.
 	directHosts, rank int
 	// relays holds the addresses of the hosts that have connections to the endpoint.
 	relays []string
@@ -67,23 +71,29 @@
 		if listed > hostsPerSlot*max(e.Slots, 1) {
 			least = 1
 		}
-		plan := connPlan{limit: max(share/restartDivisor, least), window: max(windowFor(e, listed), minConnections), directHosts: listed}
-		if c.gw.cfg.AdaptiveConcurrency {
-			plan.rank = hosts.directPosition(e, c.gw.cfg.Host)
-		}
-		return plan
+		return connPlan{limit: max(share/restartDivisor, least), window: max(windowFor(e, listed), minConnections)}
 	}
 	direct := hosts.rankDirectHosts(e, directHosts)
 	out := connPlan{limit: maxRelayedRequests, window: maxRelayedRequests, viaRelays: true}
 	for rank, h := range direct {
 		if h.Name == c.gw.cfg.Host {
-			return connPlan{limit: max(config.connectionShare(len(direct))/restartDivisor, 1), window: windowFor(e, len(direct)), directHosts: len(direct), rank: rank}
+			return connPlan{limit: c.relayConnections(config, len(direct)), window: windowFor(e, len(direct)), directHosts: len(direct), rank: rank}
 		}
 		out.relays = append(out.relays, c.members[h.Name].Address)
 	}
 	return out
 }
 
+// relayConnections returns how many connections to an endpoint a relay host may hold if there are
+// the given number of relay hosts.
+func (c *controller) relayConnections(config Group, relays int) int {
+	share := config.connectionShare(relays)
+	if c.hasTeams {
+		return max(int(float64(share)*teamConnections), 1)
+	}
+	return max(share/restartDivisor, 1)
+}
+
 // connectionShare returns each host's share of the connections to an endpoint if the
 // given number of hosts connect to it.
 func (g Group) connectionShare(hosts int) int { return (g.MaxConnections - connectionReserve) / hosts }
--- a/internal/gateway/spread_reads.go
+++ b/internal/gateway/spread_reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/routing"
@@ -14,7 +15,7 @@
 	if len(choices) == 0 {
 		return choice{}
 	}
-	if g.pool.adaptiveConcurrency {
+	if g.pool.adaptiveConcurrency && slices.ContainsFunc(choices, func(c choice) bool { return c.target.sharesConnections() }) {
 		candidates := make([]routing.ReadCandidate, 0, len(choices))
 		for _, c := range choices {
 			candidates = append(candidates, g.readCandidate(now, c.target))
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -167,6 +167,10 @@
 	t.backoffUntil = time.Time{}
 }
 
+// sharesConnections reports whether only some hosts, of which this may be one, have connections to
+// the endpoint.
+func (t *target) sharesConnections() bool { return t.viaRelays || t.directHosts > 0 }
+
 // usesRelay reports whether the endpoint is reached through other hosts.
 func (t *target) usesRelay() bool { return t.viaRelays || t.relayRoute.Active() }
 
