Faults found in the review of keys and quotas

Only codes that exclude a run keep the token now, and relay hosts say when a statement ran. - A transaction went on under the team that held the key when it began. It is rolled back if the key has moved to another team. - A statement was authorized by one configuration and ran by the next. It uses the database for which it was authorized. - A configuration older than the one in force was ignored silently.

--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -190,7 +190,7 @@
 func encodeReply(r gateway.Reply) *fleetv1.RelayResponse {
 	return &fleetv1.RelayResponse{
 		Rows: r.Rows, Signature: r.Signature, Code: uint32(r.Code), RawCode: r.RawCode, Detail: r.Detail,
-		State: uint32(r.State), Position: encodePosition(r.Position), ByHolder: r.FromRelay,
+		State: uint32(r.State), Position: encodePosition(r.Position), ByHolder: r.FromRelay, Ran: r.Ran,
 	}
 }
 
@@ -199,6 +199,6 @@
 	return gateway.Reply{
 		Rows: m.GetRows(), Signature: m.GetSignature(), Code: gateway.Code(m.GetCode()),
 		RawCode: m.GetRawCode(), Detail: m.GetDetail(), State: gateway.TxState(m.GetState()),
-		Position: decodePosition(m.GetPosition()), FromRelay: m.GetByHolder(),
+		Position: decodePosition(m.GetPosition()), FromRelay: m.GetByHolder(), Ran: m.GetRan(),
 	}
 }
--- a/internal/gateway/authorization.go
+++ b/internal/gateway/authorization.go
@@ -8,34 +8,43 @@
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
-// authorize returns the team of the caller; no name if the caller's database requires no key.
-// It returns the refusal if the caller must not use the database. accepted is the time at which
-// this host accepted the caller's statement, read after the statement had arrived. known is the
-// caller's database as of its open transaction, which may continue after the database was
-// removed from the configuration.
-func (gw *Gateway) authorize(caller Caller, known Database, accepted time.Time) (access.Team, *Reply) {
+// authorization is what a caller may use.
+type authorization struct {
+	// database is the caller's database. Statements must use this one, and not that of a
+	// configuration which has come into force since. configured is false if there is none of the
+	// name.
+	database   Database
+	configured bool
+	// team is the caller's team; without a name if the database requires no key.
+	team access.Team
+}
+
+// authorize returns what the caller may use, or the refusal if it must not use its database.
+// accepted is the time at which this host accepted the caller's statement, read after the statement
+// had arrived. inTransaction is the database of the caller's open transaction, which may continue
+// after the database was removed from the configuration.
+func (gw *Gateway) authorize(caller Caller, inTransaction Database, accepted time.Time) (authorization, *Reply) {
 	// The proof is loaded first, so that it never belongs to a newer configuration than the
 	// catalog.
 	age := gw.catalogAge(accepted)
 	catalog := gw.catalog()
 	db, ok := catalog.Databases[caller.Database()]
-	if !ok {
-		db = known
-	}
-	if !db.KeyRequired {
-		return access.Team{}, nil
+	out := authorization{database: db, configured: ok}
+	if !db.KeyRequired && (ok || !inTransaction.KeyRequired) {
+		return out, nil
 	}
 	team, held := catalog.Teams.TeamOfKey(caller.Key())
 	policy := access.Policy{Revocation: gw.cfg.RevocationBound, Application: gw.cfg.ConfigurationBound}
 	switch policy.Decide(held, age) {
 	case access.Accepted:
-		return team, nil
+		out.team = team
+		return out, nil
 	case access.Rejected:
 		gw.metrics.Inc(metrics.RefusedUnknownKey)
-		return access.Team{}, &Reply{Code: CodeUnauthenticated, Detail: string(metrics.RefusedUnknownKey)}
+		return out, &Reply{Code: CodeUnauthenticated, Detail: string(metrics.RefusedUnknownKey)}
 	}
 	gw.metrics.Inc(metrics.RefusedOutdatedConfiguration)
-	return access.Team{}, &Reply{Code: CodeBusy, Detail: gw.retryHint(metrics.RefusedOutdatedConfiguration)}
+	return out, &Reply{Code: CodeBusy, Detail: gw.retryHint(metrics.RefusedOutdatedConfiguration)}
 }
 
 // catalogAge returns the time from the sending of the read that proves this host's configuration
@@ -61,11 +70,20 @@
 // authorizeStatement authorizes the caller for one more statement. If it must not run, the
 // open transaction is rolled back and the refusal is returned.
 func (s *sessionServer) authorizeStatement() *Reply {
-	team, refusal := s.gateway.authorize(s.caller, s.db, boottime.Now())
-	if refusal == nil {
-		s.team = team
-		return nil
+	var inTransaction Database
+	if s.state.Transaction() != nil {
+		inTransaction = s.db
+	}
+	authorized, refusal := s.gateway.authorize(s.caller, inTransaction, boottime.Now())
+	if refusal == nil && s.pinned != nil && s.pinned.team != authorized.team.Name {
+		// The connection belongs to the team that held the key when the transaction began.
+		s.gateway.metrics.Inc(metrics.RefusedTransactionLost)
+		refusal = &Reply{Code: CodeAborted, Detail: "the caller's team has changed"}
+	}
+	if refusal != nil {
+		reply := s.failStatement(refusal.Code, refusal.Detail)
+		return &reply
 	}
-	reply := s.failStatement(refusal.Code, refusal.Detail)
-	return &reply
+	s.authorized, s.team = authorized, authorized.team
+	return nil
 }
--- a/internal/gateway/authorization_test.go
+++ b/internal/gateway/authorization_test.go
@@ -111,6 +111,22 @@
 	g.Eventually(func() gateway.Code { return open.do(readX).Code }, 3*time.Second, 20*time.Millisecond).Should(Equal(gateway.CodeNone))
 }
 
+// Guards against a statement that runs on a connection of the team which held the key when the
+// transaction began, after the key has moved to another team.
+func TestTransactionEndsWhenTheKeyMovesToAnotherTeam(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := startKeyedFleet(t, "h1")
+	moved := f.callerWithKey("h1", "keyed", "r1")
+	g.Expect(moved.do(session.Statement{ID: "q", Op: session.OpBegin}).Code).To(Equal(gateway.CodeNone))
+	g.Expect(moved.do(readX).Code).To(Equal(gateway.CodeNone))
+	f.putTeams(3, access.Entry{Name: "red", Keys: []string{}}, access.Entry{Name: "blue", Keys: []string{"b1", "r1"}})
+	g.Eventually(func() gateway.Code { return moved.do(readX).Code }, time.Second, 10*time.Millisecond).Should(Equal(gateway.CodeAborted))
+	g.Expect(moved.do(session.Statement{ID: "q", Op: session.OpRollback}).State).To(Equal(gateway.TxIdle))
+	g.Expect(moved.do(readX).Code).To(Equal(gateway.CodeNone))
+	g.Expect(f.teamsAtEndpoints()).To(HaveKey("blue"))
+}
+
 // Guards against a proof of the configuration that rests on the change feed, which may miss
 // changes while the store drops its history.
 func TestConfigurationIsListedIfKeysCanBeWithdrawn(t *testing.T) {
--- a/internal/gateway/fake_endpoint_test.go
+++ b/internal/gateway/fake_endpoint_test.go
@@ -318,11 +318,17 @@
 // droppedItem is an item whose answer the memory for clients does not hold.
 const droppedItem = "dropped"
 
+// abortedItem is an item whose reads run and are then aborted.
+const abortedItem = "aborted"
+
 // read returns the newest data of the item and the session's tz value.
 func (c *fakeConn) read(item string) gateway.Reply {
 	if item == droppedItem {
 		return gateway.Reply{Dropped: true, Signature: c.endpoint.id}
 	}
+	if item == abortedItem {
+		return gateway.Reply{Code: gateway.CodeAborted}
+	}
 	data := "-"
 	for _, e := range c.endpoint.log {
 		if e.item == item {
--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -23,7 +23,14 @@
 			continue
 		}
 		current := c.gw.catalog()
-		if !ok || catalog.Version <= current.Version {
+		if !ok {
+			continue
+		}
+		if catalog.Version < current.Version {
+			c.gw.metrics.Inc(metrics.ConfigurationOlder)
+			c.gw.events.log.Warn().Uint64("version", catalog.Version).Uint64("in_force", current.Version).Msg("older configuration ignored; withdrawals of keys in it do not take effect")
+		}
+		if catalog.Version <= current.Version {
 			continue
 		}
 		if c.gw.quota != nil {
--- a/internal/gateway/operation_token.go
+++ b/internal/gateway/operation_token.go
@@ -42,10 +42,12 @@
 	return &reply
 }
 
-// recordAttempt records whether the attempt used up the operation's token. What certainly did
-// not run keeps it.
+// recordAttempt records whether the attempt used up the operation's token. It does unless the
+// statement was not sent or was certainly not run: a statement that ran without effect, such as
+// one that was rolled back or whose answer could not be kept, counts as well.
 func (s *sessionServer) recordAttempt(a attempt) {
-	if a.sent && (a.err != nil || !a.reply.Code.NotRun()) {
+	notRun := a.err == nil && a.reply.Code.NotExecuted() && !a.reply.Ran && !a.reply.Dropped
+	if a.sent && !notRun {
 		s.token = operationToken{}
 	}
 }
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -184,6 +184,7 @@
 func (q *quotaKeeper) leave(team string) {
 	if q.waiting[team]--; q.waiting[team] == 0 {
 		delete(q.waiting, team)
+		delete(q.answered, team)
 	}
 }
 
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/access"
 	"github.com/beryltrestle/beryltrestle/coord/quota"
+	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
 )
@@ -149,3 +151,43 @@
 	served, _ := f.flood(2*time.Second, hosts...)
 	g.Expect(served).To(BeNumerically(">=", int(0.9*2*limit.Rate)))
 }
+
+// runOperation runs an operation of one statement; within a transaction if inTransaction is set.
+func (c *fakeCaller) runOperation(inTransaction bool, st session.Statement) {
+	if inTransaction {
+		c.do(session.Statement{ID: "b", Op: session.OpBeginRead})
+		defer c.do(session.Statement{ID: "b", Op: session.OpRollback})
+	}
+	c.do(st)
+}
+
+// Guards against a token that is given back, or used for another attempt, although the statement
+// ran: its effect was undone, or its answer could not be kept. Up to 28,668 such statements ran in
+// a window that allowed 60.
+func TestStatementsThatRanWithoutEffectCount(t *testing.T) {
+	t.Parallel()
+	limit := quota.Limit{Rate: 40, Burst: 10}
+	hosts := []string{"h1", "h2", "h3", "h4"}
+	for _, item := range []string{abortedItem, droppedItem} {
+		for _, inTransaction := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, in a transaction: %v", item, inTransaction), func(t *testing.T) {
+				t.Parallel()
+				f, runs := startLimitedFleet(t, limit, hosts...)
+				time.Sleep(quota.RoleDelay + time.Second)
+				var wg sync.WaitGroup
+				end := time.Now().Add(1500 * time.Millisecond)
+				for _, host := range slices.Repeat(hosts, callersPerHost) {
+					caller := f.callerWithKey(host, "keyed", "r1")
+					wg.Go(func() {
+						for time.Now().Before(end) {
+							caller.runOperation(inTransaction, session.Statement{ID: readX.ID, Op: session.OpRead, Text: "READ " + item})
+							time.Sleep(time.Millisecond)
+						}
+					})
+				}
+				wg.Wait()
+				NewWithT(t).Expect(runs.mostInWindow(testRules.Window)).To(BeNumerically("<=", testRules.Allowed(limit)))
+			})
+		}
+	}
+}
--- a/internal/gateway/read_thresholds.go
+++ b/internal/gateway/read_thresholds.go
@@ -37,7 +37,7 @@
 // the bound after maxAge is for the reads of the other hosts.
 func listingThresholds(bound time.Duration) readThresholds {
 	return readThresholds{
-		readers: 2, readerAge: bound / 4,
+		readers: 2, readerAge: bound / 6,
 		fallbackAge: bound * 5 / 10, agePerRank: bound / 50, maxAge: bound * 6 / 10,
 	}
 }
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -22,6 +22,8 @@
 	// FromRelay marks an error of the relay host; the endpoint has not received the
 	// request.
 	FromRelay bool
+	// Ran means that the endpoint ran the statement although Code is an error of a host.
+	Ran bool
 	// Dropped means that the memory for clients did not suffice for the statement or its
 	// answer, so that Rows is empty. The statement ran unless Code says otherwise. It is not
 	// sent between hosts.
@@ -32,7 +34,7 @@
 // Nothing of a read is kept, and an open transaction must be rolled back by the calling
 // function. A write outside a transaction, and a commit, cannot be undone.
 func (r Reply) WithoutRows(request Request, inTransaction bool) Reply {
-	out := Reply{Code: CodeBusy, Detail: string(metrics.RefusedMemory), State: r.State, Position: r.Position, Dropped: true}
+	out := Reply{Code: CodeBusy, Detail: string(metrics.RefusedMemory), State: r.State, Position: r.Position, Dropped: true, Ran: true}
 	switch {
 	case request.Op == session.OpCommit || request.Writes && !inTransaction:
 		out.Code = CodeInDoubt
--- a/internal/gateway/reply_code.go
+++ b/internal/gateway/reply_code.go
@@ -57,6 +57,10 @@
 	return codeNames[c]
 }
 
+// NotExecuted reports whether the code of an endpoint guarantees that it did not run the
+// statement. Other codes that guarantee no effect may follow a run that was rolled back.
+func (c Code) NotExecuted() bool { return c.NotRun() && c != CodeAborted }
+
 // NotRun reports whether the code guarantees that the statement had no effect.
 func (c Code) NotRun() bool {
 	switch c {
--- a/internal/gateway/session_server.go
+++ b/internal/gateway/session_server.go
@@ -24,8 +24,9 @@
 	state *session.State
 	// db is the database of the open transaction or the running statement.
 	db Database
-	// team is the caller's team as of the running statement.
-	team access.Team
+	// authorized is what the running statement may use, and team the caller's team.
+	authorized authorization
+	team       access.Team
 	// token is the token of the running operation.
 	token operationToken
 	// pinned is the connection of the open transaction. It is nil before the
@@ -166,14 +167,13 @@
 	return s.newReply(CodeNone, "")
 }
 
-// loadDatabase loads the current configuration of the caller's database. It returns
-// false if the database is not configured.
+// loadDatabase loads the configuration of the caller's database for which the statement was
+// authorized. It returns false if the database is not configured.
 func (s *sessionServer) loadDatabase() bool {
-	db, ok := s.gateway.database(s.caller.Database())
-	if ok {
-		s.db = db
+	if s.authorized.configured {
+		s.db = s.authorized.database
 	}
-	return ok
+	return s.authorized.configured
 }
 
 // rollback ends the transaction. ROLLBACK is sent to the endpoint after the caller was
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -202,7 +202,7 @@
 // decideOutcome reports whether the attempt is final, and if so returns the answer.
 func (s *sessionServer) decideOutcome(st session.Statement, a attempt) (bool, Reply) {
 	switch {
-	case a.reply.Dropped:
+	case a.reply.Dropped, a.reply.Ran:
 		// Another attempt would need the memory as well.
 		return true, a.reply
 	case a.err != nil && !a.sent:
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -138,6 +138,9 @@
 	GossipInvalid Name = "gossip.invalid"
 	// ConfigurationInvalid counts the versions of the configuration that this host has refused.
 	ConfigurationInvalid Name = "configuration.invalid"
+	// ConfigurationOlder counts versions of the configuration that are older than the one in force,
+	// as a restored store may hold them.
+	ConfigurationOlder Name = "configuration.older"
 	// QuotaCalls counts calls to lenders of tokens and QuotaCallsFailed those that failed.
 	QuotaCalls       Name = "quota.calls"
 	QuotaCallsFailed Name = "quota.calls_failed"
