Choose relay hosts, store readers and aggregators by the hosts' capacity

Cause: hosts of 0.134 of a core were as likely as hosts of 0.8 to hold the connections to an endpoint, and statements queued there. Change: a host's row holds its weight, from its share of a core; the rankings use it.

--- a/internal/gateway/conn_plan.go
+++ b/internal/gateway/conn_plan.go
@@ -113,10 +113,10 @@
 // liveHosts returns the hosts that are considered alive, including this one.
 func (c *controller) liveHosts(now time.Time) []placement.Host {
 	hosts := make([]placement.Host, 1, len(c.members)+1)
-	hosts[0].Name = c.gw.cfg.Host
+	hosts[0] = placement.Host{Name: c.gw.cfg.Host, Weight: c.gw.cfg.Weight}
 	for _, m := range c.members {
 		if m.alive(now) {
-			hosts = append(hosts, placement.Host{Name: m.Name})
+			hosts = append(hosts, placement.Host{Name: m.Name, Weight: m.Weight})
 		}
 	}
 	return hosts
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,10 @@
 	Host             string
 	Address          string
 	AvailabilityZone string
+	// Weight is this host's capacity relative to that of other hosts. A host of twice the weight
+	// is chosen twice as often to hold connections to an endpoint, to read the store and to pass
+	// gossip on. Hosts without a weight count as equal.
+	Weight int
 	// Seeds are addresses of other hosts to gossip with until the store has listed the
 	// hosts.
 	Seeds []string
--- a/internal/gateway/gossip_targets.go
+++ b/internal/gateway/gossip_targets.go
@@ -102,10 +102,10 @@
 // at once while slow answers cause such reports.
 func (c *controller) asksMajority() bool {
 	zone := c.zoneOf(c.gw.cfg.Host)
-	candidates := []placement.Host{{Name: c.gw.cfg.Host}}
+	candidates := []placement.Host{{Name: c.gw.cfg.Host, Weight: c.gw.cfg.Weight}}
 	for _, m := range c.members {
 		if m.AvailabilityZone == zone && !m.leaving && m.failures < failuresUntilUnresponsive {
-			candidates = append(candidates, placement.Host{Name: m.Name})
+			candidates = append(candidates, placement.Host{Name: m.Name, Weight: m.Weight})
 		}
 	}
 	return placement.Position(storeReadersGroup, candidates, c.gw.cfg.Host) < aggregatorsPerZone
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -31,6 +31,8 @@
 	// Incarnation identifies the run of the host's process.
 	Incarnation      uint64 `json:"incarnation"`
 	AvailabilityZone string `json:"availability_zone"`
+	// Weight is the host's relative capacity; 0 counts as 1.
+	Weight int `json:"weight,omitempty"`
 }
 
 // claimRecord is the value of a claim's row. The claim allows one host to replace a
