Let restarted lenders begin at once under an electorate that is known to be old

Cause: a host that restarts waits until it may lend tokens, since it does not know for how long the electorate has been in force. Change: a row holds a time of the store's clock at which the electorate was in force.

--- a/coord/quota/lender.go
+++ b/coord/quota/lender.go
@@ -87,6 +87,10 @@
 	}
 }
 
+// Settle records that the electorate of the version has been in force for RoleDelay. The host need
+// not wait for RoleDelay then, although it learned of the electorate only now.
+func (l *Lender) Settle(now time.Time, version uint64) { l.roles.settle(now, version) }
+
 // SetLimits replaces the limits of all teams, by name. Teams without a limit are left out. Their
 // buckets are kept in case the limit is restored before the window has passed.
 func (l *Lender) SetLimits(limits map[string]Limit) {
--- a/coord/quota/quota_test.go
+++ b/coord/quota/quota_test.go
@@ -357,3 +357,23 @@
 	g.Expect(decision).To(Equal(Ask))
 	g.Expect(order.Request.Wanted).To(Equal(1))
 }
+
+// Guards against a fleet without lenders after all hosts have been killed at once, and against a
+// host that begins at once although it does not know whether another one still lends.
+func TestRestartedLenderOfASettledElectorateBeginsAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	limit := Limit{Rate: 30, Burst: 30}
+	l := NewLender(rules)
+	l.SetLimits(map[string]Limit{"red": limit})
+	l.SetElectorate(start, "h0", Electorate{Version: 4, Sets: [][]string{voters(3)}})
+	wanted := Request{Team: "red", Wanted: 10}
+	l.Settle(start, 3)
+	g.Expect(l.Lend(start, wanted).Lender).To(BeFalse())
+	l.Settle(start, 4)
+	g.Expect(l.Lend(start, wanted).Tokens).To(BeZero())
+	g.Expect(l.Lend(start.Add(time.Second), wanted).Tokens).To(BeNumerically(">", 0))
+	l.SetElectorate(start, "h0", Electorate{Version: 6, Base: 4, Sets: [][]string{voters(3), voters(4)}})
+	l.SetElectorate(start, "h0", Electorate{Version: 7, Base: 4, Sets: [][]string{voters(4)}})
+	l.Settle(start, 7)
+	g.Expect(l.roles.views).To(HaveLen(3))
+}
--- a/coord/quota/roles.go
+++ b/coord/quota/roles.go
@@ -126,6 +126,16 @@
 	return continued
 }
 
+// settle moves the beginning of the only view back by RoleDelay.
+func (r *roles) settle(now time.Time, version uint64) {
+	if len(r.views) != 1 || r.views[0].record.Version != version {
+		return
+	}
+	if settled := now.Add(-RoleDelay); settled.Before(r.views[0].since) {
+		r.views[0].since = settled
+	}
+}
+
 // last returns the view in force, or nil.
 func (r *roles) last() *view {
 	if len(r.views) == 0 {
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -25,7 +25,7 @@
 		ctx, cancel := context.WithTimeout(c.gw.ctx, readTimeout)
 		defer cancel()
 		c.gw.metrics.Inc(metrics.StoreReads)
-		listing, version, err := c.gw.cfg.Store.List(ctx, TableState)
+		listing, err := c.gw.cfg.Store.List(ctx, TableState)
 		if err != nil {
 			c.gw.events.log.Warn().Err(err).Msg("claims were not read")
 			wait.Sleep(c.gw.ctx, storeRetryMin)
@@ -35,7 +35,7 @@
 			if err != nil {
 				return
 			}
-			c.applyListing(TableState, listing, version)
+			c.applyListing(TableState, listing)
 			c.markComplete(TableState, now)
 		})
 	})
--- a/internal/gateway/controller_failure_test.go
+++ b/internal/gateway/controller_failure_test.go
@@ -19,8 +19,8 @@
 	return nil, 0, ErrStoreRefused
 }
 
-func (absentStore) List(context.Context, TableName) ([]rows.Row, uint64, error) {
-	return nil, 0, ErrStoreRefused
+func (absentStore) List(context.Context, TableName) (Listing, error) {
+	return Listing{}, ErrStoreRefused
 }
 
 func (absentStore) Write(context.Context, TableName, string, uint64, []byte, ...RowVersion) (uint64, error) {
--- a/internal/gateway/electorate.go
+++ b/internal/gateway/electorate.go
@@ -62,8 +62,9 @@
 	dueSince time.Time
 	// retryAt is when the next change may be proposed after one found no quorum.
 	retryAt time.Time
-	// writing is true while this host writes a change.
-	writing bool
+	// writing is true while this host writes a change, and writingAge while it writes the age of
+	// the electorate.
+	writing, writingAge bool
 }
 
 // voterSet is one set of voters, of which a majority must answer.
--- a/internal/gateway/electorate_test.go
+++ b/internal/gateway/electorate_test.go
@@ -8,7 +8,10 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/beryltrestle/beryltrestle/coord/access"
 	"github.com/beryltrestle/beryltrestle/coord/electorate"
+	"github.com/beryltrestle/beryltrestle/coord/quota"
+	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
@@ -92,3 +95,25 @@
 	replies := map[string]FenceReply{"a2": {}, "a4": {}}
 	g.Expect(answeringVoters(replies, present)).To(Equal([]string{"a2"}))
 }
+
+// Guards against an age of the electorate that is taken for that of another one, and against a
+// host that lends at once under an electorate that has just come into force.
+func TestAgeOfTheElectorateCountsForItsVersionOnly(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	lends := func(ageVersion uint64, inForce, storeTime time.Duration) bool {
+		c := controllersOfFleet(1, now.Add(-time.Minute))[0]
+		c.gw.cfg.Quota = quota.Rules{Window: time.Second, Slack: 100}
+		c.gw.quota = newQuotaKeeper(c.gw.cfg)
+		c.gw.quota.setLimits([]access.Team{{Name: "red", Limited: true, Rate: 10, Burst: 10}})
+		age := electorateAgeRecord{Version: ageVersion, InForceMs: inForce.Milliseconds()}
+		c.applyListing(TableState, Listing{Version: 9, StoreTime: storeTime, Rows: []rows.Row{
+			{Key: electorateKey, Version: 8, Value: encodeRecord(electorateRecord{Electorate: electorate.New([]string{c.gw.cfg.Address}, nil)})},
+			{Key: electorateAgeKey, Version: 9, Value: encodeRecord(age)},
+		}})
+		return c.gw.quota.lend(quota.Request{Team: "red", Wanted: 1}).Lender
+	}
+	g.Expect(lends(8, time.Hour, time.Hour+quota.RoleDelay)).To(BeTrue())
+	g.Expect(lends(8, time.Hour, time.Hour+quota.RoleDelay-time.Millisecond)).To(BeFalse())
+	g.Expect(lends(7, time.Hour, 2*time.Hour)).To(BeFalse())
+}
--- a/internal/gateway/failover_claim.go
+++ b/internal/gateway/failover_claim.go
@@ -139,18 +139,18 @@
 func (f *failover) readClaim(ctx context.Context, key string) (stateListing, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	listing, listed, err := f.controller.gw.cfg.Store.List(ctx, TableState)
+	listing, err := f.controller.gw.cfg.Store.List(ctx, TableState)
 	if err != nil {
 		return stateListing{}, err
 	}
-	out := stateListing{claim: claimRecord{Fence: listed}, era: rows.Era(listed), electorate: RowVersion{Key: electorateKey}}
+	out := stateListing{claim: claimRecord{Fence: listing.Version}, era: rows.Era(listing.Version), electorate: RowVersion{Key: electorateKey}}
 	// The hosts that are polled next must include every host that is listed now.
 	f.controller.submitAndWait(func() {
-		f.controller.applyListing(TableState, listing, listed)
+		f.controller.applyListing(TableState, listing)
 		out.complete = f.controller.storeComplete()
 		out.voters, out.electorate.Version = f.controller.decidingVoters(), f.controller.electorate.version
 	})
-	r := findRow(listing, key)
+	r := findRow(listing.Rows, key)
 	out.version = r.Version
 	if r.Version == 0 {
 		return out, nil
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/quota"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/budget"
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -117,12 +118,12 @@
 var errStoreUnavailable = errors.New("the store does not answer")
 
 // List implements gateway.Store.
-func (c storeClient) List(ctx context.Context, table gateway.TableName) ([]rows.Row, uint64, error) {
+func (c storeClient) List(ctx context.Context, table gateway.TableName) (gateway.Listing, error) {
 	time.Sleep(c.latency)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.unavailable[c.host] || ctx.Err() != nil {
-		return nil, 0, errStoreUnavailable
+		return gateway.Listing{}, errStoreUnavailable
 	}
 	var out []rows.Row
 	for _, r := range c.tables[table] {
@@ -130,7 +131,7 @@
 			out = append(out, r)
 		}
 	}
-	return out, c.version, nil
+	return gateway.Listing{Rows: out, Version: c.version, StoreTime: time.Duration(boottime.Now().UnixNano())}, nil
 }
 
 // Changes implements gateway.Store.
--- a/internal/gateway/guarded.go
+++ b/internal/gateway/guarded.go
@@ -91,9 +91,9 @@
 }
 
 // List implements Store.
-func (s guardedStore) List(ctx context.Context, table TableName) (out []rows.Row, version uint64, err error) {
-	err = s.guard.Run("list table", func() (err error) { out, version, err = s.store.List(ctx, table); return err })
-	return out, version, err
+func (s guardedStore) List(ctx context.Context, table TableName) (out Listing, err error) {
+	err = s.guard.Run("list table", func() (err error) { out, err = s.store.List(ctx, table); return err })
+	return out, err
 }
 
 // Write implements Store.
--- a/internal/gateway/membership_model_test.go
+++ b/internal/gateway/membership_model_test.go
@@ -103,7 +103,7 @@
 // there knows it.
 func (m *membershipModel) list(name string) {
 	c := m.hosts[name]
-	c.applyListing(TableState, m.store.Live(), m.store.Through())
+	c.applyListing(TableState, Listing{Rows: m.store.Live(), Version: m.store.Through()})
 	if m.claim.Version > 0 {
 		c.gw.group("g").setFence(m.claim, m.now)
 	}
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -91,7 +91,7 @@
 	return s.Store.Changes(ctx, table, after, wait)
 }
 
-func (s panickingStore) List(ctx context.Context, table gateway.TableName) ([]rows.Row, uint64, error) {
+func (s panickingStore) List(ctx context.Context, table gateway.TableName) (gateway.Listing, error) {
 	s.plan.reach("list")
 	return s.Store.List(ctx, table)
 }
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// settle records that the electorate of the version has been in force for quota.RoleDelay.
+func (q *quotaKeeper) settle(now time.Time, version uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lender.Settle(now, version)
+}
+
 // setLimits records the limits of the teams.
 func (q *quotaKeeper) setLimits(teams []access.Team) {
 	limits := make(map[string]quota.Limit)
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -23,11 +23,11 @@
 		return c
 	}
 	other := start("h2")
-	other.applyListing(TableState, []rows.Row{
+	other.applyListing(TableState, Listing{Version: 3, Rows: []rows.Row{
 		{Key: electorateKey, Version: 3, Value: encodeRecord(electorateRecord{Electorate: electorate.New([]string{"h1", "h2", "h3"}, nil)})},
 		{Key: hostPrefix + "h1", Version: 1, Value: encodeRecord(hostRecord{Name: "h1", Address: "h1", Incarnation: 5})},
 		{Key: hostPrefix + "h2", Version: 2, Value: encodeRecord(hostRecord{Name: "h2", Address: "h2", Incarnation: other.incarnation})},
-	}, 3)
+	}})
 	other.recordListing(2)
 	permitted := func(claimsAge time.Duration) bool {
 		restarted := start("h1")
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -42,8 +42,8 @@
 	// Changes waits up to wait for changes after the given version. It returns them
 	// with the version up to which they are complete.
 	Changes(ctx context.Context, table TableName, after uint64, wait time.Duration) ([]rows.Row, uint64, error)
-	// List returns all rows and the version as of which they are complete.
-	List(ctx context.Context, table TableName) ([]rows.Row, uint64, error)
+	// List returns all rows as of one moment.
+	List(ctx context.Context, table TableName) (Listing, error)
 	// Write writes the row if its current version is the expected one and returns the
 	// new version; expected 0 means that the row must not exist. The conditions on other
 	// rows of the table must hold as well.
@@ -53,6 +53,15 @@
 	Delete(ctx context.Context, table TableName, key string, expected uint64, also ...RowVersion) error
 }
 
+// Listing holds all rows of a table.
+type Listing struct {
+	Rows []rows.Row
+	// Version is the version as of which Rows is complete.
+	Version uint64
+	// StoreTime is a time of the store's steady clock at which the rows had been read.
+	StoreTime time.Duration
+}
+
 // RowVersion is a condition on a row: its current version, or 0 if it must not exist.
 type RowVersion struct {
 	Key     string
--- a/internal/gateway/table_mirror.go
+++ b/internal/gateway/table_mirror.go
@@ -101,16 +101,16 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	began := boottime.Now()
-	listing, version, err := c.gw.cfg.Store.List(ctx, name)
+	listing, err := c.gw.cfg.Store.List(ctx, name)
 	if err != nil {
 		return nil, err
 	}
 	c.submitAndWait(func() {
 		c.endpointsLoaded = c.endpointsLoaded || name == TableEndpoints
-		c.applyListing(name, listing, version)
+		c.applyListing(name, listing)
 		c.markComplete(name, began)
 	})
-	return listing, nil
+	return listing.Rows, nil
 }
 
 // fetchChanges waits for changes of the table and applies them.
@@ -137,10 +137,13 @@
 }
 
 // applyListing applies a complete listing of the table to its mirror.
-func (c *controller) applyListing(name TableName, listing []rows.Row, version uint64) {
-	changed := c.tables[name].Replace(listing, version)
+func (c *controller) applyListing(name TableName, listing Listing) {
+	changed := c.tables[name].Replace(listing.Rows, listing.Version)
 	c.recordEra()
 	c.rowsChanged(name, changed)
+	if name == TableState {
+		c.checkElectorateAge(listing)
+	}
 }
 
 // applyChanges applies changes from the store or from another host.
