Quota: check in the simulation that no share is lent by two hosts at a time

A window with an overlap of lenders rarely exceeds the limit, as faults lower what is lent otherwise. The memory of a host is measured as well.

--- a/coord/quota/sim_load_test.go
+++ b/coord/quota/sim_load_test.go
@@ -1,10 +1,13 @@
 package quota
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
 	"time"
+
+	"github.com/beryltrestle/beryltrestle/coord/permission"
 )
 
 // limiterKind is a way to limit teams.
@@ -34,6 +37,9 @@
 	// asked and served are the times at which operations were asked for, and at which those that
 	// were served had been asked for; sent are the times at which they were sent.
 	asked, served, sent []time.Duration
+	// lending are the times between two grants of a lender that cannot have lost its role meanwhile.
+	lending  []lendingSpan
+	lastLent map[*simHost]lendingSpan
 	// limits are the limits with the times at which they were published.
 	limits []publishedLimit
 	// knownAt is when the last host learned of the newest limit.
@@ -90,6 +96,7 @@
 		t := &simTeam{name: fmt.Sprintf("team%d", rank), usual: usual, load: func(at time.Duration) float64 {
 			return 1 + 0.2*math.Sin(2*math.Pi*at.Seconds()/7)
 		}}
+		t.lastLent = make(map[*simHost]lendingSpan)
 		t.setLimit(0, Limit{Rate: 1.6 * usual, Burst: 1.6 * usual})
 		s.limits[t.name] = t.limit
 		s.teams = append(s.teams, t)
@@ -196,7 +203,11 @@
 		if s.now().After(lender.permittedUntil) {
 			return Grant{}
 		}
-		return lender.lender.Lend(s.now(), order.Request)
+		g := lender.lender.Lend(s.now(), order.Request)
+		if g.Lender {
+			s.teamOf[team].recordLending(s.elapsed, lender, lender.lender.roles.divisor(s.now(), team, maxLenders))
+		}
+		return g
 	}, func(g Grant, ok bool) {
 		if ok {
 			h.borrower.Answered(s.now(), began, team, order.Lender, g)
@@ -213,6 +224,44 @@
 	})
 }
 
+// lendingSpan is a time in which a host lent a share of a limit.
+type lendingSpan struct {
+	from, to    time.Duration
+	share       float64
+	incarnation int
+}
+
+// recordLending records a grant. A role that was lost takes RoleDelay to come back.
+func (t *simTeam) recordLending(at time.Duration, h *simHost, divisor int) {
+	span := lendingSpan{from: at, to: at, share: 1 / float64(divisor), incarnation: h.incarnation}
+	if last, ok := t.lastLent[h]; ok && last.incarnation == h.incarnation && at-last.from < permission.Duration {
+		last.to, last.share = at, min(last.share, span.share)
+		t.lending = append(t.lending, last)
+	}
+	t.lastLent[h] = span
+}
+
+// mostLent returns the largest sum of the shares that hosts lent at one time.
+func (t *simTeam) mostLent() float64 {
+	type step struct {
+		at    time.Duration
+		share float64
+	}
+	var steps []step
+	for _, l := range t.lending {
+		steps = append(steps, step{l.from, l.share}, step{l.to, -l.share})
+	}
+	slices.SortFunc(steps, func(a, b step) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.share, b.share))
+	})
+	sum, most := 0.0, 0.0
+	for _, s := range steps {
+		sum += s.share
+		most = max(most, sum)
+	}
+	return most
+}
+
 // send sends an operation. One in a hundred certainly does not run, and is refunded.
 func (s *simulation) send(op *simOperation, token Token) {
 	if s.limiter == byLenders && s.rng.IntN(100) == 0 {
--- a/coord/quota/simulation_test.go
+++ b/coord/quota/simulation_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"os"
+	"runtime"
 	"slices"
 	"strconv"
 	"testing"
@@ -123,7 +124,8 @@
 }
 
 // Guards against more operations of a team in a window than allowed, when hosts freeze, restart,
-// join, are cut off from each other or from the store, and the electorate changes often.
+// join, are cut off from each other or from the store, and the electorate changes often. It also
+// checks that no share is lent by two hosts at one time, which need not fill a window.
 func TestNoWindowExceedsTheLimitUnderFaults(t *testing.T) {
 	tried := seeds(t, 12)
 	served := 0
@@ -140,6 +142,9 @@
 			s.disturb(35 * time.Second)
 			s.runUntil(40 * time.Second)
 			g.Expect(s.checkWindows()).To(BeEmpty())
+			for _, team := range s.teams {
+				g.Expect(team.mostLent()).To(BeNumerically("<", 1.001), "two hosts lend the same share of %s", team.name)
+			}
 			served += len(s.teams[0].sent)
 		})
 	}
@@ -374,3 +379,34 @@
 	t.Logf("all hosts know the lowered limit after %v; the last window that exceeds it begins after %v", hot.knownAt-simFaultAt, last-simFaultAt)
 	g.Expect(last).To(BeNumerically("<=", hot.knownAt))
 }
+
+// Guards against a host that keeps too much for each team. It prints the memory of a host that
+// lends for all its teams and has needed tokens of all teams lately.
+func TestMemoryOfAHost(t *testing.T) {
+	for _, size := range []simSize{{hosts: 124, teams: 80}, {hosts: 124, teams: 5000}, {hosts: 1000, teams: 5000}} {
+		s := newSimulation(1, size.hosts)
+		s.addTeams(size.teams, 1300)
+		before := heapInUse()
+		h := s.hosts[0]
+		s.start(h)
+		s.learn(h, 1)
+		h.lender.SetElectorate(long, h.address, s.records[0])
+		for _, team := range s.teams {
+			h.lender.Lend(start.Add(time.Minute), Request{Team: team.name, Wanted: 1})
+			_, order := h.borrower.Take(start, team.name, 1, false)
+			h.borrower.Answered(start, start, team.name, order.Lender, Grant{Lender: true, Tokens: 1})
+		}
+		used := heapInUse() - before
+		t.Logf("%d hosts %d teams: %d KB", size.hosts, size.teams, used>>10)
+		NewWithT(t).Expect(used).To(BeNumerically("<", 8<<20))
+		runtime.KeepAlive(s)
+	}
+}
+
+// heapInUse returns the size of the live objects.
+func heapInUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
