Soak: run half of the seeds with teams, keys and limits

In runs with an odd seed the configuration has teams, callers send keys, and faults withdraw keys, also while the store fails, and lower limits. The checks compare what the endpoints ran with the keys and the limits in force: USER, REVOKED and QUOTA.

--- a/deploy/soak/caller.go
+++ b/deploy/soak/caller.go
@@ -37,6 +37,8 @@
 // notAppliedCodes are the error codes which guarantee that the statement had no effect.
 var notAppliedCodes = map[string]bool{
 	"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MISROUTED": true, "TOOMANY": true,
+	// A statement whose key was withdrawn does not run, and its transaction is rolled back.
+	"NOAUTH": true,
 }
 
 // caller opens one session after the other. It writes only its own item, which has the
@@ -46,6 +48,8 @@
 	index  int
 	runner *runner
 	random *rand.Rand
+	// team is the caller's team as it was configured at first; nil in runs without teams.
+	team *team
 	// lastWritten is the last value that the caller tried to write, and
 	// lastAcknowledged the last one whose write was acknowledged.
 	lastWritten, lastAcknowledged int
@@ -66,6 +70,8 @@
 	conn     net.Conn
 	reader   *bufio.Reader
 	database string
+	// key identifies the caller. In runs without teams it is the caller's name.
+	key string
 	// txBegan is when the first byte of the open transaction was sent; zero outside one.
 	txBegan time.Time
 	// lastOwnWrite is the last value whose write was acknowledged in this session.
@@ -95,7 +101,8 @@
 	}
 	defer conn.Close()
 	s := &session{conn: conn, reader: bufio.NewReader(conn), database: databases[c.random.IntN(len(databases))]}
-	if _, err := io.WriteString(conn, "STARTUP "+s.database+" "+c.name+"\r\n"); err != nil {
+	s.key = c.chooseKey()
+	if _, err := io.WriteString(conn, "STARTUP "+s.database+" "+s.key+"\r\n"); err != nil {
 		return false
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(answerTimeout))
@@ -174,9 +181,12 @@
 }
 
 // recordSent records when the first byte of a read or write of a strict database, or of its
-// transaction, is sent.
+// transaction, is sent. In runs with teams it also records the key of any statement.
 func (c *caller) recordSent(s *session, id, text string) {
 	now := time.Now()
+	if c.team != nil {
+		c.runner.recorder.addKeyed(id, keyedStatement{team: c.team.name, key: s.key, sentAt: now})
+	}
 	if text == "BEGIN" {
 		s.txBegan = now
 	}
--- a/deploy/soak/check.go
+++ b/deploy/soak/check.go
@@ -67,12 +67,18 @@
 	//	ONE      a replaced primary got a write acknowledged, or a promotion had a lower
 	//	         fencing token than the one before, or the same from another host
 	//	PINNED   a statement ran with the session values of another caller
+	//	QUOTA    too many operations of a team ran within the window of its limit
 	//	RECOVER  a host did not serve after the last fault
 	//	REFUSED  a write that was refused, or whose transaction was not committed, is stored
+	//	REVOKED  a statement ran whose key had been withdrawn
 	//	STALE    a read returned older data than its consistency permits
 	//	TWICE    a write was committed more than once
 	//	UNASKED  a write was committed that no caller sent
+	//	USER     a statement ran under another name than that of its team, or an endpoint
+	//	         was told a key
 	violations []string
+	// keyed holds the statements of callers with keys by ID.
+	keyed map[string]keyedStatement
 	// done, refusals and others count the answers; see Report.
 	done, refusals, others int
 	// late counts executions that were only stale as of their arrival; see Report.
--- a/deploy/soak/endpoint_conn.go
+++ b/deploy/soak/endpoint_conn.go
@@ -24,9 +24,14 @@
 	sessionValues map[string]string
 	prepared      map[string]string
 
+	// user is the name under which the connection was opened.
+	user string
+
 	inTx, failed, readOnly bool
-	txIDs                  []string
-	txData                 map[string]string
+	// txStarted is true once a statement with an ID has run in the open transaction.
+	txStarted bool
+	txIDs     []string
+	txData    map[string]string
 }
 
 // serveEndpoint accepts and serves connections until the listener is closed.
@@ -67,7 +72,7 @@
 		_, _ = io.WriteString(c.conn, "ERROR MISROUTED "+c.endpoint.id+"\r\n")
 		return
 	}
-	c.addOpenConns(1)
+	c.open(f[2])
 	defer c.addOpenConns(-1)
 	answer := c.readyLine()
 	for {
@@ -89,6 +94,15 @@
 	}
 }
 
+// open records the connection and the name under which it was opened.
+func (c *endpointConn) open(user string) {
+	c.user = user
+	c.addOpenConns(1)
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	c.group.users[user] = true
+}
+
 // addOpenConns adds to the number of the endpoint's open connections.
 func (c *endpointConn) addOpenConns(by int) {
 	c.group.mu.Lock()
@@ -120,10 +134,11 @@
 func (c *endpointConn) execute(id, text string, receivedAt time.Time) string {
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
-	x := execution{id: id, endpoint: c.endpoint.id, receivedAt: receivedAt, logEnd: c.endpoint.logEnd()}
+	x := execution{id: id, endpoint: c.endpoint.id, receivedAt: receivedAt, logEnd: c.endpoint.logEnd(), user: c.user, first: !c.inTx || !c.txStarted}
 	row, code := c.runStatement(id, text)
 	if code == "" && id != "-" {
 		c.group.executions = append(c.group.executions, x)
+		c.txStarted = c.inTx
 	}
 	switch {
 	case code != "":
@@ -191,7 +206,8 @@
 	if !readOnly && !c.endpoint.primary {
 		return "READONLY"
 	}
-	c.inTx, c.failed, c.readOnly, c.txIDs, c.txData = true, false, readOnly, nil, make(map[string]string)
+	c.inTx, c.failed, c.readOnly, c.txStarted = true, false, readOnly, false
+	c.txIDs, c.txData = nil, make(map[string]string)
 	return ""
 }
 
--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -24,13 +25,18 @@
 // fault is one kind of fault.
 type fault struct {
 	name string
+	// disturbs is true if hosts lose contact to the store or to each other.
+	disturbs bool
+	// calm is the time after the start of the fault in which no other fault starts.
+	calm time.Duration
 	// inject starts the fault and returns when the fault is over.
 	inject func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration)
 }
 
-// faults lists the kinds of faults, which are equally likely.
+// faults lists the kinds of faults, which are equally likely. teamFaults are added in runs with
+// teams.
 var faults = []fault{
-	{"stop a host gracefully", func(ctx context.Context, r *runner, random *rand.Rand, _ time.Duration) {
+	{name: "stop a host gracefully", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, _ time.Duration) {
 		h := r.randomHost(random)
 		if h.stop(ctx) && ctx.Err() == nil {
 			r.recorder.addViolation("DRAIN: %s did not exit within its grace period", h.name)
@@ -38,13 +44,13 @@
 		wait.Sleep(ctx, restartDelay)
 		r.restart(h)
 	}},
-	{"kill a host", func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
+	{name: "kill a host", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
 		h := r.randomHost(random)
 		h.kill()
 		wait.Sleep(ctx, duration/4)
 		r.restart(h)
 	}},
-	{"kill most hosts at once", func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
+	{name: "kill most hosts at once", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
 		for _, h := range r.hosts {
 			if random.IntN(4) > 0 {
 				h.signal(syscall.SIGKILL)
@@ -55,16 +61,16 @@
 			r.restart(h)
 		}
 	}},
-	{"pause a host", func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
+	{name: "pause a host", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
 		h := r.randomHost(random)
 		h.signal(syscall.SIGSTOP)
 		wait.Sleep(ctx, duration)
 		h.signal(syscall.SIGCONT)
 	}},
-	{"make a host reload its settings", func(_ context.Context, r *runner, random *rand.Rand, _ time.Duration) {
+	{name: "make a host reload its settings", inject: func(_ context.Context, r *runner, random *rand.Rand, _ time.Duration) {
 		r.randomHost(random).signal(syscall.SIGHUP)
 	}},
-	{"store fails for some hosts", func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
+	{name: "store fails for some hosts", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
 		f := storeFault(1 + random.IntN(int(storeFaultCount)-1))
 		for _, h := range r.hosts {
 			if random.IntN(2) == 0 {
@@ -74,7 +80,7 @@
 		}
 		wait.Sleep(ctx, duration)
 	}},
-	{"store fails for all hosts", func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
+	{name: "store fails for all hosts", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
 		f := storeFault(1 + random.IntN(int(storeFaultCount)-1))
 		for _, h := range r.hosts {
 			r.store.setFault(h.name, f)
@@ -82,16 +88,16 @@
 		}
 		wait.Sleep(ctx, duration)
 	}},
-	{"impair the path to an endpoint", func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
+	{name: "impair the path to an endpoint", inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
 		p := r.proxies[random.IntN(len(r.proxies))]
 		p.setFault(pathFault(1 + random.IntN(int(pathFaultCount)-1)))
 		wait.Sleep(ctx, duration)
 		p.setFault(pathHealthy)
 	}},
-	{"reset connections to an endpoint", func(_ context.Context, r *runner, random *rand.Rand, _ time.Duration) {
+	{name: "reset connections to an endpoint", inject: func(_ context.Context, r *runner, random *rand.Rand, _ time.Duration) {
 		r.proxies[random.IntN(len(r.proxies))].reset()
 	}},
-	{"crash the primary", func(ctx context.Context, r *runner, _ *rand.Rand, duration time.Duration) {
+	{name: "crash the primary", inject: func(ctx context.Context, r *runner, _ *rand.Rand, duration time.Duration) {
 		r.group.mu.Lock()
 		e := r.group.currentPrimary()
 		r.group.mu.Unlock()
@@ -102,7 +108,7 @@
 		wait.Sleep(ctx, duration)
 		r.group.restart(e)
 	}},
-	{"stop replication to an endpoint", func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
+	{name: "stop replication to an endpoint", inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
 		e := r.group.endpoints[random.IntN(len(r.group.endpoints))]
 		setStopped := func(stopped bool) {
 			r.group.mu.Lock()
@@ -113,7 +119,7 @@
 		wait.Sleep(ctx, duration)
 		setStopped(false)
 	}},
-	{"change the configuration", func(_ context.Context, r *runner, random *rand.Rand, _ time.Duration) {
+	{name: "change the configuration", inject: func(_ context.Context, r *runner, random *rand.Rand, _ time.Duration) {
 		r.writeConfig(700 + random.IntN(600))
 	}},
 }
@@ -121,14 +127,24 @@
 // injectFaults starts random faults, which may overlap, until ctx ends. It returns when
 // the last fault is over.
 func (r *runner) injectFaults(ctx context.Context, random *rand.Rand) {
+	list := faults
+	if r.teams != nil {
+		list = slices.Concat(faults, teamFaults)
+	}
 	for ctx.Err() == nil {
-		f := faults[random.IntN(len(faults))]
+		f := list[random.IntN(len(list))]
 		duration := shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault)))
 		faultRandom := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 		gap := time.Duration(random.Int64N(int64(2 * meanFaultGap)))
 		r.log.Info().Str("fault", f.name).Dur("lasts_ms", duration).Msg("fault begins")
-		r.activeFaults.Go(func() { f.inject(ctx, r, faultRandom, duration) })
-		wait.Sleep(ctx, gap)
+		r.activeFaults.Go(func() {
+			began := time.Now()
+			f.inject(ctx, r, faultRandom, duration)
+			if f.disturbs {
+				r.addDisturbance(began)
+			}
+		})
+		wait.Sleep(ctx, f.calm+gap)
 	}
 	r.activeFaults.Wait()
 }
--- a/deploy/soak/group.go
+++ b/deploy/soak/group.go
@@ -73,6 +73,8 @@
 	onPromotion func(e *endpoint, p promotion)
 	// executions lists the reads and writes that any endpoint executed.
 	executions []execution
+	// users holds the names under which connections were opened.
+	users map[string]bool
 }
 
 // execution is a read or a write that an endpoint executed on a log that ended at logEnd.
@@ -80,6 +82,10 @@
 	id, endpoint string
 	receivedAt   time.Time
 	logEnd       logpos.Position
+	// user is the name under which the connection was opened.
+	user string
+	// first is true for a single statement and for the first statement of a transaction.
+	first bool
 }
 
 // promotion is the promotion of an endpoint with the host that requested it and the request's fencing
@@ -91,7 +97,7 @@
 }
 
 func newGroup(name string, endpoints int) *group {
-	g := &group{name: name, commitCounts: make(map[string]int), rolledBack: make(map[string]bool), committedByOldPrimary: make(map[string]bool)}
+	g := &group{name: name, commitCounts: make(map[string]int), users: make(map[string]bool), rolledBack: make(map[string]bool), committedByOldPrimary: make(map[string]bool)}
 	for n := range endpoints {
 		g.endpoints = append(g.endpoints, &endpoint{
 			id: fmt.Sprintf("i-%d", n), term: 1, primary: n == 0, startedAt: time.Now().UnixMilli(),
--- a/deploy/soak/host.go
+++ b/deploy/soak/host.go
@@ -61,7 +61,7 @@
 }
 
 // newHost writes the settings file of a host and creates its log file.
-func newHost(dir, daemonPath, name, zone, storeAddress, cloudAddress string, seeds, ports []string, limits map[string]float64) (*host, error) {
+func newHost(dir, daemonPath, name, zone, storeAddress, cloudAddress string, seeds, ports []string, bounds map[string]any, limits map[string]float64) (*host, error) {
 	ip, _, err := net.SplitHostPort(ports[0])
 	if err != nil {
 		return nil, err
@@ -69,7 +69,7 @@
 	body, err := json.Marshal(map[string]any{
 		"NodeName": name, "Zone": zone, "Ip": ip, "Seeds": seeds,
 		"Listen": map[string]string{"Front": ports[0], "Readiness": ports[1], "Admin": ports[2]},
-		"Bounds": map[string]any{"GraceS": stopGrace.Seconds()}, "Limits": limits,
+		"Bounds": bounds, "Limits": limits,
 		"platform": map[string]string{"Address": storeAddress}, "Cloud": map[string]string{"Address": cloudAddress},
 	})
 	if err != nil {
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -97,6 +98,13 @@
 
 	configMu      sync.Mutex
 	configVersion int
+	timeoutMs     int
+	// teams are the teams of the configuration; nil in runs without teams.
+	teams []team
+	// configurations are the versions of the teams in the store.
+	configurations []configuration
+	disturbancesMu sync.Mutex
+	disturbances   []disturbance
 
 	activeFaults sync.WaitGroup
 	closers      []func()
@@ -110,6 +118,9 @@
 // be run.
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	r := newRunner(cfg)
+	if cfg.Seed%2 == 1 && cfg.script == nil {
+		r.teams = newTeams()
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer r.close()
 	defer cancel()
@@ -133,13 +144,18 @@
 	} else {
 		r.injectFaults(faultsCtx, random)
 	}
+	calmAgain := time.Now()
 	r.endFaults()
+	r.addDisturbance(calmAgain)
 	if !r.allHostsServe(ctx, recoveryTimeout) {
 		r.recorder.addViolation("RECOVER: a host did not serve within %s after the last fault", recoveryTimeout)
 	}
+	if r.teams != nil {
+		r.lowerLimitInCalm(ctx, random)
+	}
 	stopCallers()
 	callers.Wait()
-	violations := r.recorder.check(r.group)
+	violations := append(r.recorder.check(r.group), r.checkTeams()...)
 	return Report{
 		Seed: cfg.Seed, Done: r.recorder.done, Refused: r.recorder.refusals, Other: r.recorder.others,
 		Promotions: len(r.group.promotions), Late: r.recorder.late, Violations: violations,
@@ -172,6 +188,7 @@
 	for n := range r.cfg.Callers {
 		r.callers = append(r.callers, &caller{
 			name: fmt.Sprintf("c%d", n), index: n, runner: r, random: rand.New(rand.NewPCG(random.Uint64(), uint64(n))),
+			team: r.teamOfCaller(n),
 		})
 	}
 	return r.startHosts(cloudAddress)
@@ -205,7 +222,7 @@
 		if n == 0 {
 			seeds = []string{admin}
 		}
-		h, err := newHost(r.cfg.Dir, r.cfg.DaemonPath, name, fmt.Sprintf("zone-%d", n%3), address, cloudAddress, seeds, ports[portsPerHost*n:portsPerHost*(n+1)], r.cfg.limits)
+		h, err := newHost(r.cfg.Dir, r.cfg.DaemonPath, name, fmt.Sprintf("zone-%d", n%3), address, cloudAddress, seeds, ports[portsPerHost*n:portsPerHost*(n+1)], r.bounds(), r.cfg.limits)
 		if err != nil {
 			return err
 		}
@@ -297,18 +314,27 @@
 func (r *runner) writeConfig(timeoutMs int) {
 	r.configMu.Lock()
 	defer r.configMu.Unlock()
+	r.timeoutMs = timeoutMs
+	r.writeConfigLocked()
+}
+
+// writeConfigLocked is writeConfig for calling functions that hold configMu.
+func (r *runner) writeConfigLocked() {
 	r.configVersion++
 	var routes []map[string]any
 	for database, kind := range map[string]string{strictDatabase: "primary", boundedDatabase: "bounded_staleness", readYourWritesDatabase: "read_your_writes"} {
 		routes = append(routes, map[string]any{
-			"Host": database, "Type": kind, "TimeoutMs": timeoutMs, "Priority": 1, "Service": r.group.name,
-			"MaxStalenessMs": maxStaleness[database].Milliseconds(), "TargetLatencyMs": 400,
+			"Host": database, "Type": kind, "TimeoutMs": r.timeoutMs, "Priority": 1, "Service": r.group.name,
+			"MaxStalenessMs": maxStaleness[database].Milliseconds(), "TargetLatencyMs": 400, "Public": r.teams == nil,
 		})
 	}
+	c := configuration{written: time.Now(), teams: slices.Clone(r.teams)}
 	r.store.put("op", "config", map[string]any{
-		"Version": r.configVersion, "Routes": routes, "Limits": map[string]any{"IdleTxMs": 2000},
+		"Version": r.configVersion, "Tenants": tenants(r.teams), "Routes": routes, "Limits": map[string]any{"IdleTxMs": 2000},
 		"Services": []map[string]any{{"Name": r.group.name, "MaxConns": maxConnections, "SyncReplicas": 0}},
 	})
+	c.acknowledged = time.Now()
+	r.configurations = append(r.configurations, c)
 }
 
 // randomHost returns a random host.
@@ -368,7 +394,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(answerTimeout))
-	if _, err := fmt.Fprintf(conn, "STARTUP %s probe\r\nQUERY probe READ none\r\nTERMINATE\r\n", strictDatabase); err != nil {
+	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\nQUERY probe READ none\r\nTERMINATE\r\n", strictDatabase, probeKey); err != nil {
 		return false
 	}
 	var row string
