Soak: check that a key in force is not refused

A key that is given back must work again. The rule DENIED reports a key that was refused although it had been in force for the time within which hosts must apply a configuration.

--- a/deploy/soak/caller.go
+++ b/deploy/soak/caller.go
@@ -102,11 +102,15 @@
 	defer conn.Close()
 	s := &session{conn: conn, reader: bufio.NewReader(conn), database: databases[c.random.IntN(len(databases))]}
 	s.key = c.chooseKey()
+	startup := c.keyed(s)
 	if _, err := io.WriteString(conn, "STARTUP "+s.database+" "+s.key+"\r\n"); err != nil {
 		return false
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(answerTimeout))
 	line, err := s.reader.ReadString('\n')
+	if c.team != nil && strings.HasPrefix(line, "ERROR NOAUTH") {
+		c.runner.recorder.addDenied(startup)
+	}
 	if err != nil || !strings.HasPrefix(line, "READY") {
 		return false
 	}
@@ -148,6 +152,10 @@
 	if err := s.conn.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
 		return reply{}, err
 	}
+	keyed := c.keyed(s)
+	if c.team != nil {
+		c.runner.recorder.addKeyed(id, keyed)
+	}
 	c.recordSent(s, id, text)
 	if _, err := io.WriteString(s.conn, "QUERY "+id+" "+text+"\r\n"); err != nil {
 		return reply{}, err
@@ -166,6 +174,9 @@
 			out.signature = rest
 		case "ERROR":
 			out.code, _, _ = strings.Cut(rest, " ")
+			if c.team != nil && out.code == "NOAUTH" {
+				c.runner.recorder.addDenied(keyed)
+			}
 		case "READY":
 			out.txState, _, _ = strings.Cut(rest, " ")
 			if out.txState == "I" {
@@ -181,12 +192,9 @@
 }
 
 // recordSent records when the first byte of a read or write of a strict database, or of its
-// transaction, is sent. In runs with teams it also records the key of any statement.
+// transaction, is sent.
 func (c *caller) recordSent(s *session, id, text string) {
 	now := time.Now()
-	if c.team != nil {
-		c.runner.recorder.addKeyed(id, keyedStatement{team: c.team.name, key: s.key, sentAt: now})
-	}
 	if text == "BEGIN" {
 		s.txBegan = now
 	}
--- a/deploy/soak/check.go
+++ b/deploy/soak/check.go
@@ -61,6 +61,7 @@
 	// violations describes the guarantees that were broken. Each description starts with
 	// the name of its rule:
 	//
+	//	DENIED   a key was refused although it was in force
 	//	DRAIN    a host that got SIGTERM did not exit within its grace period
 	//	LOST     an acknowledged write is missing on the primary
 	//	MIXED    an answer belongs to another statement
@@ -79,6 +80,8 @@
 	violations []string
 	// keyed holds the statements of callers with keys by ID.
 	keyed map[string]keyedStatement
+	// denied holds the statements whose keys were refused.
+	denied []deniedStatement
 	// done, refusals and others count the answers; see Report.
 	done, refusals, others int
 	// late counts executions that were only stale as of their arrival; see Report.
--- a/deploy/soak/teams.go
+++ b/deploy/soak/teams.go
@@ -98,6 +98,14 @@
 	return c.team.keys[c.random.IntN(len(c.team.keys))]
 }
 
+// keyed returns the record of a statement that is sent now.
+func (c *caller) keyed(s *session) keyedStatement {
+	if c.team == nil {
+		return keyedStatement{}
+	}
+	return keyedStatement{team: c.team.name, key: s.key, sentAt: time.Now()}
+}
+
 // changeTeam changes a team of the configuration.
 func (r *runner) changeTeam(index int, change func(t *team)) {
 	r.configMu.Lock()
--- a/deploy/soak/teams_check.go
+++ b/deploy/soak/teams_check.go
@@ -35,6 +35,19 @@
 	r.keyed[id] = s
 }
 
+// deniedStatement is a statement, or the first message of a session, whose key was refused.
+type deniedStatement struct {
+	keyedStatement
+	answeredAt time.Time
+}
+
+// addDenied records a refused key.
+func (r *recorder) addDenied(s keyedStatement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.denied = append(r.denied, deniedStatement{s, time.Now()})
+}
+
 // operation is a run of an operation at an endpoint.
 type operation struct{ sentAt, ranAt time.Time }
 
@@ -64,13 +77,18 @@
 		if x.user != s.team {
 			violations = append(violations, fmt.Sprintf("USER: %s of %s ran at %s under the name %s", x.id, s.team, x.endpoint, x.user))
 		}
-		if after := r.withdrawnFor(s, x.receivedAt); after > revokeBound {
+		if after := r.unchangedFor(false, s, x.receivedAt); after > revokeBound {
 			violations = append(violations, fmt.Sprintf("REVOKED: %s of %s was sent %s after its key had been withdrawn, and ran at %s", x.id, s.team, after, x.endpoint))
 		}
 		if x.first {
 			operations[s.team] = append(operations[s.team], operation{s.sentAt, x.receivedAt})
 		}
 	}
+	for _, d := range r.recorder.denied {
+		if after := r.unchangedFor(true, d.keyedStatement, d.answeredAt); after > configBound {
+			violations = append(violations, fmt.Sprintf("DENIED: the key of %s was refused %s after it had come into force", d.team, after))
+		}
+	}
 	for index, t := range r.configurations[0].teams {
 		if t.limit != (limit{}) {
 			violations = append(violations, r.checkLimit(index, operations[t.name])...)
@@ -79,15 +97,15 @@
 	return violations
 }
 
-// withdrawnFor returns for how long the statement's key had been withdrawn when it was sent; zero
-// if the key was in force then or was given back before the statement reached an endpoint.
-func (r *runner) withdrawnFor(s keyedStatement, receivedAt time.Time) time.Duration {
+// unchangedFor returns for how long the statement's key had been in force, or withdrawn, when the
+// statement was sent; zero if it was not so until the given time.
+func (r *runner) unchangedFor(inForce bool, s keyedStatement, until time.Time) time.Duration {
 	var out time.Duration
 	for _, c := range r.configurations {
 		switch {
-		case c.written.After(receivedAt):
+		case c.written.After(until):
 			return out
-		case c.holds(s.key):
+		case c.holds(s.key) != inForce:
 			out = 0
 		case out == 0:
 			out = max(s.sentAt.Sub(c.acknowledged), 0)
