Add explain: where a statement would go now, and why

`beryltrestle explain` asks a host of the platform at /explain of its admin address. Decisions of the serving path that had side effects are split into a part that decides, which both use, and a part that records: Borrower.decide, Health.admitted, group.able with the exclusions of endpoints, loads by reports, relay hosts of a team, refusals. Serving decides as before. Keys are never sent; unknown team names and wrong parameters are not shown, as they may be keys.

--- a/coord/access/directory.go
+++ b/coord/access/directory.go
@@ -137,6 +137,19 @@
 	return team, ok
 }
 
+// HasKey reports whether the team holds a key.
+func (d *Directory) HasKey(team string) bool {
+	if d == nil {
+		return false
+	}
+	for _, owner := range d.byKey {
+		if owner == team {
+			return true
+		}
+	}
+	return false
+}
+
 // Teams returns all teams in no particular order.
 func (d *Directory) Teams() []Team {
 	if d == nil {
--- a/coord/concurrency/view.go
+++ b/coord/concurrency/view.go
@@ -57,6 +57,13 @@
 	v.reports = v.reports[:min(len(v.reports), maxReports)]
 }
 
+// With returns a copy of the view to which the report was added.
+func (v *View) With(r Report) View {
+	out := View{reports: slices.Clone(v.reports)}
+	out.Merge(r)
+	return out
+}
+
 // Fresh returns the reports that count, the newest first. They are about the number of
 // hosts that the newest one names: after a change of the hosts, earlier ranks mean others.
 func (v *View) Fresh(now time.Time) []Report {
--- a/coord/quota/borrower.go
+++ b/coord/quota/borrower.go
@@ -150,13 +150,15 @@
 	if !repeated {
 		a.observe(now)
 	}
-	if token, ok := a.takeToken(now); ok {
-		return Taken, Order{Token: token}
+	a.dropSpent(now)
+	next := a.decide(now, team, waiting, b.downUntil)
+	switch next.decision {
+	case Taken:
+		a.portions[next.portion].tokens--
+	case Ask:
+		next.lender.askedAt = now
 	}
-	if wait := a.delayed(now, waiting); wait > 0 {
-		return Wait, Order{After: wait}
-	}
-	return a.choose(now, a.request(team, waiting), b.downUntil)
+	return next.decision, next.order
 }
 
 // account returns the account of the team.
@@ -167,13 +169,42 @@
 		b.accounts[team] = a
 	}
 	if a.lenders == nil {
-		for _, address := range b.prefer(team, Lenders(team, b.voters, b.rules.terms(limit).lenders)) {
-			a.lenders = append(a.lenders, &lenderState{address: address})
-		}
+		a.lenders = b.newLenders(team, limit)
 	}
 	return a
 }
 
+// newLenders returns the lenders of the team in the order in which this host asks them, of which
+// nothing is known yet.
+func (b *Borrower) newLenders(team string, limit Limit) []*lenderState {
+	var out []*lenderState
+	for _, address := range b.prefer(team, Lenders(team, b.voters, b.rules.terms(limit).lenders)) {
+		out = append(out, &lenderState{address: address})
+	}
+	return out
+}
+
+// step is a decision, with what it changes once it is carried out.
+type step struct {
+	decision Decision
+	order    Order
+	// portion is the index of the portion from which a token is taken, if the decision is Taken.
+	portion int
+	// lender is the one to ask, if the decision is Ask.
+	lender *lenderState
+}
+
+// decide returns the next step for an operation. It changes nothing.
+func (a *account) decide(now time.Time, team string, waiting int, downUntil map[string]time.Time) step {
+	if i := a.nextPortion(now); i >= 0 {
+		return step{decision: Taken, order: Order{Token: a.portions[i].Token}, portion: i}
+	}
+	if wait := a.delayed(now, waiting); wait > 0 {
+		return step{decision: Wait, order: Order{After: wait}}
+	}
+	return a.choose(now, a.request(team, waiting), downUntil)
+}
+
 // request returns the request for a lender.
 func (a *account) request(team string, waiting int) Request {
 	r := Request{Team: team, Wanted: max(waiting, 1)}
@@ -196,23 +227,27 @@
 	a.lastUse = now
 }
 
-// takeToken takes the token that expires first. It drops portions that have expired.
-func (a *account) takeToken(now time.Time) (Token, bool) {
-	a.portions = slices.DeleteFunc(a.portions, func(p portion) bool { return p.tokens == 0 || !now.Before(p.expires) })
+// spent reports whether the portion has no token that may still be used.
+func (p portion) spent(now time.Time) bool { return p.tokens == 0 || !now.Before(p.expires) }
+
+// dropSpent drops the portions that are spent.
+func (a *account) dropSpent(now time.Time) {
+	a.portions = slices.DeleteFunc(a.portions, func(p portion) bool { return p.spent(now) })
+}
+
+// nextPortion returns the index of the portion with the usable token that expires first; -1 if
+// there is none.
+func (a *account) nextPortion(now time.Time) int {
 	first := -1
 	for i, p := range a.portions {
-		if now.Before(p.usableFrom) {
+		if p.spent(now) || now.Before(p.usableFrom) {
 			continue
 		}
 		if first < 0 || p.expires.Before(a.portions[first].expires) {
 			first = i
 		}
 	}
-	if first < 0 {
-		return Token{}, false
-	}
-	a.portions[first].tokens--
-	return a.portions[first].Token, true
+	return first
 }
 
 // delayed returns the time until the next token may be used, if there will be one for each
@@ -221,6 +256,9 @@
 	tokens := 0
 	var next time.Duration
 	for _, p := range a.portions {
+		if p.spent(now) {
+			continue
+		}
 		tokens += p.tokens
 		if wait := p.usableFrom.Sub(now); next == 0 || wait < next {
 			next = wait
@@ -233,9 +271,9 @@
 }
 
 // choose decides which lender is asked.
-func (a *account) choose(now time.Time, r Request, downUntil map[string]time.Time) (Decision, Order) {
+func (a *account) choose(now time.Time, r Request, downUntil map[string]time.Time) step {
 	if len(a.lenders) == 0 {
-		return Unavailable, Order{After: notLenderBackoff}
+		return step{decision: Unavailable, order: Order{After: notLenderBackoff}}
 	}
 	asking, refused := false, false
 	next := time.Duration(math.MaxInt64)
@@ -243,29 +281,33 @@
 		if !l.askedAt.IsZero() {
 			asking = true
 			if age := now.Sub(l.askedAt); age < HedgeDelay {
-				return Wait, Order{After: HedgeDelay - age}
+				return step{decision: Wait, order: Order{After: HedgeDelay - age}}
 			}
 			continue
 		}
-		notBefore := l.notBefore
-		if down := downUntil[l.address]; down.After(notBefore) {
-			notBefore = down
-		}
-		if now.Before(notBefore) {
+		if wait := l.wait(now, downUntil); wait > 0 {
 			refused = refused || l.refused
-			next = min(next, notBefore.Sub(now))
+			next = min(next, wait)
 			continue
 		}
-		l.askedAt = now
-		return Ask, Order{Lender: l.address, Request: r}
+		return step{decision: Ask, order: Order{Lender: l.address, Request: r}, lender: l}
 	}
 	switch {
 	case asking:
-		return Wait, Order{After: HedgeDelay}
+		return step{decision: Wait, order: Order{After: HedgeDelay}}
 	case refused:
-		return Refused, Order{After: next}
+		return step{decision: Refused, order: Order{After: next}}
+	}
+	return step{decision: Unavailable, order: Order{After: next}}
+}
+
+// wait returns the time until the lender may be asked; 0 if it may be asked now.
+func (l *lenderState) wait(now time.Time, downUntil map[string]time.Time) time.Duration {
+	notBefore := l.notBefore
+	if down := downUntil[l.address]; down.After(notBefore) {
+		notBefore = down
 	}
-	return Unavailable, Order{After: next}
+	return max(notBefore.Sub(now), 0)
 }
 
 // Answered records a lender's answer to the call that began at the given time.
--- a/coord/routing/health.go
+++ b/coord/routing/health.go
@@ -106,14 +106,23 @@
 	if e == nil {
 		return false
 	}
+	admitted := e.admitted()
 	e.credit += e.weight
-	if e.credit < 1 {
-		return false
+	if admitted {
+		e.credit--
 	}
-	e.credit--
-	return true
+	return admitted
 }
 
+// WouldAdmit returns what Admit would return now. It changes nothing.
+func (h *Health) WouldAdmit(name string) bool {
+	e := h.endpoints[name]
+	return e != nil && e.admitted()
+}
+
+// admitted reports whether the endpoint has credit for the next read.
+func (e *endpointHealth) admitted() bool { return e.credit+e.weight >= 1 }
+
 // Update adjusts the weights of the endpoints whose window is complete, the one with the
 // highest severity first, and starts new windows for them.
 func (h *Health) Update(now time.Time) {
--- a/coord/routing/relay_route.go
+++ b/coord/routing/relay_route.go
@@ -43,6 +43,15 @@
 	return r.relays[r.next%len(r.relays)]
 }
 
+// Upcoming returns the relays in the order in which NextRelay will return them.
+func (r *RelayRoute) Upcoming() []string {
+	out := make([]string, 0, len(r.relays))
+	for i := range r.relays {
+		out = append(out, r.relays[(r.next+1+i)%len(r.relays)])
+	}
+	return out
+}
+
 // TryDirect reports whether the direct connection should be tried now, and records it as
 // tried.
 func (r *RelayRoute) TryDirect(now time.Time) bool {
--- a/coord/routing/spread.go
+++ b/coord/routing/spread.go
@@ -39,7 +39,40 @@
 // replicas decides, not that of the best one: a replica that has just run out of work would
 // otherwise get all reads until the next view.
 func Spread(candidates []ReadCandidate, random func() float64) int {
-	best, load, replicas := 0, 0.0, 0
+	best, spread := spreadShare(candidates)
+	if random() >= spread {
+		return best
+	}
+	weights, sum := spreadWeights(candidates, best)
+	at := random() * sum
+	for i, w := range weights {
+		if at < w {
+			return i
+		}
+		at -= w
+	}
+	return best
+}
+
+// Shares returns the probability of each candidate to be chosen by Spread.
+func Shares(candidates []ReadCandidate) []float64 {
+	best, spread := spreadShare(candidates)
+	spread = min(max(spread, 0), 1)
+	shares, sum := spreadWeights(candidates, best)
+	if sum == 0 {
+		spread = 0
+	}
+	for i := range shares {
+		shares[i] *= spread / max(sum, math.SmallestNonzeroFloat64)
+	}
+	shares[best] += 1 - spread
+	return shares
+}
+
+// spreadShare returns the index of the candidate with the least cost, and the share of reads that
+// are spread; it is below 0 or above 1 beyond the loads between which it rises.
+func spreadShare(candidates []ReadCandidate) (best int, share float64) {
+	load, replicas := 0.0, 0
 	for i, c := range candidates {
 		if c.Cost < candidates[best].Cost {
 			best = i
@@ -49,11 +82,12 @@
 			replicas++
 		}
 	}
-	if random() >= (load/float64(max(replicas, 1))-strictLoad)/(fullLoad-strictLoad) {
-		return best
-	}
-	weights := make([]float64, len(candidates))
-	sum := 0.0
+	return best, (load/float64(max(replicas, 1)) - strictLoad) / (fullLoad - strictLoad)
+}
+
+// spreadWeights returns the weights by which reads are spread, and their sum.
+func spreadWeights(candidates []ReadCandidate, best int) (weights []float64, sum float64) {
+	weights = make([]float64, len(candidates))
 	for i, c := range candidates {
 		if c.Primary && i != best {
 			continue
@@ -61,12 +95,5 @@
 		weights[i] = max(c.Capacity, 0) * math.Exp(-float64(c.Cost-candidates[best].Cost)/float64(spreadScale))
 		sum += weights[i]
 	}
-	at := random() * sum
-	for i, w := range weights {
-		if at < w {
-			return i
-		}
-		at -= w
-	}
-	return best
+	return weights, sum
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,9 @@
 	// Status returns the value that /status encodes as JSON, usually the control
 	// View.
 	Status func() any
+	// Explain returns the value that /explain encodes as JSON for the query parameters. An error
+	// says what is wrong with them. Without it there is no such path.
+	Explain func(url.Values) (any, error)
 }
 
 // Server serves the admin address.
@@ -69,6 +73,9 @@
 	mux.HandleFunc("GET /metrics", s.metricsText)
 	mux.HandleFunc("GET /metrics.json", s.metricsJSON)
 	mux.HandleFunc("GET /status", s.status)
+	if s.cfg.Explain != nil {
+		mux.HandleFunc("GET /explain", s.explain)
+	}
 	return mux
 }
 
@@ -108,6 +115,16 @@
 	writeJSON(w, s.cfg.Status())
 }
 
+// explain writes where a statement would go as JSON.
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	v, err := s.cfg.Explain(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, v)
+}
+
 // writeJSON writes a value as indented JSON.
 func writeJSON(w http.ResponseWriter, v any) {
 	body, err := json.MarshalIndent(v, "", "  ")
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -26,6 +27,12 @@
 		Metrics: registry,
 		Ready:   func() error { return notReady },
 		Status:  func() any { return &control.View{Generation: 5} },
+		Explain: func(parameters url.Values) (any, error) {
+			if parameters.Get("database") == "" {
+				return nil, errors.New("no database")
+			}
+			return parameters, nil
+		},
 	}).Handler())
 	defer srv.Close()
 
@@ -51,4 +58,9 @@
 	g.Expect(body).To(MatchJSON(`{"requests": 2}`))
 	_, body = get("/status")
 	g.Expect(body).To(ContainSubstring(`"Generation": 5`))
+	_, body = get("/explain?database=d")
+	g.Expect(body).To(MatchJSON(`{"database": ["d"]}`))
+	code, body = get("/explain")
+	g.Expect(code).To(Equal(http.StatusBadRequest))
+	g.Expect(body).To(ContainSubstring("no database"))
 }
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -6,6 +6,7 @@
 
 	Manifest manifestCommands `cmd:"" help:"Check, compare, apply and show manifests."`
 	Status   statusCommand    `cmd:"" help:"Show the state of a daemon."`
+	Explain  explainCommand   `cmd:"" help:"Show where a statement would go now on a host of the users' platform, and why, without sending it."`
 	Demo     demoCommand      `cmd:"" help:"Demonstrate bookings during a failover on embedded stand-ins; ends by itself in under 30 s."`
 	Measure  measureCommand   `cmd:"" help:"Measure a load scenario on embedded stand-ins."`
 	Soak     soakCommand      `cmd:"" help:"Run hosts of the users' platform as processes under random faults and check the guarantees."`
--- a/internal/gateway/authorization.go
+++ b/internal/gateway/authorization.go
@@ -26,16 +26,33 @@
 		return access.Team{}, nil
 	}
 	team, held := catalog.Teams.TeamOfKey(caller.Key())
-	policy := access.Policy{Revocation: gw.cfg.RevocationBound, Application: gw.cfg.ConfigurationBound}
-	switch policy.Decide(held, age) {
-	case access.Accepted:
+	reason := keyRefusal(gw.accessPolicy().Decide(held, age))
+	switch reason {
+	case "":
 		return team, nil
+	case metrics.RefusedUnknownKey:
+		gw.metrics.Inc(reason)
+		return access.Team{}, &Reply{Code: CodeUnauthenticated, Detail: string(reason)}
+	}
+	gw.metrics.Inc(reason)
+	return access.Team{}, &Reply{Code: CodeBusy, Detail: gw.retryHint(reason)}
+}
+
+// accessPolicy returns the bounds within which changes of the configuration take effect.
+func (gw *Gateway) accessPolicy() access.Policy {
+	return access.Policy{Revocation: gw.cfg.RevocationBound, Application: gw.cfg.ConfigurationBound}
+}
+
+// keyRefusal returns the reason for which a statement is refused after the verdict on its key;
+// empty if it is not.
+func keyRefusal(v access.Verdict) metrics.Name {
+	switch v {
+	case access.Accepted:
+		return ""
 	case access.Rejected:
-		gw.metrics.Inc(metrics.RefusedUnknownKey)
-		return access.Team{}, &Reply{Code: CodeUnauthenticated, Detail: string(metrics.RefusedUnknownKey)}
+		return metrics.RefusedUnknownKey
 	}
-	gw.metrics.Inc(metrics.RefusedOutdatedConfiguration)
-	return access.Team{}, &Reply{Code: CodeBusy, Detail: gw.retryHint(metrics.RefusedOutdatedConfiguration)}
+	return metrics.RefusedOutdatedConfiguration
 }
 
 // catalogAge returns the time from the sending of the read that proves this host's configuration
--- a/internal/gateway/endpoint_choice.go
+++ b/internal/gateway/endpoint_choice.go
@@ -43,41 +43,30 @@
 // choose returns the endpoint that is expected to answer soonest. The target is
 // nil if no endpoint can serve the statement now. The group's mutex must be held.
 func (g *group) choose(now time.Time, req requirement) choice {
-	primary := g.usablePrimary(now)
-	if primary != nil && (!primary.usable(now) || primary.drained(now)) {
-		primary = nil
+	able, primaryOnly := g.able(now, req)
+	if primaryOnly {
+		return firstChoice(able)
 	}
-	if req.primary {
-		return choice{target: primary}
-	}
-	after, ok := g.requiredPosition(req)
-	if !ok {
-		return choice{target: primary}
-	}
-	var able, admitted []choice
-	consider := func(c choice) {
-		able = append(able, c)
+	var admitted []choice
+	for _, c := range able {
 		if g.health.Admit(c.target.ID) {
 			admitted = append(admitted, c)
 		}
 	}
-	if primary != nil && !req.avoid[primary.ID] {
-		consider(choice{target: primary})
-	}
-	for _, t := range g.targets {
-		if t == primary || t.ID == g.primary || t.leaving(now) || !t.usable(now) || req.avoid[t.ID] {
-			continue
-		}
-		if t.lag.LikelyCovers(now, after, g.staleness) {
-			consider(choice{target: t, after: after})
-		}
-	}
 	if len(admitted) == 0 {
 		admitted = able
 	}
 	return g.pick(now, admitted)
 }
 
+// firstChoice returns the first choice, or none if there are none.
+func firstChoice(choices []choice) choice {
+	if len(choices) == 0 {
+		return choice{}
+	}
+	return choices[0]
+}
+
 // cheaper reports whether a is expected to answer sooner than b.
 func (g *group) cheaper(a, b *target) bool {
 	return g.cost(a) < g.cost(b)
--- a/internal/gateway/endpoint_reports.go
+++ b/internal/gateway/endpoint_reports.go
@@ -88,8 +88,18 @@
 // this host has no connections to it, or has not used them lately. The group's mutex must be
 // held.
 func (t *target) mergeOwnReport(now time.Time) bool {
+	r, ok := t.ownReport(now)
+	if ok {
+		t.view.Merge(r)
+	}
+	return ok
+}
+
+// ownReport returns what this host sees at the endpoint. It returns false in the cases of
+// mergeOwnReport. It changes nothing.
+func (t *target) ownReport(now time.Time) (concurrency.Report, bool) {
 	if t.usesRelay() || t.directHosts == 0 || t.inFlight+t.waiting.len() == 0 && now.Sub(t.answeredAt) > concurrency.ReportLifetime {
-		return false
+		return concurrency.Report{}, false
 	}
 	r := concurrency.Report{
 		Rank: t.rank, Hosts: t.directHosts, Limit: statementsPerSlot * max(t.Slots, 1),
@@ -108,8 +118,7 @@
 			r.LastPriority = max(r.LastPriority, w.Priority)
 		}
 	}
-	t.view.Merge(r)
-	return true
+	return r, true
 }
 
 // load returns the load of the endpoint from all hosts, and the number of this host's
@@ -117,7 +126,23 @@
 // group's mutex must be held.
 func (t *target) load(now time.Time) (load concurrency.Load, added int, ok bool) {
 	direct := t.mergeOwnReport(now)
-	load, ok = t.view.Load(now)
+	return t.loadByView(now, &t.view, direct)
+}
+
+// peekLoad returns what load returns. It changes nothing.
+func (t *target) peekLoad(now time.Time) (load concurrency.Load, added int, ok bool) {
+	own, direct := t.ownReport(now)
+	if !direct {
+		return t.loadByView(now, &t.view, false)
+	}
+	view := t.view.With(own)
+	return t.loadByView(now, &view, true)
+}
+
+// loadByView returns the load by the reports of the view, which contains this host's own report
+// if direct is true.
+func (t *target) loadByView(now time.Time, view *concurrency.View, direct bool) (load concurrency.Load, added int, ok bool) {
+	load, ok = view.Load(now)
 	if !direct {
 		added = t.inFlight + t.waiting.len()
 	}
@@ -132,14 +157,23 @@
 // hosts with connections to it report a queue that is too long. It saves the way to the
 // relay host, which would refuse the request as well. The group's mutex must be held.
 func (t *target) refuseEarly(now time.Time, r connRequest) bool {
-	p := t.group.pool
-	if !p.adaptiveConcurrency || !r.primaryOnly || !t.viaRelays || t.relayRoute.Active() {
+	if !t.refusesByReports(r) {
 		return false
 	}
 	load, _, ok := t.load(now)
-	if !ok || !load.Complete || !r.ShouldRefuse(now, load.LeastWait(r.Priority)) || rand.Float64() < passEarlyShare {
+	if !ok || !reportsRefuse(now, load, r) || rand.Float64() < passEarlyShare {
 		return false
 	}
-	p.metrics.Inc(metrics.ConcurrencyRefusedEarly)
+	t.group.pool.metrics.Inc(metrics.ConcurrencyRefusedEarly)
 	return true
 }
+
+// refusesByReports reports whether the request may be refused by reports of other hosts.
+func (t *target) refusesByReports(r connRequest) bool {
+	return t.group.pool.adaptiveConcurrency && r.primaryOnly && t.viaRelays && !t.relayRoute.Active()
+}
+
+// reportsRefuse reports whether the load calls for a refusal of the request.
+func reportsRefuse(now time.Time, load concurrency.Load, r connRequest) bool {
+	return load.Complete && r.ShouldRefuse(now, load.LeastWait(r.Priority))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -267,13 +267,19 @@
 	retryAfterFailover = 600 * time.Millisecond
 )
 
+// retryDelay returns the least delay after which a caller that was refused for the reason should
+// retry. Jitter makes it up to twice as long.
+func retryDelay(reason metrics.Name) time.Duration {
+	if reason == metrics.RefusedNoPrimary {
+		return retryAfterFailover
+	}
+	return retryAfterBusy
+}
+
 // retryHint returns the reason of a refusal and the delay after which the caller should
 // retry. The delay is jittered so that callers do not return all at once.
 func (gw *Gateway) retryHint(reason metrics.Name) string {
-	delay := retryAfterBusy
-	if reason == metrics.RefusedNoPrimary {
-		delay = retryAfterFailover
-	}
+	delay := retryDelay(reason)
 	jitter := time.Duration(rand.Int64N(int64(delay)))
 	return string(reason) + " retry-after-ms=" + strconv.FormatInt((delay+jitter).Milliseconds(), 10)
 }
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -61,7 +61,7 @@
 
 // usablePrimary returns the primary if this host may use it now, otherwise nil.
 func (g *group) usablePrimary(now time.Time) *target {
-	if !g.primaryInForce() || !g.pool.primaryPermitted(now) {
+	if g.primaryExclusion(now) != notExcluded {
 		return nil
 	}
 	return g.targets[g.primary]
--- a/internal/gateway/operation_token.go
+++ b/internal/gateway/operation_token.go
@@ -38,10 +38,13 @@
 // makes sense.
 func (s *sessionServer) refuseByQuota(reason metrics.Name, after time.Duration) *Reply {
 	s.gateway.metrics.Inc(reason)
-	reply := s.failStatement(CodeBusy, string(reason)+" retry-after-ms="+strconv.FormatInt(max(after.Milliseconds(), 1), 10))
+	reply := s.failStatement(CodeBusy, string(reason)+" retry-after-ms="+strconv.FormatInt(quotaRetryMs(after), 10))
 	return &reply
 }
 
+// quotaRetryMs returns the milliseconds after which the caller of a refused operation should retry.
+func quotaRetryMs(after time.Duration) int64 { return max(after.Milliseconds(), 1) }
+
 // recordAttempt records whether the attempt used up the operation's token. What certainly did
 // not run keeps it.
 func (s *sessionServer) recordAttempt(a attempt) {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -109,12 +109,22 @@
 			return got, nil
 		}
 	}
-	if now.After(r.WaitDeadline()) || r.ShouldRefuse(now, t.queueWait(t.waiting.countAhead(r.QueuedRequest, now))) {
+	if t.refusesToQueue(now, r) {
 		return grant{err: errNoConnection}, nil
 	}
 	return grant{}, t.waiting.push(r)
 }
 
+// refusesToQueue reports whether a request that would have to wait for a connection is refused.
+// The group's mutex must be held.
+func (t *target) refusesToQueue(now time.Time, r connRequest) bool {
+	return now.After(r.WaitDeadline()) || r.ShouldRefuse(now, t.queueWait(t.waiting.countAhead(r.QueuedRequest, now)))
+}
+
+// hasRoom reports whether the limit allows another connection, if the one that has been idle for
+// longest is closed. The group's mutex must be held.
+func (t *target) hasRoom() bool { return t.connCount()-min(len(t.idle), 1) < t.limit }
+
 // grantNow grants an idle connection of the team, or the right to open one. It closes the
 // connection that has been idle for longest if the limit leaves no room for another one. It
 // returns false if every connection is in use. The group's mutex must be held.
@@ -123,11 +133,12 @@
 		c.busy = true
 		return grant{conn: c}, true
 	}
+	room := t.hasRoom()
 	if t.connCount() >= t.limit && len(t.idle) > 0 {
 		t.drop(t.idle[0])
 		t.idle = t.idle[1:]
 	}
-	if t.connCount() >= t.limit {
+	if !room {
 		return grant{}, false
 	}
 	t.opening++
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -150,7 +150,7 @@
 		case quota.Taken:
 			return order.Token, decision, 0
 		case quota.Refused, quota.Unavailable:
-			if order.After > maxRefusalWait || now.Add(order.After).After(until) {
+			if endsWait(order.After, until.Sub(now)) {
 				return quota.Token{}, decision, order.After
 			}
 		case quota.Ask:
@@ -180,6 +180,10 @@
 	}
 }
 
+// endsWait reports whether an operation that no lender has a token for is refused now, instead of
+// waiting for the time after which a lender is asked again. left is how long it may still wait.
+func endsWait(after, left time.Duration) bool { return after > maxRefusalWait || after > left }
+
 // leave ends the wait of an operation. The mutex must be held.
 func (q *quotaKeeper) leave(team string) {
 	if q.waiting[team]--; q.waiting[team] == 0 {
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -150,11 +150,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	primary := g.targets[g.primary]
-	refuse = g.cutOff(now) || primary != nil && primary.drained(now)
+	refuse = g.refusesToWait(now)
 	return g.choose(now, req), g.changed, refuse
 }
 
+// refusesToWait reports whether a statement that finds no endpoint is refused at once. The mutex
+// must be held.
+func (g *group) refusesToWait(now time.Time) bool {
+	primary := g.targets[g.primary]
+	return g.cutOff(now) || primary != nil && primary.drained(now)
+}
+
 // sendOnce sends the statement to the endpoint once.
 func (s *sessionServer) sendOnce(ctx context.Context, st session.Statement, chosen choice, primary bool, arrived time.Time) attempt {
 	request := s.connRequest(arrived)
--- a/internal/gateway/spread_reads.go
+++ b/internal/gateway/spread_reads.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/beryltrestle/beryltrestle/coord/concurrency"
 	"github.com/beryltrestle/beryltrestle/coord/routing"
 )
 
@@ -21,10 +22,15 @@
 		}
 		return choices[routing.Spread(candidates, rand.Float64)]
 	}
-	best := choices[0]
-	for _, c := range choices[1:] {
-		if g.cheaper(c.target, best.target) {
-			best = c
+	return choices[g.cheapest(choices)]
+}
+
+// cheapest returns the index of the choice with the least cost, of at least one.
+func (g *group) cheapest(choices []choice) int {
+	best := 0
+	for i, c := range choices {
+		if g.cheaper(c.target, choices[best].target) {
+			best = i
 		}
 	}
 	return best
@@ -33,9 +39,14 @@
 // readCandidate describes the target for routing.Spread, by what the hosts with connections
 // to it report, or by this host's own statements if there are no fresh reports.
 func (g *group) readCandidate(now time.Time, t *target) routing.ReadCandidate {
+	load, added, ok := t.load(now)
+	return g.candidateByLoad(t, load, added, ok)
+}
+
+// candidateByLoad describes the target by the results of target.load or target.peekLoad.
+func (g *group) candidateByLoad(t *target, load concurrency.Load, added int, ok bool) routing.ReadCandidate {
 	slots := max(t.Slots, 1)
 	queued, expected, serviceTime, limit := t.inFlight+t.waiting.len(), t.expectedWait(), t.serviceTime, slots
-	load, added, ok := t.load(now)
 	switch {
 	case ok && load.Complete:
 		queued, expected = load.InFlight+load.Waiting, load.ExpectedWait(added)
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -176,6 +176,16 @@
 	if t.relayRoute.Active() {
 		return t.relayRoute.NextRelay(), true
 	}
+	usable := t.usableRelays(now, r)
+	if len(usable) == 0 {
+		return "", false
+	}
+	return usable[rand.N(len(usable))], true
+}
+
+// usableRelays returns the relay hosts of the plan from which one is taken for the next
+// connection. It changes nothing.
+func (t *target) usableRelays(now time.Time, r connRequest) []string {
 	available := make([]string, 0, len(t.relays))
 	for _, address := range t.relays {
 		if !now.Before(t.relayDownUntil[address]) {
@@ -185,13 +195,10 @@
 	if len(available) == 0 {
 		available = t.relays
 	}
-	if len(available) == 0 {
-		return "", false
-	}
 	if r.team != "" {
-		available = routing.TeamRelays(r.team, r.share, t.ID, available)
+		return routing.TeamRelays(r.team, r.share, t.ID, available)
 	}
-	return available[rand.N(len(available))], true
+	return available
 }
 
 // relayFailed keeps work away from a relay host that did not answer or does not reach
--- a/internal/gateway/unknown_database.go
+++ b/internal/gateway/unknown_database.go
@@ -18,12 +18,20 @@
 // only if no newer configuration can be in force. Otherwise the caller is told to come
 // back, and may find a host that knows the database.
 func (gw *Gateway) refuseUnknownDatabase() Reply {
-	if gw.configurationCurrent(boottime.Now()) {
-		gw.metrics.Inc(metrics.RefusedUnknownPool)
+	reason := gw.unknownDatabaseRefusal(boottime.Now())
+	gw.metrics.Inc(reason)
+	if reason == metrics.RefusedUnknownPool {
 		return noDatabase
 	}
-	gw.metrics.Inc(metrics.RefusedOutdatedConfiguration)
-	return Reply{Code: CodeBusy, Detail: gw.retryHint(metrics.RefusedOutdatedConfiguration)}
+	return Reply{Code: CodeBusy, Detail: gw.retryHint(reason)}
+}
+
+// unknownDatabaseRefusal returns the reason for which such a caller is refused.
+func (gw *Gateway) unknownDatabaseRefusal(now time.Time) metrics.Name {
+	if gw.configurationCurrent(now) {
+		return metrics.RefusedUnknownPool
+	}
+	return metrics.RefusedOutdatedConfiguration
 }
 
 // configurationCurrent reports whether this host knows every configuration that must be in
