--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -92,8 +92,9 @@
 	return served, refusals
 }
 
-// Guards against a team that is served beyond its limit because each host counts for itself,
-// and against one that does not get what it may have.
+// Guards against a team that is served beyond its limit because each host counts for itself, and
+// against one that is refused altogether. How much of the limit is served depends on the speed of
+// the machine here; TestServedShare of package quota checks it in virtual time.
 func TestLimitHoldsOverAllHosts(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
@@ -102,7 +103,7 @@
 	time.Sleep(quota.RoleDelay + time.Second)
 	served, refusals := f.flood(3*time.Second, "h1", "h2", "h3", "h4")
 	g.Expect(runs.mostInWindow(testRules.Window)).To(BeNumerically("<=", testRules.Allowed(limit)))
-	g.Expect(served).To(BeNumerically(">=", int(0.9*3*limit.Rate)))
+	g.Expect(served).To(BeNumerically(">", 0))
 	g.Expect(refusals).NotTo(BeEmpty())
 	for _, r := range refusals {
 		g.Expect(r.Code).To(Equal(gateway.CodeBusy))
@@ -149,7 +150,7 @@
 	<-done
 	g.Expect(runs.mostInWindow(testRules.Window)).To(BeNumerically("<=", testRules.Allowed(limit)))
 	served, _ := f.flood(2*time.Second, hosts...)
-	g.Expect(served).To(BeNumerically(">=", int(0.9*2*limit.Rate)))
+	g.Expect(served).To(BeNumerically(">", 0))
 }
 
 // runOperation runs an operation of one statement; within a transaction if inTransaction is set.
