--- a/coord/quota/doc.go
+++ b/coord/quota/doc.go
@@ -7,7 +7,9 @@
 // portions, which expire.
 //
 // Guarantee: the operations of a team for which tokens are taken in any window of length
-// Rules.Window do not exceed Rules.Allowed of its limit, provided that
+// Rules.Window do not exceed Rules.Allowed of its limit. An operation takes its token after its
+// caller has sent it and before an endpoint receives it, so that the guarantee also holds for the
+// operations that are both sent and received within a window. It holds provided that
 //
 //   - a host lends only while its knowledge of the electorate is at most RoleDelay old (package
 //     permission). The permission must be checked before Lender.Lend is called, and
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -55,5 +55,5 @@
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(reply.Code).To(Equal(gateway.CodeMisrouted))
-	g.Expect(reply.Code.NotRun()).To(BeTrue())
+	g.Expect(reply.Code.NoEffect()).To(BeTrue())
 }
--- a/internal/gateway/electorate.go
+++ b/internal/gateway/electorate.go
@@ -344,8 +344,8 @@
 }
 
 // answeringVoters returns the addresses of the present voters that have answered a poll. They stay voters whatever
-// other hosts report: in a large fleet a single call that was answered late makes a host look
-// unresponsive, and each change of the electorate suspends the lenders of tokens that it concerns.
+// other hosts report. In a large fleet a single late answer makes a host look unresponsive, and each
+// change of the electorate makes some lenders of tokens wait.
 func answeringVoters(replies map[string]FenceReply, present electorate.Electorate) []string {
 	var out []string
 	for address := range replies {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -435,7 +435,7 @@
 	}
 	p.metrics.Observe(metrics.LatencyEndpoint, now.Sub(began))
 	t.recordAnswer(now)
-	if !reply.Code.NotRun() {
+	if !reply.Code.NoEffect() {
 		t.recordServiceTime(now.Sub(began))
 	}
 	if reply.Position.Term > g.term {
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -19,8 +19,8 @@
 	State   TxState
 	// Position is the end of the endpoint's log; zero if the proxy answered.
 	Position logpos.Position
-	// FromRelay marks an error of the relay host; the endpoint has not received the
-	// request.
+	// FromRelay marks an error of the relay host. The endpoint has not received the request,
+	// unless Ran is set.
 	FromRelay bool
 	// Ran means that the endpoint ran the statement although Code is an error of a host.
 	Ran bool
--- a/internal/gateway/reply_code.go
+++ b/internal/gateway/reply_code.go
@@ -3,7 +3,7 @@
 // Code is the result of a statement: CodeNone for success, otherwise the kind of error.
 type Code uint8
 
-// Result codes. NotRun reports which of them guarantee that the statement had no
+// Result codes. NoEffect reports which of them guarantee that the statement had no
 // effect.
 const (
 	CodeNone Code = iota
@@ -59,10 +59,10 @@
 
 // NotExecuted reports whether the code of an endpoint guarantees that it did not run the
 // statement. Other codes that guarantee no effect may follow a run that was rolled back.
-func (c Code) NotExecuted() bool { return c.NotRun() && c != CodeAborted }
+func (c Code) NotExecuted() bool { return c.NoEffect() && c != CodeAborted }
 
-// NotRun reports whether the code guarantees that the statement had no effect.
-func (c Code) NotRun() bool {
+// NoEffect reports whether the code guarantees that the statement had no effect.
+func (c Code) NoEffect() bool {
 	switch c {
 	case CodeBusy, CodeAborted, CodeLagging, CodeReadOnly, CodeMisrouted, CodeTooManyConnections, CodeNoStatement:
 		return true
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -220,7 +220,7 @@
 	case a.reply.OK() && st.Writes:
 		s.state.RecordCommit(a.reply.Position)
 		return true, a.reply
-	case a.reply.Code.NotRun():
+	case a.reply.Code.NoEffect():
 		return false, Reply{}
 	case a.reply.Code == CodeFailed && !st.Writes:
 		return false, Reply{}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -74,7 +74,7 @@
 // startOver resets a transaction whose first statement did not run, so that it can
 // begin at another endpoint. It returns false if that is not possible.
 func (s *sessionServer) startOver(st session.Statement, reply *Reply) bool {
-	if !reply.Code.NotRun() || reply.Code == CodeAborted || st.Op == session.OpCommit {
+	if !reply.Code.NotExecuted() || st.Op == session.OpCommit {
 		return false
 	}
 	s.rollBackPinned()
