Soak: begin each run with teams by withdrawing a key

Of 12 runs of 24 s, 6 withdrew no key, since the calm after a lowered limit leaves time for about ten faults.

--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -33,8 +33,8 @@
 	inject func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration)
 }
 
-// faults lists the kinds of faults, which are equally likely. teamFaults are added in runs with
-// teams.
+// faults lists the kinds of faults, which are equally likely. withdrawals and loweredLimits are
+// added in runs with teams.
 var faults = []fault{
 	{name: "stop a host gracefully", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, _ time.Duration) {
 		h := r.randomHost(random)
@@ -127,12 +127,14 @@
 // injectFaults starts random faults, which may overlap, until ctx ends. It returns when
 // the last fault is over.
 func (r *runner) injectFaults(ctx context.Context, random *rand.Rand) {
-	list := faults
+	list, next := faults, faults
 	if r.teams != nil {
-		list = slices.Concat(faults, teamFaults)
+		// Short runs would often withdraw no key.
+		list, next = withdrawals, slices.Concat(faults, withdrawals, loweredLimits)
 	}
 	for ctx.Err() == nil {
 		f := list[random.IntN(len(list))]
+		list = next
 		duration := shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault)))
 		faultRandom := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 		gap := time.Duration(random.Int64N(int64(2 * meanFaultGap)))
--- a/deploy/soak/teams.go
+++ b/deploy/soak/teams.go
@@ -128,8 +128,8 @@
 	})
 }
 
-// teamFaults lists the faults that are added in runs with teams.
-var teamFaults = []fault{
+// withdrawals lists the faults of keys.
+var withdrawals = []fault{
 	{name: "withdraw a key", inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
 		index := random.IntN(callerTeams)
 		keys := newTeams()[index].keys
@@ -150,6 +150,10 @@
 		index := random.IntN(callerTeams)
 		r.withdrawKeys(ctx, index, newTeams()[index].keys, minWithdrawal+duration)
 	}},
+}
+
+// loweredLimits lists the faults of limits.
+var loweredLimits = []fault{
 	// The calm lets the other faults end and the lowered limit become binding. It remains
 	// lowered under the faults that follow.
 	{name: "lower a limit", calm: longestFault + configBound, inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
