Lend no tokens after the gateway has ended

The ended gateway of a restarted host went on lending to its own sessions for up to 1.5 s, beside its successor, which begins at once since the age of the electorate is known. A process that is killed cannot do so, but one whose gateway has ended could. Change: a gateway that has ended does not lend.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -127,10 +127,10 @@
 
 // Lend answers another host's request for tokens of a team. The permission to use primaries
 // shows that this host's knowledge of the electorate is not older than quota.RoleDelay. It must
-// be checked first: what it rests on is then known to the lender. Lend may be called from any
-// goroutine.
+// be checked first: what it rests on is then known to the lender. A gateway that has ended does not
+// lend, since its successor at the same address may. Lend may be called from any goroutine.
 func (gw *Gateway) Lend(r quota.Request) quota.Grant {
-	if gw.quota == nil || !gw.primaryPermitted(boottime.Now()) {
+	if gw.quota == nil || gw.ctx.Err() != nil || !gw.primaryPermitted(boottime.Now()) {
 		return quota.Grant{}
 	}
 	grant := gw.quota.lend(r)
