--- a/coord/quota/lender.go
+++ b/coord/quota/lender.go
@@ -16,8 +16,8 @@
 	// maxTokens limits the tokens of one request.
 	maxTokens = 1_000_000
 	// maxDelay limits how far in advance tokens are lent that the bucket does not hold yet.
-	// Operations wait that long for a token. The shortest wait is 75 ms; with that delay, many
-	// operations give up just before they may use their token.
+	// Operations wait that long for a token, which is a small part of the shortest latency
+	// objective of 150 ms.
 	maxDelay = 40 * time.Millisecond
 	// callsPerToken is how many calls of refused hosts are expected for each token, so that
 	// every token is taken although some hosts do not come back.
--- a/internal/gateway/electorate_test.go
+++ b/internal/gateway/electorate_test.go
@@ -104,7 +104,7 @@
 	lends := func(ageVersion uint64, inForce, storeTime time.Duration) bool {
 		c := controllersOfFleet(1, now.Add(-time.Minute))[0]
 		c.gw.cfg.Quota = quota.Rules{Window: time.Second, Slack: 100}
-		c.gw.quota = newQuotaKeeper(c.gw.cfg)
+		c.gw.quota = newTeamQuota(c.gw.cfg)
 		c.gw.quota.setLimits([]access.Team{{Name: "red", Limited: true, Rate: 10, Burst: 10}})
 		age := electorateAgeRecord{Version: ageVersion, InForceMs: inForce.Milliseconds()}
 		c.applyListing(TableState, Listing{Version: 9, StoreTime: storeTime, Rows: []rows.Row{
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -191,7 +191,7 @@
 }
 
 // explain adds what this host knows of the tokens of the team.
-func (q *quotaKeeper) explain(now time.Time, team string, out *TeamExplanation) {
+func (q *teamQuota) explain(now time.Time, team string, out *TeamExplanation) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	out.Waiting = q.waiting[team]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,7 +99,7 @@
 	permittedUntil atomic.Int64
 
 	// quota keeps the operations of teams within their limits; nil if there are none.
-	quota *quotaKeeper
+	quota *teamQuota
 
 	sessions            sessionSet
 	relayedTransactions relayedTransactions
@@ -131,7 +131,7 @@
 	gw.currentGroups.Store(&map[string]*group{})
 	gw.controller = newController(gw)
 	if cfg.Quota.Window > 0 {
-		gw.quota = newQuotaKeeper(cfg)
+		gw.quota = newTeamQuota(cfg)
 	}
 	gw.pool = &pool{
 		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, log: gw.events.log, requestLog: gw.events.request, zone: cfg.AvailabilityZone,
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -16,7 +16,7 @@
 	// lendTimeout limits a call to a lender.
 	lendTimeout = 200 * time.Millisecond
 	// maxTokenWait limits how long an operation waits for the answer of a lender. Lenders answer
-	// within milliseconds and lend tokens no more than 75 ms ahead, so that operations wait
+	// within milliseconds and lend tokens no more than 40 ms ahead, so that operations wait
 	// longer only if several lenders do not answer.
 	maxTokenWait = 250 * time.Millisecond
 	// maxRefusalWait limits how long an operation waits for a lender that has refused to have a
@@ -24,8 +24,8 @@
 	maxRefusalWait = 50 * time.Millisecond
 )
 
-// quotaKeeper lends and borrows the tokens of teams on this host.
-type quotaKeeper struct {
+// teamQuota lends and borrows the tokens of teams on this host.
+type teamQuota struct {
 	host, address, zone string
 
 	mu       sync.Mutex
@@ -36,15 +36,15 @@
 	zones map[string]string
 	// waiting is the number of operations of each team that wait for a token.
 	waiting map[string]int
-	// answered is closed and replaced when a call of the team to a lender has ended.
-	answered map[string]chan struct{}
+	// callDone is closed and replaced when a call of the team to a lender has ended.
+	callDone map[string]chan struct{}
 }
 
-// newQuotaKeeper returns a keeper that knows no electorate.
-func newQuotaKeeper(cfg Config) *quotaKeeper {
-	q := &quotaKeeper{
+// newTeamQuota returns a teamQuota that knows no electorate.
+func newTeamQuota(cfg Config) *teamQuota {
+	q := &teamQuota{
 		host: cfg.Host, address: cfg.Address, zone: cfg.AvailabilityZone, lender: quota.NewLender(cfg.Quota),
-		waiting: make(map[string]int), answered: make(map[string]chan struct{}),
+		waiting: make(map[string]int), callDone: make(map[string]chan struct{}),
 	}
 	q.borrower = quota.NewBorrower(cfg.Quota, q.preferredOrder)
 	return q
@@ -52,14 +52,14 @@
 
 // preferredOrder returns the lenders in the order in which this host asks them: those of its own
 // availability zone first, and otherwise in an order that differs from host to host.
-func (q *quotaKeeper) preferredOrder(team string, lenders []string) []string {
+func (q *teamQuota) preferredOrder(team string, lenders []string) []string {
 	return quota.PreferredOrder(q.host, team, lenders, func(address string) bool {
 		return address == q.address || q.zones[address] == q.zone
 	})
 }
 
 // setElectorate records the electorate that this host knows from now on, and the voters in force.
-func (q *quotaKeeper) setElectorate(now time.Time, e quota.Electorate, inForce []string, zones map[string]string) {
+func (q *teamQuota) setElectorate(now time.Time, e quota.Electorate, inForce []string, zones map[string]string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.zones = zones
@@ -71,14 +71,14 @@
 }
 
 // settle records that the electorate of the version has been in force for quota.RoleDelay.
-func (q *quotaKeeper) settle(now time.Time, version uint64) {
+func (q *teamQuota) settle(now time.Time, version uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.lender.Settle(now, version)
 }
 
 // setLimits records the limits of the teams.
-func (q *quotaKeeper) setLimits(teams []access.Team) {
+func (q *teamQuota) setLimits(teams []access.Team) {
 	limits := make(map[string]quota.Limit)
 	for _, team := range teams {
 		if team.Limited {
@@ -92,37 +92,37 @@
 }
 
 // lend answers a request for tokens.
-func (q *quotaKeeper) lend(r quota.Request) quota.Grant {
+func (q *teamQuota) lend(r quota.Request) quota.Grant {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.lender.Lend(boottime.Now(), r)
 }
 
 // refund gives back the token of an operation that did not run.
-func (q *quotaKeeper) refund(team string, token quota.Token) {
+func (q *teamQuota) refund(team string, token quota.Token) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.borrower.Refund(team, token)
 }
 
 // callEnded records the result of a call to a lender, and wakes the operations that wait for it.
-func (q *quotaKeeper) callEnded(team string, record func(now time.Time)) {
+func (q *teamQuota) callEnded(team string, record func(now time.Time)) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	record(boottime.Now())
-	if answered := q.answered[team]; answered != nil {
-		close(answered)
-		delete(q.answered, team)
+	if done := q.callDone[team]; done != nil {
+		close(done)
+		delete(q.callDone, team)
 	}
 }
 
-// answeredChannel returns the channel that is closed when a call of the team has ended. The
+// callDoneChannel returns the channel that is closed when a call of the team has ended. The
 // mutex must be held.
-func (q *quotaKeeper) answeredChannel(team string) <-chan struct{} {
-	if q.answered[team] == nil {
-		q.answered[team] = make(chan struct{})
+func (q *teamQuota) callDoneChannel(team string) <-chan struct{} {
+	if q.callDone[team] == nil {
+		q.callDone[team] = make(chan struct{})
 	}
-	return q.answered[team]
+	return q.callDone[team]
 }
 
 // Lend answers another host's request for tokens of a team. The permission to use primaries
@@ -164,12 +164,12 @@
 			go gw.askLender(order)
 			order.After = quota.HedgeDelay
 		}
-		answered := q.answeredChannel(team)
+		done := q.callDoneChannel(team)
 		again := time.NewTimer(order.After)
 		q.mu.Unlock()
 		expired := false
 		select {
-		case <-answered:
+		case <-done:
 		case <-again.C:
 		case <-deadline.C:
 			expired = true
@@ -192,10 +192,10 @@
 func endsWait(after, left time.Duration) bool { return after > maxRefusalWait || after > left }
 
 // leave ends the wait of an operation. The mutex must be held.
-func (q *quotaKeeper) leave(team string) {
+func (q *teamQuota) leave(team string) {
 	if q.waiting[team]--; q.waiting[team] == 0 {
 		delete(q.waiting, team)
-		delete(q.answered, team)
+		delete(q.callDone, team)
 	}
 }
 
