--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -1,5 +1,5 @@
 // Package budget bounds what a process keeps for its clients: bytes and descriptors. A client
-// pays for bytes before they are read or kept. Once a limit is reached, clients lose their
+// reserves bytes before they are read or kept. Once a limit is reached, clients lose their
 // connections: first those that make no progress, then those that hold most.
 package budget
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -16,7 +16,7 @@
 // Server serves the calls of other hosts.
 type Server struct {
 	Gateway *gateway.Gateway
-	// Budget pays for the statements that are relayed through this host; nil if nothing limits
+	// Budget is charged for the statements that are relayed through this host; nil if nothing limits
 	// them.
 	Budget *budget.Budget
 }
@@ -24,7 +24,7 @@
 // Handler returns the URL path and the HTTP handler of the service.
 func (s *Server) Handler() (string, http.Handler) {
 	path, handler := fleetv1connect.NewFleetServiceHandler(s, connect.WithCompressMinBytes(compressMinBytes), connect.WithReadMaxBytes(maxMessageBytes))
-	return path, payingHandler(s.Budget, handler)
+	return path, chargingHandler(s.Budget, handler)
 }
 
 // Exchange implements fleetv1connect.FleetServiceHandler.
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -16,20 +16,20 @@
 	// of text in rows of one byte, which take 48 MiB, and the values of a session (32 MiB).
 	maxMessageBytes = 64 << 20
 	// sizeHeader is the header with the size of the texts in a relayed request or answer. Its
-	// receiver pays for them before it reads the message, whose compressed size does not tell.
+	// receiver reserves them before it reads the message, whose compressed size does not tell.
 	sizeHeader = "Beryltrestle-Size"
 	// messageCopies is how many copies of a message its receiver holds at once: the bytes that
-	// were read, and the texts. A sender has paid for the texts already. Compressed copies are
+	// were read, and the texts. The sender's account holds the texts already. Compressed copies are
 	// not counted.
 	messageCopies = 2
-	// unpaidBytes is the size up to which a message is covered by the charge of a connection.
-	unpaidBytes = 4 << 10
+	// freeMessageBytes is the size up to which a message is covered by the charge of a connection.
+	freeMessageBytes = 4 << 10
 )
 
 // take charges the account for the given number of copies of a message with texts of the given
 // size.
 func take(account *budget.Account, size, copies int) error {
-	if size <= unpaidBytes {
+	if size <= freeMessageBytes {
 		return nil
 	}
 	return account.Take(int64(size) * int64(copies))
@@ -37,7 +37,7 @@
 
 // setSize states the size of a message's texts, unless it is small.
 func setSize(h http.Header, size int) {
-	if size > unpaidBytes {
+	if size > freeMessageBytes {
 		h.Set(sizeHeader, strconv.Itoa(size))
 	}
 }
@@ -75,9 +75,9 @@
 	return size
 }
 
-// payingHandler opens an account for each call, and charges it for the request before the
+// chargingHandler opens an account for each call, and charges it for the request before the
 // request is read.
-func payingHandler(b *budget.Budget, next http.Handler) http.Handler {
+func chargingHandler(b *budget.Budget, next http.Handler) http.Handler {
 	refusal := connect.NewErrorWriter()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		account := b.Open()
@@ -113,5 +113,5 @@
 }
 
 // answerDropped reports whether the answer was not read because the caller's account could not
-// pay for it.
+// hold it.
 func answerDropped(err error) bool { return errors.Is(err, budget.ErrExhausted) }
--- a/internal/fleet/size_test.go
+++ b/internal/fleet/size_test.go
@@ -36,19 +36,19 @@
 	return response, nil
 }
 
-// startEcho starts a host whose calls are paid from a budget of the given bytes.
+// startEcho starts a host whose calls are charged to a budget of the given bytes.
 func startEcho(t *testing.T, bytes int64) (*echoHost, string) {
 	t.Helper()
 	host := &echoHost{}
 	_, handler := fleetv1connect.NewFleetServiceHandler(host, connect.WithReadMaxBytes(maxMessageBytes))
-	server := httptest.NewUnstartedServer(payingHandler(budget.New(bytes, 0, metrics.NewRegistry()), handler))
+	server := httptest.NewUnstartedServer(chargingHandler(budget.New(bytes, 0, metrics.NewRegistry()), handler))
 	server.Config.Protocols = Protocols()
 	server.Start()
 	t.Cleanup(server.Close)
 	return host, strings.TrimPrefix(server.URL, "http://")
 }
 
-// relayLong relays a long read that is paid from a budget of the given bytes.
+// relayLong relays a long read that is charged to a budget of the given bytes.
 func relayLong(t *testing.T, address string, bytes int64) gateway.Reply {
 	t.Helper()
 	g := NewWithT(t)
@@ -61,7 +61,7 @@
 }
 
 // Guards against relayed statements and answers that take memory of the relay host, or of the
-// host of the caller, before anybody has paid for them.
+// host of the caller, before any account is charged for them.
 func TestRelayedMessagesArePaidBeforeTheyAreRead(t *testing.T) {
 	g := NewWithT(t)
 	host, address := startEcho(t, 1000)
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -14,7 +14,7 @@
 	// Key returns the key that identifies the caller; empty if it sent none. It must not be
 	// logged.
 	Key() string
-	// Account pays for what the caller's session keeps; nil if nothing limits it.
+	// Account is charged for what the caller's session keeps; nil if nothing limits it.
 	Account() *budget.Account
 	// NextStatement blocks until the next statement arrives. It returns io.EOF when the
 	// caller ends the session, and ErrInterrupted if Interrupt was called or the idle
--- a/internal/gateway/endpoint_conn.go
+++ b/internal/gateway/endpoint_conn.go
@@ -18,7 +18,7 @@
 	// After is the log position that the endpoint must have applied to run the
 	// statement; zero for none.
 	After logpos.Position
-	// Account pays for the answer; nil if no client does.
+	// Account is charged for the answer; nil if no client does.
 	Account *budget.Account
 }
 
--- a/internal/gateway/session_server.go
+++ b/internal/gateway/session_server.go
@@ -19,7 +19,7 @@
 	gateway *Gateway
 	caller  Caller
 	account *budget.Account
-	// kept is what the account has paid for the values and prepared statements.
+	// kept is what the account is charged for the values and prepared statements.
 	kept  int64
 	state *session.State
 	// db is the database of the open transaction or the running statement.
--- a/internal/gateway/session_state.go
+++ b/internal/gateway/session_state.go
@@ -44,7 +44,7 @@
 	return s.newReply(CodeNone, "")
 }
 
-// forgetReplaced gives back what the account paid for values and prepared statements that were
+// forgetReplaced gives back what the account was charged for values and prepared statements that were
 // replaced or removed.
 func (s *sessionServer) forgetReplaced() {
 	size := int64(s.state.Bytes()) + int64(s.state.Entries())*stateEntryBytes
