Placement: one function ranks names

The lenders of a team, the order in which a host asks them and the relay hosts of a team each built hosts of equal weight from addresses, ranked them and took the names out again. placement.RankNames does this for all three. The rankings are the same.

--- a/coord/placement/rank.go
+++ b/coord/placement/rank.go
@@ -36,6 +36,20 @@
 	return ranked
 }
 
+// RankNames is Rank for hosts of equal weight that are given by name.
+func RankNames(group string, names []string, n int) []string {
+	hosts := make([]Host, len(names))
+	for i, name := range names {
+		hosts[i].Name = name
+	}
+	ranked := Rank(group, hosts, n)
+	out := make([]string, len(ranked))
+	for i, h := range ranked {
+		out[i] = h.Name
+	}
+	return out
+}
+
 // Position returns the number of hosts that rank before the named host for the group, or -1
 // if the host is not among them. It takes O(len(hosts)) time and allocates nothing.
 func Position(group string, hosts []Host, name string) int {
--- a/coord/quota/roles.go
+++ b/coord/quota/roles.go
@@ -13,32 +13,19 @@
 
 // Lenders returns up to n voters that lend for the team, in order of rank.
 func Lenders(team string, voters []string, n int) []string {
-	hosts := make([]placement.Host, len(voters))
-	for i, address := range voters {
-		hosts[i].Name = address
-	}
-	ranked := placement.Rank("lender of "+team, hosts, n)
-	out := make([]string, len(ranked))
-	for i, h := range ranked {
-		out[i] = h.Name
-	}
-	return out
+	return placement.RankNames("lender of "+team, voters, n)
 }
 
 // PreferredOrder returns the lenders of a team in the order in which a host asks them: near ones
 // first, and otherwise in an order that differs from host to host.
 func PreferredOrder(host, team string, lenders []string, near func(address string) bool) []string {
-	hosts := make([]placement.Host, len(lenders))
-	for i, address := range lenders {
-		hosts[i].Name = address
-	}
 	var first, rest []string
-	for _, h := range placement.Rank(host+" asks for "+team, hosts, len(hosts)) {
-		if near(h.Name) {
-			first = append(first, h.Name)
+	for _, address := range placement.RankNames(host+" asks for "+team, lenders, len(lenders)) {
+		if near(address) {
+			first = append(first, address)
 			continue
 		}
-		rest = append(rest, h.Name)
+		rest = append(rest, address)
 	}
 	return append(first, rest...)
 }
--- a/coord/routing/team_relays.go
+++ b/coord/routing/team_relays.go
@@ -1,8 +1,6 @@
 package routing
 
-import (
-	"github.com/beryltrestle/beryltrestle/coord/placement"
-)
+import "github.com/beryltrestle/beryltrestle/coord/placement"
 
 const (
 	// twoRelaysShare and allRelaysShare are the parts of all work from which a team uses two
@@ -24,14 +22,5 @@
 	case share >= twoRelaysShare:
 		n = 2
 	}
-	hosts := make([]placement.Host, len(available))
-	for i, address := range available {
-		hosts[i].Name = address
-	}
-	ranked := placement.Rank(team+" "+endpoint, hosts, n)
-	out := make([]string, len(ranked))
-	for i, h := range ranked {
-		out[i] = h.Name
-	}
-	return out
+	return placement.RankNames(team+" "+endpoint, available, n)
 }
