Gateway: each check and state stands once

The age of the configuration was computed again for unknown databases, and the check whether keys are accepted repeated access.Policy. The caller's team was kept beside the authorization it is part of, hasTeams beside the catalog, and the voters in force were chosen in two places. takeToken had one value for its wait. Each now stands once; behaviour is unchanged.

--- a/coord/electorate/electorate.go
+++ b/coord/electorate/electorate.go
@@ -72,6 +72,14 @@
 	return slices.Contains(e.Voters, host) || slices.Contains(e.Former, host)
 }
 
+// InForce returns the voters of the last completed record.
+func (e Electorate) InForce() []string {
+	if e.Changing() {
+		return e.Former
+	}
+	return e.Voters
+}
+
 // Sets returns the sets of which each decision needs a majority.
 func (e Electorate) Sets() [][]string {
 	switch {
@@ -86,10 +94,7 @@
 // Change returns the record that begins the change to the given hosts, or that replaces the
 // new voters of an uncompleted change.
 func (e Electorate) Change(hosts []string) Electorate {
-	former := e.Voters
-	if e.Changing() {
-		former = e.Former
-	}
+	former := e.InForce()
 	next := Electorate{Voters: limit(hosts, former), Former: former}
 	if slices.Equal(next.Voters, next.Former) {
 		next.Former = nil
--- a/coord/quota/lender.go
+++ b/coord/quota/lender.go
@@ -81,7 +81,7 @@
 		return
 	}
 	for team := range l.buckets {
-		if l.roles.views[len(l.roles.views)-1].divisor(team, self, l.rules.terms(l.limits[team]).lenders) == 0 {
+		if l.roles.last().divisor(team, self, l.rules.terms(l.limits[team]).lenders) == 0 {
 			delete(l.buckets, team)
 		}
 	}
--- a/internal/gateway/authorization.go
+++ b/internal/gateway/authorization.go
@@ -74,14 +74,10 @@
 	return max(time.Duration(now.UnixNano()-asOf), 0)
 }
 
-// keysUnproven reports whether this host refuses all keys, because its configuration may be out
-// of date.
-func (gw *Gateway) keysUnproven(now time.Time) bool {
-	if gw.cfg.RevocationBound == 0 {
-		return false
-	}
-	age := gw.catalogAge(now)
-	return age < 0 || age > gw.cfg.RevocationBound
+// keysAccepted reports whether this host accepts the keys of its configuration, whose proof has
+// the given age. Otherwise the configuration may be out of date.
+func (gw *Gateway) keysAccepted(age time.Duration) bool {
+	return gw.accessPolicy().Decide(true, age) == access.Accepted
 }
 
 // authorizeStatement authorizes the caller for one more statement. If it must not run, the
@@ -101,6 +97,6 @@
 		reply := s.failStatement(refusal.Code, refusal.Detail)
 		return &reply
 	}
-	s.authorized, s.team = authorized, authorized.team
+	s.authorized = authorized
 	return nil
 }
--- a/internal/gateway/conn_plan.go
+++ b/internal/gateway/conn_plan.go
@@ -88,7 +88,7 @@
 // the given number of relay hosts.
 func (c *controller) relayConnections(config Group, relays int) int {
 	share := config.connectionShare(relays)
-	if c.hasTeams {
+	if c.gw.catalog().Teams != nil {
 		return max(int(float64(share)*teamConnections), 1)
 	}
 	return max(share/restartDivisor, 1)
--- a/internal/gateway/conn_plan_test.go
+++ b/internal/gateway/conn_plan_test.go
@@ -22,6 +22,7 @@
 	limits := make(map[string]int)
 	for _, h := range fleet {
 		c := &controller{gw: &Gateway{cfg: Config{Host: h.Name}}, members: make(map[string]*member)}
+		c.gw.currentCatalog.Store(&Catalog{})
 		for _, other := range fleet {
 			if other != h {
 				c.members[other.Name] = &member{hostRecord: hostRecord{Name: other.Name, Address: other.Name}}
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -45,8 +45,6 @@
 	leaving            bool
 	// unregistering is true once this host has begun to remove its row.
 	unregistering bool
-	// hasTeams is true if the configuration has teams.
-	hasTeams bool
 	// endpointsLoaded is true once the endpoints table has been read.
 	endpointsLoaded bool
 	monitors        map[string]*groupMonitor
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -143,7 +143,7 @@
 // explainKeys returns whether keys are accepted.
 func (gw *Gateway) explainKeys(catalog *Catalog, age time.Duration) KeysExplanation {
 	out := KeysExplanation{
-		Accepted:          gw.accessPolicy().Decide(true, age) == access.Accepted,
+		Accepted:          gw.keysAccepted(age),
 		RevocationBoundMs: inMs(gw.cfg.RevocationBound), Version: catalog.Version,
 	}
 	if age >= 0 {
--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -38,7 +38,6 @@
 			c.gw.quota.setLimits(catalog.Teams.Teams())
 		}
 		c.gw.currentCatalog.Store(catalog)
-		c.hasTeams = catalog.Teams != nil
 		c.gw.events.log.Info().Uint64("version", catalog.Version).Uint64("before", current.Version).
 			Int("databases", len(catalog.Databases)).Msg("configuration in force")
 		c.updateGroups()
--- a/internal/gateway/operation_token.go
+++ b/internal/gateway/operation_token.go
@@ -20,17 +20,18 @@
 // takeToken takes a token for the operation unless it holds one. It returns the refusal if the
 // limit of the team is reached.
 func (s *sessionServer) takeToken(ctx context.Context) *Reply {
-	if s.token.held || s.gateway.quota == nil || !s.team.Limited {
+	team := s.authorized.team
+	if s.token.held || s.gateway.quota == nil || !team.Limited {
 		return nil
 	}
-	token, decision, after := s.gateway.takeToken(ctx, s.team.Name, maxTokenWait)
+	token, decision, after := s.gateway.takeToken(ctx, team.Name)
 	switch decision {
 	case quota.Refused:
 		return s.refuseByQuota(metrics.RefusedQuota, after)
 	case quota.Unavailable:
 		return s.refuseByQuota(metrics.RefusedQuotaUnavailable, after)
 	}
-	s.token = operationToken{held: true, team: s.team.Name, token: token}
+	s.token = operationToken{held: true, team: team.Name, token: token}
 	return nil
 }
 
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -138,13 +138,13 @@
 	return grant
 }
 
-// takeToken takes a token for an operation of the team, and waits for it up to the given time.
+// takeToken takes a token for an operation of the team, and waits for it up to maxTokenWait.
 // The decision is quota.Taken, quota.Refused or quota.Unavailable; the duration is the time
 // after which another try makes sense.
-func (gw *Gateway) takeToken(ctx context.Context, team string, wait time.Duration) (quota.Token, quota.Decision, time.Duration) {
+func (gw *Gateway) takeToken(ctx context.Context, team string) (quota.Token, quota.Decision, time.Duration) {
 	q := gw.quota
-	until := boottime.Now().Add(wait)
-	deadline := time.NewTimer(wait)
+	until := boottime.Now().Add(maxTokenWait)
+	deadline := time.NewTimer(maxTokenWait)
 	defer deadline.Stop()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -233,10 +233,6 @@
 	for _, m := range c.members {
 		zones[m.Address] = m.AvailabilityZone
 	}
-	inForce := c.electorate.Voters
-	if c.electorate.Changing() {
-		inForce = c.electorate.Former
-	}
 	record := quota.Electorate{Version: c.electorate.version, Base: c.electorate.base, Sets: c.electorate.Sets()}
-	c.gw.quota.setElectorate(boottime.Now(), record, inForce, zones)
+	c.gw.quota.setElectorate(boottime.Now(), record, c.electorate.InForce(), zones)
 }
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -21,7 +21,7 @@
 	if gw.catalog().Version == 0 {
 		return errNoConfiguration
 	}
-	if gw.keysUnproven(boottime.Now()) {
+	if !gw.keysAccepted(gw.catalogAge(boottime.Now())) {
 		return errKeysUnproven
 	}
 	known := false
--- a/internal/gateway/session_server.go
+++ b/internal/gateway/session_server.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/beryltrestle/beryltrestle/coord/access"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/budget"
@@ -24,9 +23,8 @@
 	state *session.State
 	// db is the database of the open transaction or the running statement.
 	db Database
-	// authorized is what the running statement may use, and team the caller's team.
+	// authorized is what the running statement may use.
 	authorized authorization
-	team       access.Team
 	// token is the token of the running operation.
 	token operationToken
 	// pinned is the connection of the open transaction. It is nil before the
@@ -133,7 +131,7 @@
 
 // connRequest returns what the statement that arrived at the given time needs of a connection.
 func (s *sessionServer) connRequest(arrived time.Time) connRequest {
-	return connRequest{QueuedRequest: s.db.queuedRequest(arrived), team: s.team.Name, share: s.team.Share, database: s.db.Name}
+	return connRequest{QueuedRequest: s.db.queuedRequest(arrived), team: s.authorized.team.Name, share: s.authorized.team.Share, database: s.db.Name}
 }
 
 // run runs a read, a write or a prepared statement.
--- a/internal/gateway/unknown_database.go
+++ b/internal/gateway/unknown_database.go
@@ -37,6 +37,6 @@
 // configurationCurrent reports whether this host knows every configuration that must be in
 // force. It may be called from any goroutine.
 func (gw *Gateway) configurationCurrent(now time.Time) bool {
-	asOf := gw.catalogAsOf.Load()
-	return asOf > 0 && now.UnixNano()-asOf <= int64(gw.cfg.ConfigurationBound)
+	age := gw.catalogAge(now)
+	return age >= 0 && age <= gw.cfg.ConfigurationBound
 }
