Gateway: one rule for attempts that do not count as a try

Single statements and first statements of transactions each had the same two checks and a counter for wrong relay hosts. repeatsAttempt serves both.

--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -89,12 +89,7 @@
 			return s.giveUp(st, last)
 		}
 		a := s.sendOnce(ctx, st, chosen, req.primary, arrived)
-		if errors.Is(a.err, errRequeue) {
-			continue
-		}
-		if a.wrongRelay() && relayChanges < maxRelayChanges {
-			relayChanges++
-			s.gateway.metrics.Inc(metrics.RetryWrongRelay)
+		if s.repeatsAttempt(a, &relayChanges) {
 			continue
 		}
 		s.recordAttempt(a)
@@ -110,6 +105,21 @@
 	}
 }
 
+// repeatsAttempt reports whether the attempt is made again without counting as a try: nothing
+// was sent, or another relay host of the endpoint may hold connections. relayChanges is how often
+// the latter has happened.
+func (s *sessionServer) repeatsAttempt(a attempt, relayChanges *int) bool {
+	if errors.Is(a.err, errRequeue) {
+		return true
+	}
+	if !a.wrongRelay() || *relayChanges >= maxRelayChanges {
+		return false
+	}
+	*relayChanges++
+	s.gateway.metrics.Inc(metrics.RetryWrongRelay)
+	return true
+}
+
 // mayRetry reports whether another attempt is allowed after the given number of tries,
 // and takes it from the retry budget.
 func (s *sessionServer) mayRetry(ctx context.Context, tries int) bool {
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -46,12 +46,7 @@
 			return s.giveUpFirst(last)
 		}
 		a := s.openTransaction(ctx, chosen, req.primary, arrived)
-		if errors.Is(a.err, errRequeue) {
-			continue
-		}
-		if a.wrongRelay() && relayChanges < maxRelayChanges {
-			relayChanges++
-			s.gateway.metrics.Inc(metrics.RetryWrongRelay)
+		if s.repeatsAttempt(a, &relayChanges) {
 			continue
 		}
 		if a.err == nil && a.reply.OK() {
