Wording: tests describe fleets by size; unused accessor removed

Two comments named a deployment instead of the size of the fleet, a transport was still called by a former name, and Limiter.Learned was used by a test alone, which reads the field now with the same expectation.

--- a/coord/concurrency/limiter.go
+++ b/coord/concurrency/limiter.go
@@ -167,9 +167,6 @@
 // Limit returns the number of statements that the endpoint should have in flight at most.
 func (l *Limiter) Limit() float64 { return l.limit }
 
-// Learned reports whether the limit follows from response times.
-func (l *Limiter) Learned() bool { return l.adjusted }
-
 // Starting reports whether the limit is still rising from the floor for the first time.
 func (l *Limiter) Starting() bool { return l.starting }
 
--- a/coord/concurrency/limiter_test.go
+++ b/coord/concurrency/limiter_test.go
@@ -340,7 +340,7 @@
 	for n := range 20 {
 		l.Observe(now.Add(time.Duration(n)*time.Second), Sample{Took: 10 * time.Millisecond, InFlight: 1})
 	}
-	g.Expect(l.Learned()).To(BeFalse())
+	g.Expect(l.adjusted).To(BeFalse())
 	g.Expect(l.Limit()).To(Equal(8.0))
 }
 
--- a/internal/fleet/peer_conn.go
+++ b/internal/fleet/peer_conn.go
@@ -26,7 +26,7 @@
 	transport := newTransport()
 	return &peerConn{
 		transport: transport, opened: time.Now(), minAge: minAge,
-		client: fleetv1connect.NewFleetServiceClient(&http.Client{Transport: payingTransport{transport}}, "http://"+address,
+		client: fleetv1connect.NewFleetServiceClient(&http.Client{Transport: chargingTransport{transport}}, "http://"+address,
 			connect.WithSendGzip(), connect.WithCompressMinBytes(compressMinBytes), connect.WithReadMaxBytes(maxMessageBytes)),
 	}
 }
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -91,11 +91,11 @@
 	})
 }
 
-// payingTransport charges the account of the call for the answer before the answer is read.
-type payingTransport struct{ *http.Transport }
+// chargingTransport charges the account of the call for the answer before the answer is read.
+type chargingTransport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
-func (t payingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+func (t chargingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	response, err := t.Transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
--- a/internal/gateway/electorate.go
+++ b/internal/gateway/electorate.go
@@ -343,9 +343,9 @@
 	})
 }
 
-// answeringVoters returns the addresses of the present voters that have answered a poll. They stay voters whatever
-// other hosts report. In a large fleet a single late answer makes a host look unresponsive, and each
-// change of the electorate makes some lenders of tokens wait.
+// answeringVoters returns the addresses of the present voters that have answered a poll. They stay
+// voters whatever other hosts report. In a large fleet a single late answer makes a host look
+// unresponsive, and each change of the electorate makes some lenders of tokens wait.
 func answeringVoters(replies map[string]FenceReply, present electorate.Electorate) []string {
 	var out []string
 	for address := range replies {
--- a/internal/gateway/electorate_test.go
+++ b/internal/gateway/electorate_test.go
@@ -88,7 +88,7 @@
 
 // Guards against voters that are dropped although they answer, because some call to them was
 // answered late: after a network partition the electorate of 106 hosts changed every 0.7 s between
-// 58 and 106 voters, and most teams had no lender of tokens for 4 s (amag-cl-grown scale-1).
+// 58 and 106 voters, and most teams had no lender of tokens for 4 s.
 func TestVotersThatAnswerThePollStay(t *testing.T) {
 	g := NewWithT(t)
 	present := electorate.New([]string{"a1", "a2", "a3"}, nil)
--- a/internal/gateway/member_test.go
+++ b/internal/gateway/member_test.go
@@ -53,7 +53,7 @@
 
 // Guards against a host that takes over the connection shares of hosts which do not
 // answer it. The endpoints' limits were exceeded this way and 17,009 connections were
-// reset (seen on svfb-trestle-grown trouble-1).
+// reset in a fleet of 132 hosts.
 func TestUnresponsiveHostsKeepTheirConnectionShares(t *testing.T) {
 	g := NewWithT(t)
 	now := boottime.Now()
@@ -91,8 +91,8 @@
 
 // Guards against a host of a large fleet that regards another one as lost long after a network
 // partition has ended, because it hardly ever calls it: the hosts then chose different relay
-// hosts, and a statement for every ninth reached a host without connections (amag-cl-grown
-// scale-1, 110 a second until the end of the day).
+// hosts, and a statement for every ninth reached a host without connections: 110 a second in a
+// fleet of 106 hosts, until the end of the run.
 func TestFailedCallsAreForgotten(t *testing.T) {
 	g := NewWithT(t)
 	now := boottime.Now()
