Gateway: log statements that are unanswered when their primary is replaced

A log could not tell a statement that a host sent before it acknowledged a fence from one that it sent afterwards, and a write that a replaced primary confirmed counted as a lost connection. The first is now counted (primary.unanswered) and logged with the time since its send, the second counted (unknown.primary_replaced) and logged with the position. No answer changes.

internal/gateway: go test passes.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -33,6 +33,9 @@
 	// sentAt is when the statement in flight was sent; zero if there is none. The
 	// group's mutex guards it.
 	sentAt time.Time
+	// requestID is the ID of the statement in flight, for the log. Other goroutines read it only
+	// while sentAt is set.
+	requestID string
 	// usesPrimary is true while the connection is used for work that needs the primary.
 	usesPrimary bool
 	// queuedRequest is the request that the connection was checked out for.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/beryltrestle/beryltrestle/coord/logpos"
 )
 
 // maxRequestLinesPerSecond limits the log lines about single requests. Requests beyond
@@ -45,6 +47,13 @@
 		Dur("waited_ms", after).Err(err).Msg("answer lost")
 }
 
+// answerNotCounted logs a write that an endpoint answered with success after this host had
+// stopped using it as the primary.
+func (e *eventLog) answerNotCounted(id, database string, t *target, position logpos.Position) {
+	e.request.Info().Str("request", id).Str("database", database).Str("group", t.group.name).Str("endpoint", t.ID).
+		Stringer("position", position).Msg("write answered by an endpoint that may have been replaced as primary")
+}
+
 // sessionEnded logs the unexpected end of a session.
 func (e *eventLog) sessionEnded(database string, err error) {
 	e.request.Debug().Str("database", database).Err(err).Msg("session ended unexpectedly")
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
 	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
@@ -67,12 +68,26 @@
 func (g *group) closePrimaryConns() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := boottime.Now()
 	g.eachPrimaryConn(func(c *conn) {
+		if !c.sentAt.IsZero() {
+			g.pool.logUnanswered(c, now)
+		}
 		c.broken = true
 		c.Close()
 	})
 }
 
+// logUnanswered counts and logs a statement that is not answered when this host stops using its
+// endpoint as the primary. The group's mutex must be held.
+func (p *pool) logUnanswered(c *conn, now time.Time) {
+	g := c.target.group
+	p.metrics.Inc(metrics.PrimaryUnanswered)
+	p.requestLog.Info().Str("request", c.requestID).Str("group", g.name).Str("endpoint", c.target.ID).Str("relay", c.relayAddress).
+		Uint64("term", g.term).Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
+		Dur("sent_ago_ms", now.Sub(c.sentAt)).Msg("statement given up as its primary is being replaced")
+}
+
 // eachPrimaryConn calls f for each connection that is used for work on the fenced
 // primary. It does nothing if a newer primary is known.
 func (g *group) eachPrimaryConn(f func(*conn)) {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -366,6 +366,7 @@
 	if primary {
 		p.checkBeforeSend(c, r.ID)
 	}
+	c.requestID = r.ID
 	began := p.statementStarted(c, primary)
 	reply, err := c.run(deadline, s, inTransaction, r)
 	p.statementEnded(c, began, &reply, err, r.After)
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -181,6 +181,7 @@
 	}
 	reply, err := s.send(c, primary, s.answerDeadline(ctx, st), false, Request{Statement: st, After: chosen.after})
 	if err == nil && reply.OK() && st.Writes && !chosen.target.group.mayUseAsPrimary(boottime.Now(), chosen.target) {
+		s.gateway.events.answerNotCounted(st.ID, s.db.Name, chosen.target, reply.Position)
 		err = errPrimaryReplaced
 	}
 	s.gateway.pool.release(c)
@@ -238,10 +239,13 @@
 	return true, a.reply
 }
 
-// unknownOutcome answers a write whose answer was lost.
+// unknownOutcome answers a write whose answer was lost or does not count.
 func (s *sessionServer) unknownOutcome(err error) Reply {
-	if isTimeout(err) {
+	switch {
+	case isTimeout(err):
 		return s.refuse(CodeTimeout, metrics.UnknownTimeout)
+	case errors.Is(err, errPrimaryReplaced):
+		return s.refuse(CodeInDoubt, metrics.UnknownPrimaryReplaced)
 	}
 	return s.refuse(CodeInDoubt, metrics.UnknownEndpointLost)
 }
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -224,6 +224,7 @@
 	}
 	if wrote && reply.OK() && !c.target.group.mayUseAsPrimary(boottime.Now(), c.target) {
 		s.gateway.pool.release(c)
+		s.gateway.events.answerNotCounted(st.ID, s.db.Name, c.target, reply.Position)
 		return s.unknownOutcome(errPrimaryReplaced)
 	}
 	if reply.State != TxIdle {
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -25,14 +25,17 @@
 	UnknownOwnerLost        Name = "unknown.owner_lost"
 	UnknownTermChanged      Name = "unknown.term_changed"
 	UnknownEndpointLost     Name = "unknown.endpoint_lost"
-	UnknownConfirmTimeout   Name = "unknown.confirm_timeout"
-	UnknownCanceled         Name = "unknown.canceled"
-	RefusedTooManyCallers   Name = "refused.too_many_callers"
-	RefusedCanceled         Name = "refused.canceled"
-	RefusedNoPrimary        Name = "refused.no_primary"
-	RefusedIdleTransaction  Name = "refused.idle_transaction"
-	RefusedReadLost         Name = "refused.read_lost"
-	UnknownTimeout          Name = "unknown.timeout"
+	// UnknownPrimaryReplaced counts writes that an endpoint answered with success after this
+	// host had stopped using it as the primary.
+	UnknownPrimaryReplaced Name = "unknown.primary_replaced"
+	UnknownConfirmTimeout  Name = "unknown.confirm_timeout"
+	UnknownCanceled        Name = "unknown.canceled"
+	RefusedTooManyCallers  Name = "refused.too_many_callers"
+	RefusedCanceled        Name = "refused.canceled"
+	RefusedNoPrimary       Name = "refused.no_primary"
+	RefusedIdleTransaction Name = "refused.idle_transaction"
+	RefusedReadLost        Name = "refused.read_lost"
+	UnknownTimeout         Name = "unknown.timeout"
 	// RefusedOutdatedConfiguration counts callers whose database is not in a configuration
 	// that may be outdated.
 	RefusedOutdatedConfiguration Name = "refused.outdated_configuration"
@@ -111,6 +114,9 @@
 	// PrimarySentUnpermitted counts statements that waited after the choice of the primary and
 	// were sent when it might not be used any more.
 	PrimarySentUnpermitted Name = "primary.sent_unpermitted"
+	// PrimaryUnanswered counts statements that were not answered when this host stopped using
+	// their endpoint as the primary.
+	PrimaryUnanswered Name = "primary.unanswered"
 	// StoreRestorations counts how often this host has written the rows that the store had
 	// lost when it was restored from an older copy.
 	StoreRestorations Name = "store.restorations"
