Soak: proxies hold bytes of cut paths as the sender's kernel does

Bytes that a cut holds were always delivered later, and the proxy did not read on, so that it saw no reset. They are now lost if the sender resets the connection, or after the hosts' TCP_USER_TIMEOUT at endpoints. After an orderly close they are still delivered. A single endpoint can be cut off in runs in which hosts have no names.

--- a/deploy/soak/paths.go
+++ b/deploy/soak/paths.go
@@ -18,6 +18,13 @@
 type paths struct {
 	mu   sync.Mutex
 	cuts map[[2]string]bool
+	// unreachable holds the parts that no bytes reach or leave.
+	unreachable map[string]bool
+}
+
+// newPaths returns paths that let all bytes pass.
+func newPaths() paths {
+	return paths{cuts: make(map[[2]string]bool), unreachable: make(map[string]bool)}
 }
 
 // cut cuts the paths between every part in a and every part in b, in both directions.
@@ -37,22 +44,32 @@
 	}
 }
 
+// setUnreachable cuts all paths from and to a part, or ends this cut. Unlike cut it needs no
+// names of hosts, which are only known in scripted runs.
+func (p *paths) setUnreachable(part string, unreachable bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unreachable[part] = unreachable
+}
+
 // restore restores all paths.
 func (p *paths) restore() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.cuts)
+	clear(p.unreachable)
+}
+
+// isCut reports whether no bytes pass from one part to the other.
+func (p *paths) isCut(from, to string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cuts[[2]string{from, to}] || p.unreachable[from] || p.unreachable[to]
 }
 
 // await waits until bytes pass from one part to the other.
 func (p *paths) await(from, to string) {
-	for {
-		p.mu.Lock()
-		cut := p.cuts[[2]string{from, to}]
-		p.mu.Unlock()
-		if !cut {
-			return
-		}
+	for p.isCut(from, to) {
 		time.Sleep(pathPollInterval)
 	}
 }
--- a/deploy/soak/proxy.go
+++ b/deploy/soak/proxy.go
@@ -1,9 +1,13 @@
 package soak
 
 import (
+	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // pathFault is a network fault between hosts and an endpoint.
@@ -21,8 +25,16 @@
 	pathFaultCount
 )
 
-// slowPathDelay is the delay of a slow path, in each direction.
-const slowPathDelay = 30 * time.Millisecond
+const (
+	// slowPathDelay is the delay of a slow path, in each direction.
+	slowPathDelay = 30 * time.Millisecond
+	// hostUserTimeout is the TCP_USER_TIMEOUT of the hosts' connections to endpoints.
+	hostUserTimeout = 1500 * time.Millisecond
+)
+
+// errUnacknowledged means that a cut has held bytes for longer than the sender waits for their
+// acknowledgement.
+var errUnacknowledged = errors.New("held bytes were not acknowledged in time")
 
 // proxy forwards connections to a target address and injects network faults.
 type proxy struct {
@@ -33,6 +45,8 @@
 	part   string
 	paths  *paths
 	source func(net.Conn) string
+	// userTimeout is the TCP_USER_TIMEOUT of the connections' clients; 0 if they have none.
+	userTimeout time.Duration
 
 	mu    sync.Mutex
 	fault pathFault
@@ -40,12 +54,12 @@
 }
 
 // startProxy starts a proxy that forwards to the part at the target address.
-func (r *runner) startProxy(part, target string) (*proxy, error) {
+func (r *runner) startProxy(part, target string, userTimeout time.Duration) (*proxy, error) {
 	l, err := listen()
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, part: part, paths: &r.paths, source: r.source, conns: make(map[net.Conn]bool)}
+	p := &proxy{listener: l, target: target, part: part, paths: &r.paths, source: r.source, userTimeout: userTimeout, conns: make(map[net.Conn]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -143,9 +157,42 @@
 		if dropping {
 			continue
 		}
-		p.paths.await(path[0], path[1])
-		if _, err := to.Write(buffer[:n]); err != nil {
+		data, err := p.hold(from, path, buffer[:n], answers)
+		if err != nil {
+			return
+		}
+		if _, err := to.Write(data); err != nil {
 			return
 		}
 	}
 }
+
+// hold keeps data while the path is cut, as the sender's kernel does, and returns it with what
+// followed. After an orderly close the data is still returned once the path is restored. An
+// error means that it is lost: the sender has reset the connection, or has waited for an
+// acknowledgement for longer than its user timeout.
+func (p *proxy) hold(from net.Conn, path [2]string, data []byte, answers bool) ([]byte, error) {
+	if !p.paths.isCut(path[0], path[1]) {
+		return data, nil
+	}
+	began, closed, more := time.Now(), false, make([]byte, 4<<10)
+	for p.paths.isCut(path[0], path[1]) {
+		if !answers && p.userTimeout > 0 && time.Since(began) > p.userTimeout {
+			return nil, errUnacknowledged
+		}
+		if closed {
+			time.Sleep(pathPollInterval)
+			continue
+		}
+		if err := from.SetReadDeadline(time.Now().Add(pathPollInterval)); err != nil {
+			return nil, err
+		}
+		n, err := from.Read(more)
+		data = append(data, more[:n]...)
+		closed = errors.Is(err, io.EOF)
+		if err != nil && !closed && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, err
+		}
+	}
+	return data, from.SetReadDeadline(time.Time{})
+}
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -111,7 +111,7 @@
 }
 
 func newRunner(cfg Config) *runner {
-	return &runner{cfg: cfg, log: cfg.Log, store: newStore(), group: newGroup("records", groupSize), paths: paths{cuts: make(map[[2]string]bool)}}
+	return &runner{cfg: cfg, log: cfg.Log, store: newStore(), group: newGroup("records", groupSize), paths: newPaths()}
 }
 
 // Run runs the soak test and returns its report. An error means that the test could not
@@ -171,7 +171,7 @@
 		}
 		r.closers = append(r.closers, func() { l.Close() })
 		go serveEndpoint(r.group, e, l)
-		p, err := r.startProxy(e.id, l.Addr().String())
+		p, err := r.startProxy(e.id, l.Addr().String(), hostUserTimeout)
 		if err != nil {
 			return err
 		}
@@ -211,7 +211,7 @@
 		}
 		admin := ports[portsPerHost*n+2]
 		if r.cfg.script != nil {
-			p, err := r.startProxy(name, admin)
+			p, err := r.startProxy(name, admin, 0)
 			if err != nil {
 				return err
 			}
