--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -18,6 +18,10 @@
 	longestFault  = 4 * time.Second
 	// meanFaultGap is the mean time between the starts of two faults, which may overlap.
 	meanFaultGap = 1200 * time.Millisecond
+	// shortestCutOff and longestCutOff bound how long a primary is cut off: from less than the
+	// time in which it is replaced to more than hostUserTimeout after its replacement.
+	shortestCutOff = 300 * time.Millisecond
+	longestCutOff  = 2500 * time.Millisecond
 	// restartDelay is the time before a process that ended is started again.
 	restartDelay = 300 * time.Millisecond
 )
@@ -108,6 +112,12 @@
 		wait.Sleep(ctx, duration)
 		r.group.restart(e)
 	}},
+	{name: "cut off the primary", inject: func(ctx context.Context, r *runner, random *rand.Rand, _ time.Duration) {
+		for range 1 + random.IntN(3) {
+			r.cutOffPrimary(ctx, random.IntN(2) == 0, shortestCutOff+time.Duration(random.Int64N(int64(longestCutOff-shortestCutOff))))
+			wait.Sleep(ctx, time.Duration(random.Int64N(int64(2*meanFaultGap))))
+		}
+	}},
 	{name: "stop replication to an endpoint", inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
 		e := r.group.endpoints[random.IntN(len(r.group.endpoints))]
 		setStopped := func(stopped bool) {
@@ -124,6 +134,32 @@
 	}},
 }
 
+// cutOffPrimary cuts the primary off from the hosts and the other endpoints for the given time,
+// or until a successor has committed a write if that is earlier and untilReplaced is set. It
+// returns whether the primary had such a successor in the end.
+func (r *runner) cutOffPrimary(ctx context.Context, untilReplaced bool, duration time.Duration) (replaced bool) {
+	ctx, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	r.group.mu.Lock()
+	e := r.group.currentPrimary()
+	if e == nil || e.isolated {
+		r.group.mu.Unlock()
+		return false
+	}
+	e.isolated = true
+	r.group.mu.Unlock()
+	r.paths.setUnreachable(e.id, true)
+	for ctx.Err() == nil && (!untilReplaced || !r.group.hasSuccessor(e)) {
+		wait.Sleep(ctx, time.Millisecond)
+	}
+	r.paths.setUnreachable(e.id, false)
+	replaced = r.group.hasSuccessor(e)
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	e.isolated = false
+	return replaced
+}
+
 // injectFaults starts random faults, which may overlap, until ctx ends. It returns when
 // the last fault is over.
 func (r *runner) injectFaults(ctx context.Context, random *rand.Rand) {
--- a/deploy/soak/group.go
+++ b/deploy/soak/group.go
@@ -117,6 +117,15 @@
 	return best
 }
 
+// hasSuccessor reports whether a primary of a newer term than the endpoint's has committed a
+// write.
+func (g *group) hasSuccessor(e *endpoint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	current := g.currentPrimary()
+	return current != nil && current.term > e.term && len(current.log[len(current.log)-1].ids) > 0
+}
+
 // commit appends the writes to the endpoint's log. The endpoint acts as primary, but may
 // have been replaced. g.mu must be held.
 func (g *group) commit(e *endpoint, ids []string, data map[string]string) {
