Soak: the judge counts from the endpoint's answer and takes both first bytes

Every statement that needs the primary is judged: all of the strict database and the writes of the others, EXECUTE included. A commit counts from the moment at which its endpoint answered it, and the first byte is taken as sent by the caller and as received by the endpoint. Both are violations; what was reported as "late" is the second. Commits that an endpoint made after it was replaced do not count.

--- a/deploy/soak/caller.go
+++ b/deploy/soak/caller.go
@@ -191,8 +191,9 @@
 	}
 }
 
-// recordSent records when the first byte of a read or write of a strict database, or of its
-// transaction, is sent.
+// recordSent records when the first byte of a statement that needs the primary, or of its
+// transaction, is sent. The writes of every database and all statements of the strict one need
+// the primary.
 func (c *caller) recordSent(s *session, id, text string) {
 	now := time.Now()
 	if text == "BEGIN" {
@@ -201,7 +202,8 @@
 	if !s.txBegan.IsZero() {
 		now = s.txBegan
 	}
-	if verb, _, _ := strings.Cut(text, " "); s.database == strictDatabase && (verb == "READ" || verb == "WRITE") {
+	// Callers prepare only writes.
+	if verb, _, _ := strings.Cut(text, " "); verb == "WRITE" || verb == "EXECUTE" || verb == "READ" && s.database == strictDatabase {
 		c.runner.recorder.addSent(id, now)
 	}
 }
--- a/deploy/soak/check.go
+++ b/deploy/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"sync"
 	"time"
 )
@@ -55,7 +56,7 @@
 	mu     sync.Mutex
 	writes []write
 	reads  []read
-	// sent holds when the first byte of each statement of a strict database, or of its
+	// sent holds when the first byte of each statement that needs the primary, or of its
 	// transaction, was sent.
 	sent map[string]time.Time
 	// violations describes the guarantees that were broken. Each description starts with
@@ -72,7 +73,8 @@
 	//	RECOVER  a host did not serve after the last fault
 	//	REFUSED  a write that was refused, or whose transaction was not committed, is stored
 	//	REVOKED  a statement ran whose key had been withdrawn
-	//	STALE    a read returned older data than its consistency permits
+	//	STALE    a read returned older data than its consistency permits, or a statement that
+	//	         needs the primary was executed on a log that lacks an earlier commit
 	//	TWICE    a write was committed more than once
 	//	UNASKED  a write was committed that no caller sent
 	//	USER     a statement ran under another name than that of its team, or an endpoint
@@ -84,8 +86,6 @@
 	denied []deniedStatement
 	// done, refusals and others count the answers; see Report.
 	done, refusals, others int
-	// late counts executions that were only stale as of their arrival; see Report.
-	late int
 }
 
 // addViolation records that a guarantee was broken.
@@ -119,43 +119,33 @@
 	r.sent[id] = at
 }
 
-// checkExecutions returns a violation for each statement of a strict database that was
-// executed on a log which lacks a commit that a caller knew before the first byte of the
-// statement was sent, and that was not rolled back. late counts those for which this holds
-// only as of the time when the endpoint received the statement. Both mutexes must be held.
-func (r *recorder) checkExecutions(g *group) (violations []string, late int) {
-	type ack struct {
-		id string
-		at time.Time
-	}
-	acknowledged := make(map[string]time.Time)
-	for _, w := range r.writes {
-		acknowledged[w.id] = w.acknowledged
+// checkExecutions returns a violation for each statement that needs the primary and was executed
+// on a log which lacks a commit that its endpoint had answered before the first byte of the
+// statement, or of its transaction. The first byte is taken twice: when the caller sent it, and
+// when it reached the endpoint. Commits that a promotion rolled back, or that an endpoint made
+// after it was replaced, do not count. Both mutexes must be held.
+func (r *recorder) checkExecutions(g *group) (violations []string) {
+	// The commits of the log are in the order of their positions and of their times.
+	var log []commit
+	for _, c := range g.currentPrimary().log {
+		if len(c.ids) > 0 && !g.committedByOldPrimary[c.ids[0]] {
+			log = append(log, c)
+		}
 	}
 	for _, x := range g.executions {
-		sentAt, strict := r.sent[x.id]
-		if !strict {
+		sentAt, needsPrimary := r.sent[x.id]
+		at := sort.Search(len(log), func(i int) bool { return x.logEnd.Less(log[i].position) })
+		if !needsPrimary || at == len(log) {
 			continue
 		}
-		var first ack
-		for _, c := range g.currentPrimary().log {
-			for _, id := range c.ids {
-				at := acknowledged[id]
-				if !at.IsZero() && x.logEnd.Less(c.position) && (first.id == "" || at.Before(first.at)) {
-					first = ack{id, at}
-				}
+		for reading, firstByte := range map[string]time.Time{"the caller's first byte": sentAt, "the first byte at the endpoint": x.beganAt} {
+			if log[at].committedAt.Before(firstByte) {
+				violations = append(violations, fmt.Sprintf("STALE by %s: %s was executed at %s on a log up to %s, which lacks %s, answered %s before",
+					reading, x.id, x.endpoint, formatPosition(x.logEnd), log[at].ids[0], firstByte.Sub(log[at].committedAt)))
 			}
 		}
-		switch {
-		case first.id == "":
-		case first.at.Before(sentAt):
-			violations = append(violations, fmt.Sprintf("STALE: %s was executed at %s on a log up to %s, which lacks %s, acknowledged %s before its first byte",
-				x.id, x.endpoint, formatPosition(x.logEnd), first.id, sentAt.Sub(first.at)))
-		case first.at.Before(x.receivedAt):
-			late++
-		}
 	}
-	return violations, late
+	return violations
 }
 
 // countAnswer counts an answer.
@@ -232,9 +222,7 @@
 		}
 	}
 	if g.currentPrimary() != nil {
-		stale, late := r.checkExecutions(g)
-		violations = append(violations, stale...)
-		r.late = late
+		violations = append(violations, r.checkExecutions(g)...)
 	}
 	for i, p := range g.promotions {
 		if i > 0 && (p.fence < g.promotions[i-1].fence || p.fence == g.promotions[i-1].fence && p.holder != g.promotions[i-1].holder) {
--- a/deploy/soak/endpoint_conn.go
+++ b/deploy/soak/endpoint_conn.go
@@ -28,6 +28,8 @@
 	user string
 
 	inTx, failed, readOnly bool
+	// beganAt is when the current statement, or the BEGIN of its transaction, was received.
+	beganAt time.Time
 	// txStarted is true once a statement with an ID has run in the open transaction.
 	txStarted bool
 	txIDs     []string
@@ -134,7 +136,10 @@
 func (c *endpointConn) execute(id, text string, receivedAt time.Time) string {
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
-	x := execution{id: id, endpoint: c.endpoint.id, receivedAt: receivedAt, logEnd: c.endpoint.logEnd(), user: c.user, first: !c.inTx || !c.txStarted}
+	if !c.inTx {
+		c.beganAt = receivedAt
+	}
+	x := execution{id: id, endpoint: c.endpoint.id, receivedAt: receivedAt, beganAt: c.beganAt, logEnd: c.endpoint.logEnd(), user: c.user, first: !c.inTx || !c.txStarted}
 	row, code := c.runStatement(id, text)
 	if code == "" && id != "-" {
 		c.group.executions = append(c.group.executions, x)
--- a/deploy/soak/group.go
+++ b/deploy/soak/group.go
@@ -82,6 +82,8 @@
 	id, endpoint string
 	receivedAt   time.Time
 	logEnd       logpos.Position
+	// beganAt is when the endpoint received the statement, or the BEGIN of its transaction.
+	beganAt time.Time
 	// user is the name under which the connection was opened.
 	user string
 	// first is true for a single statement and for the first statement of a transaction.
--- a/deploy/soak/placed_test.go
+++ b/deploy/soak/placed_test.go
@@ -52,7 +52,7 @@
 			counts[rule]++
 			examples[rule] = v
 		}
-		t.Logf("seed %d: %d done, %d promotions, %d late, %v", seed, report.Done, report.Promotions, report.Late, counts)
+		t.Logf("seed %d: %d done, %d promotions, %v", seed, report.Done, report.Promotions, counts)
 		if len(counts) > 0 || report.Promotions == 0 {
 			t.Errorf("seed %d: %d promotions, violations %v, the last of each rule %q", seed, report.Promotions, counts, examples)
 		}
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -63,17 +63,13 @@
 	Refused    int `json:"refused"`
 	Other      int `json:"other"`
 	Promotions int `json:"promoted"`
-	// Late counts the statements of the strict database that were executed on a log which
-	// lacks a commit that was acknowledged after their first byte was sent and before they
-	// arrived at the endpoint. These are no violations.
-	Late int `json:"late"`
 	// Violations describes the guarantees that were broken; see recorder.
 	Violations []string `json:"found"`
 }
 
 // String renders the report as one line, followed by a line for each violation.
 func (r Report) String() string {
-	out := fmt.Sprintf("seed %d: %d done, %d refused, %d other, %d promotions, %d late, %d violations", r.Seed, r.Done, r.Refused, r.Other, r.Promotions, r.Late, len(r.Violations))
+	out := fmt.Sprintf("seed %d: %d done, %d refused, %d other, %d promotions, %d violations", r.Seed, r.Done, r.Refused, r.Other, r.Promotions, len(r.Violations))
 	for _, f := range r.Violations {
 		out += "\n  " + f
 	}
@@ -158,7 +154,7 @@
 	violations := append(r.recorder.check(r.group), r.checkTeams()...)
 	return Report{
 		Seed: cfg.Seed, Done: r.recorder.done, Refused: r.recorder.refusals, Other: r.recorder.others,
-		Promotions: len(r.group.promotions), Late: r.recorder.late, Violations: violations,
+		Promotions: len(r.group.promotions), Violations: violations,
 	}, nil
 }
 
