--- a/deploy/soak/caller.go
+++ b/deploy/soak/caller.go
@@ -30,6 +30,8 @@
 	answerTimeout = 3 * time.Second
 	// meanOperationPause is the mean pause between two operations of a session.
 	meanOperationPause = 30 * time.Millisecond
+	// preparedWrite is the name of the write that each session prepares.
+	preparedWrite = "save"
 	// maxSessionOperations bounds the number of operations of a session.
 	maxSessionOperations = 60
 )
@@ -117,6 +119,9 @@
 	if r, err := c.send(s, "SET who "+c.name); err != nil || r.code != "" {
 		return false
 	}
+	if r, err := c.send(s, "PREPARE "+preparedWrite+" WRITE shape"); err != nil || r.code != "" {
+		return false
+	}
 	for range c.random.IntN(maxSessionOperations) {
 		if ctx.Err() != nil || !c.runOperation(s) {
 			return true
@@ -228,12 +233,21 @@
 	c.runner.recorder.addWrite(w)
 }
 
+// sendWrite sends a write, in half of the cases as a prepared statement.
+func (c *caller) sendWrite(s *session, w write) (reply, error) {
+	verb := "WRITE"
+	if c.random.IntN(2) == 0 {
+		verb = "EXECUTE " + preparedWrite
+	}
+	return c.sendAs(s, w.id, fmt.Sprintf("%s %s %d", verb, w.item, w.value))
+}
+
 // write writes the next value of the caller's item outside a transaction. It returns
 // false if the session must end.
 func (c *caller) write(s *session) bool {
 	c.lastWritten++
 	w := write{id: c.newID(), item: c.name, value: c.lastWritten}
-	r, err := c.sendAs(s, w.id, fmt.Sprintf("WRITE %s %d", w.item, w.value))
+	r, err := c.sendWrite(s, w)
 	if err == nil && r.code == "" {
 		c.checkSignature(w.id, r)
 	}
@@ -249,7 +263,7 @@
 	}
 	c.lastWritten++
 	w := write{id: c.newID(), item: c.name, value: c.lastWritten}
-	r, err := c.sendAs(s, w.id, fmt.Sprintf("WRITE %s %d", w.item, w.value))
+	r, err := c.sendWrite(s, w)
 	if err != nil || r.code != "" {
 		// Without a commit the write must have no effect, whatever the answer was.
 		w.refused = true
