Soak: a held up statement must not reach a replaced primary (known red)

The primary is cut off until its successor has committed a write, five times in a row, and then reached again.

--- a/deploy/soak/caller.go
+++ b/deploy/soak/caller.go
@@ -95,7 +95,10 @@
 	databases := []string{strictDatabase, boundedDatabase, readYourWritesDatabase}
 	h := c.runner.hosts[c.random.IntN(len(c.runner.hosts))]
 	if c.runner.cfg.script != nil {
-		h, databases = c.runner.hosts[c.index%len(c.runner.hosts)], databases[:1]
+		h = c.runner.hosts[c.index%len(c.runner.hosts)]
+		if !c.runner.cfg.allDatabases {
+			databases = databases[:1]
+		}
 	}
 	conn, err := net.DialTimeout("tcp", h.callerAddress, time.Second)
 	if err != nil {
--- a/deploy/soak/placed_test.go
+++ b/deploy/soak/placed_test.go
@@ -23,6 +23,13 @@
 
 // runPlaced runs placed disruptions with SOAK_SEEDS seeds (by default one) from SOAK_SEED on.
 func runPlaced(t *testing.T, script func(ctx context.Context, r *runner, random *rand.Rand)) {
+	t.Helper()
+	runPlacedOn(t, false, script)
+}
+
+// runPlacedOn is runPlaced with callers of the strict database or of all databases.
+func runPlacedOn(t *testing.T, allDatabases bool, script func(ctx context.Context, r *runner, random *rand.Rand)) {
+	t.Helper()
 	number := func(name string) uint64 {
 		n, err := strconv.ParseUint(os.Getenv(name), 10, 64)
 		if err != nil {
@@ -40,7 +47,7 @@
 			dir = t.TempDir()
 		}
 		report, err := Run(t.Context(), Config{
-			DaemonPath: daemon, Dir: dir, Hosts: 5, Callers: 15, Seed: seed, FaultDuration: 30 * time.Second, Log: zerolog.Nop(), script: script,
+			DaemonPath: daemon, Dir: dir, Hosts: 5, Callers: 15, Seed: seed, FaultDuration: 30 * time.Second, Log: zerolog.Nop(), script: script, allDatabases: allDatabases,
 		})
 		if err != nil {
 			t.Errorf("seed %d: %v", seed, err)
@@ -59,6 +66,9 @@
 	}
 }
 
+// changeTimeout bounds the time from the cut of a primary to the first write of its successor.
+const changeTimeout = 5 * time.Second
+
 // upTo returns a random duration below the limit.
 func upTo(random *rand.Rand, limit time.Duration) time.Duration {
 	return time.Duration(random.Int64N(int64(limit)))
@@ -151,3 +161,19 @@
 		wait.Sleep(ctx, 11*time.Second)
 	})
 }
+
+// Guards against statements that reach a replaced primary because a cut held them up: the path
+// of the primary is restored as soon as its successor has committed a write, several times in a
+// row. Bytes of connections that were closed without a reset arrive then (issue 39, STALE).
+func TestHeldUpStatementDoesNotReachReplacedPrimary(t *testing.T) {
+	const changes = 5
+	runPlacedOn(t, true, func(ctx context.Context, r *runner, random *rand.Rand) {
+		for range changes {
+			wait.Sleep(ctx, time.Second+upTo(random, time.Second))
+			if !r.cutOffPrimary(ctx, true, changeTimeout) {
+				t.Errorf("no successor committed a write within %s", changeTimeout)
+			}
+		}
+		wait.Sleep(ctx, time.Second)
+	})
+}
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -49,9 +49,10 @@
 	Log           zerolog.Logger
 	// limits are the Limits of the hosts' settings.
 	limits map[string]float64
-	// script, if set, replaces the random faults. Each caller then uses one host and the
-	// strict database, and the connections between hosts can be cut.
-	script func(ctx context.Context, r *runner, random *rand.Rand)
+	// script, if set, replaces the random faults. Each caller then uses one host and, unless
+	// allDatabases is set, the strict database, and the connections between hosts can be cut.
+	script       func(ctx context.Context, r *runner, random *rand.Rand)
+	allDatabases bool
 }
 
 // Report is the result of Run.
