--- a/internal/gateway/fake_endpoint_test.go
+++ b/internal/gateway/fake_endpoint_test.go
@@ -36,6 +36,11 @@
 	// loseAnswer closes the connection after the next write has run, without an answer.
 	loseAnswer bool
 	conns      map[*fakeConn]bool
+	// dialTime and runTime return how long the endpoint takes to accept a connection and to run
+	// a caller's statement, unless they are nil.
+	dialTime, runTime func() time.Duration
+	// arrivedAt is when the request that runs now has reached the endpoint.
+	arrivedAt time.Time
 }
 
 func (e *fakeEndpoint) position() logpos.Position {
@@ -174,10 +179,18 @@
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	t := d.group.endpoints[e.ID]
+	if dialTime := t.dialTime; dialTime != nil {
+		d.group.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(dialTime()):
+		}
+		d.group.mu.Lock()
+	}
 	if t.down || d.group.cut[d.host+" "+e.ID] || ctx.Err() != nil {
 		return nil, errors.New("unreachable")
 	}
-	c := &fakeConn{host: d.host, team: team, group: d.group, endpoint: t, values: map[string]string{}, prepared: map[string]string{}}
+	c := &fakeConn{host: d.host, team: team, group: d.group, endpoint: t, values: map[string]string{}, prepared: map[string]string{}, closed: make(chan struct{})}
 	t.conns[c] = true
 	return c, nil
 }
@@ -193,35 +206,93 @@
 	dead      bool
 	values    map[string]string
 	prepared  map[string]string
-	queue     []gateway.Request
+	queue     []*sentRequest
+	closed    chan struct{}
 	// inTx, failed and pending are the state of the open transaction.
 	inTx, readOnly, failed bool
 	pending                []commit
 }
 
+// sentRequest is a request that was sent on a fakeConn. done is closed when its answer or the
+// error is known.
+type sentRequest struct {
+	gateway.Request
+	reply gateway.Reply
+	err   error
+	done  chan struct{}
+}
+
 // Send implements gateway.EndpointConn.
 func (c *fakeConn) Send(_ time.Time, requests ...gateway.Request) error {
-	c.queue = append(c.queue, requests...)
+	var sent []*sentRequest
+	for _, r := range requests {
+		sent = append(sent, &sentRequest{Request: r, done: make(chan struct{})})
+	}
+	c.queue = append(c.queue, sent...)
+	go c.deliver(sent)
 	return nil
 }
 
-// Receive implements gateway.EndpointConn.
-func (c *fakeConn) Receive(deadline time.Time) (gateway.Reply, error) {
+// deliver brings the requests to the endpoint, runs them there and brings the answers back.
+// Requests that have reached the endpoint run even if the connection is closed afterwards.
+func (c *fakeConn) deliver(requests []*sentRequest) {
+	sentAt := time.Now()
 	time.Sleep(c.group.latency)
+	err := c.awaitPath(sentAt)
+	arrivedAt := time.Now()
+	for i, r := range requests {
+		if i > 0 {
+			time.Sleep(c.group.latency)
+		}
+		if r.err = err; err == nil {
+			r.reply, r.err = c.run(r.Request, arrivedAt)
+		}
+	}
+	answeredAt := time.Now()
+	for _, r := range requests {
+		if r.err == nil {
+			r.err = c.awaitPath(answeredAt)
+		}
+		close(r.done)
+	}
+}
+
+// unacknowledgedTimeout is how long the network goes on trying to deliver what was sent.
+const unacknowledgedTimeout = 1500 * time.Millisecond
+
+// awaitPath waits until the host and the endpoint can reach each other. It returns an error if
+// the connection ends before, or is given up because what was sent at the given time has not
+// arrived for too long.
+func (c *fakeConn) awaitPath(sentAt time.Time) error {
+	for ; ; time.Sleep(time.Millisecond) {
+		c.group.mu.Lock()
+		dead, cut := c.dead, c.group.cut[c.host+" "+c.endpoint.id]
+		c.group.mu.Unlock()
+		switch {
+		case dead:
+			return net.ErrClosed
+		case !cut:
+			return nil
+		case time.Since(sentAt) >= unacknowledgedTimeout:
+			return timeoutError{}
+		}
+	}
+}
+
+// run runs a request that has reached the endpoint.
+func (c *fakeConn) run(request gateway.Request, arrivedAt time.Time) (gateway.Reply, error) {
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
-	request := c.queue[0]
-	c.queue = c.queue[1:]
-	c.ranCaller = c.ranCaller || request.ID != ""
-	if c.group.cut[c.host+" "+c.endpoint.id] {
+	if runTime := c.endpoint.runTime; runTime != nil && request.ID != "" {
 		c.group.mu.Unlock()
-		time.Sleep(time.Until(deadline))
+		time.Sleep(runTime())
 		c.group.mu.Lock()
-		return gateway.Reply{}, timeoutError{}
 	}
-	if c.dead {
+	c.ranCaller = c.ranCaller || request.ID != ""
+	if c.endpoint.down {
 		return gateway.Reply{}, net.ErrClosed
 	}
+	c.endpoint.arrivedAt = arrivedAt
 	if c.group.onRun != nil {
 		c.group.onRun(c.host, c.endpoint, request)
 	}
@@ -241,6 +312,22 @@
 	return reply, nil
 }
 
+// Receive implements gateway.EndpointConn.
+func (c *fakeConn) Receive(deadline time.Time) (gateway.Reply, error) {
+	request := c.queue[0]
+	c.queue = c.queue[1:]
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-request.done:
+		return request.reply, request.err
+	case <-c.closed:
+		return gateway.Reply{}, net.ErrClosed
+	case <-timer.C:
+		return gateway.Reply{}, timeoutError{}
+	}
+}
+
 // timeoutError is a network timeout.
 type timeoutError struct{}
 
@@ -384,10 +471,15 @@
 	return !c.dead
 }
 
-// Close implements gateway.EndpointConn.
+// Close implements gateway.EndpointConn. Requests that have not reached the endpoint are lost.
 func (c *fakeConn) Close() error {
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
 	c.dead = true
+	select {
+	case <-c.closed:
+	default:
+		close(c.closed)
+	}
 	return nil
 }
