--- a/internal/gateway/fake_endpoint_test.go
+++ b/internal/gateway/fake_endpoint_test.go
@@ -174,16 +174,22 @@
 	group *fakeGroup
 }
 
-// Dial implements gateway.Dialer.
+// isCut reports whether the path to the endpoint is cut.
+func (d *fakeDialer) isCut(endpoint string) bool {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	return d.group.cut[d.host+" "+endpoint]
+}
+
+// Dial implements gateway.Dialer. To an endpoint with a dialTime it waits until the path is back.
 func (d *fakeDialer) Dial(ctx context.Context, e gateway.Endpoint, team string) (gateway.EndpointConn, error) {
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	t := d.group.endpoints[e.ID]
 	if dialTime := t.dialTime; dialTime != nil {
 		d.group.mu.Unlock()
-		select {
-		case <-ctx.Done():
-		case <-time.After(dialTime()):
+		for wait := dialTime(); ctx.Err() == nil && (wait > 0 || d.isCut(e.ID)); wait -= time.Millisecond {
+			time.Sleep(time.Millisecond)
 		}
 		d.group.mu.Lock()
 	}
