--- a/internal/gateway/failover_simulation_test.go
+++ b/internal/gateway/failover_simulation_test.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/beryltrestle/beryltrestle/coord/permission"
+	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
 )
@@ -31,7 +32,8 @@
 
 // simulation runs a fleet in simulated time, with callers that use the primary, disruptions
 // and promotions that take effect late. It records each statement that ran although a primary
-// of a later term had acknowledged a commit before the caller sent the statement's first byte.
+// of a later term had acknowledged a commit before the caller sent the statement's first byte, or
+// before the statement reached the endpoint.
 type simulation struct {
 	*fakeFleet
 	t     *testing.T
@@ -54,18 +56,29 @@
 	runs         int
 	events       []string
 	violations   []string
+	// violationsBy counts the statements that ran too late, by the reading of the rule.
+	violationsBy map[string]int
 	// down holds the hosts that do not run.
 	down  map[string]bool
 	ended chan struct{}
 	// onPromoted is called when a promotion takes effect, unless it is nil.
 	onPromoted     func(order gateway.Promotion)
 	slowPromotions bool
+	// promptPromotions take effect 10 ms after the call.
+	promptPromotions bool
 }
 
+// Readings of the rule that a statement must not run at a replaced primary: what must not come
+// after the first acknowledged commit of a later term.
+const (
+	byCaller  = "caller's first byte"
+	byArrival = "arrival at the endpoint"
+)
+
 func newSimulation(t *testing.T, seed uint64, maxConnections, hosts int) *simulation {
 	s := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 5)), isolated: make(map[int]map[string]bool),
-		arrived: make(map[string]time.Time), acknowledged: make(map[uint64]time.Time),
+		arrived: make(map[string]time.Time), acknowledged: make(map[uint64]time.Time), violationsBy: make(map[string]int),
 		down: make(map[string]bool), ended: make(chan struct{}),
 	}
 	for n := range hosts {
@@ -83,6 +96,32 @@
 	return s
 }
 
+// setTimeout changes the timeout of the databases.
+func (s *simulation) setTimeout(d time.Duration) {
+	s.store.mu.Lock()
+	value := s.store.tables[gateway.TableCatalog]["config"].Value
+	s.store.mu.Unlock()
+	var catalog gateway.Catalog
+	if err := json.Unmarshal(value, &catalog); err != nil {
+		panic(err)
+	}
+	catalog.Version++
+	for name, db := range catalog.Databases {
+		db.Timeout = d
+		catalog.Databases[name] = db
+	}
+	s.store.putRow(gateway.TableCatalog, "config", catalog)
+}
+
+// addLoad adds callers who wait longer, so that queues are long.
+func (s *simulation) addLoad() {
+	s.setTimeout(3 * time.Second)
+	for _, host := range s.names {
+		s.useHost(host)
+		s.useHost(host)
+	}
+}
+
 // intN returns a random number below n.
 func (s *simulation) intN(n int) int {
 	s.randomMu.Lock()
@@ -106,10 +145,17 @@
 		return
 	}
 	s.runs++
-	for term, at := range s.acknowledged {
-		if term > e.term && at.Before(arrived) {
-			s.violations = append(s.violations, fmt.Sprintf("%d %s sent by %s, arrived %v ago, runs at %s of term %d, %v after the first commit of term %d",
-				time.Now().UnixMilli()%1_000_000, r.Text, host, time.Since(arrived), e.id, e.term, time.Since(at), term))
+	for reading, since := range map[string]time.Time{byCaller: arrived, byArrival: e.arrivedAt} {
+		broken := false
+		for term, at := range s.acknowledged {
+			if term > e.term && at.Before(since) {
+				broken = true
+				s.violations = append(s.violations, fmt.Sprintf("%d by the %s: %s (%s) of %s, sent by the caller %v ago, arrived %v ago, runs at %s of term %d, primary %t, %v after the first commit of term %d",
+					time.Now().UnixMilli()%1_000_000, reading, r.Text, r.ID, host, time.Since(arrived), time.Since(e.arrivedAt), e.id, e.term, e.primary, time.Since(at), term))
+			}
+		}
+		if broken {
+			s.violationsBy[reading]++
 		}
 	}
 }
@@ -140,6 +186,9 @@
 	if p.slowPromotions {
 		delay += time.Duration(p.intN(700)) * time.Millisecond
 	}
+	if p.promptPromotions {
+		delay = 10 * time.Millisecond
+	}
 	p.mu.Unlock()
 	p.event("%s orders %s, effective in %v", order.Holder, order.Endpoint, delay)
 	time.AfterFunc(delay, func() {
@@ -264,6 +313,7 @@
 // use runs statements of a caller at a host until the host or the simulation ends.
 func (s *simulation) use(c *fakeCaller, host string, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 6))
+	c.do(session.Statement{ID: nextID(), Op: session.OpPrepare, Name: "w", Args: "WRITE q", Writes: true})
 	for {
 		select {
 		case <-s.ended:
@@ -271,23 +321,35 @@
 		case <-time.After(time.Duration(5+random.IntN(30)) * time.Millisecond):
 		}
 		st := read("a")
-		if random.IntN(2) == 0 {
+		switch random.IntN(4) {
+		case 0:
 			st = write("a", "x")
+		case 1:
+			st = session.Statement{ID: nextID(), Op: session.OpExecute, Text: "EXECUTE w a x", Name: "w", Args: "a x"}
 		}
 		s.mu.Lock()
-		if s.down[host] {
-			s.mu.Unlock()
+		down := s.down[host]
+		s.mu.Unlock()
+		if down {
 			return
 		}
+		s.do(c, st)
+	}
+}
+
+// do runs a statement of a caller and judges it, unless it is a read that may return older data.
+func (s *simulation) do(c *fakeCaller, st session.Statement) {
+	if st.Op != session.OpRead || c.database == "strict" {
+		s.mu.Lock()
 		s.arrived[st.ID] = time.Now()
 		s.mu.Unlock()
-		c.do(st)
 	}
+	c.do(st)
 }
 
 // useHost starts the callers of a host, which runs from now on.
 func (s *simulation) useHost(host string) {
-	callers := []*fakeCaller{s.caller(host, "strict"), s.caller(host, "strict")}
+	callers := []*fakeCaller{s.caller(host, "strict"), s.caller(host, "strict"), s.caller(host, "own")}
 	s.mu.Lock()
 	delete(s.down, host)
 	s.mu.Unlock()
@@ -340,13 +402,68 @@
 	return claim.Holder
 }
 
+// setTimes sets how long an endpoint takes to accept connections and to run statements.
+func (s *simulation) setTimes(endpoint string, dialTime, runTime func() time.Duration) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.group.endpoints[endpoint].dialTime, s.group.endpoints[endpoint].runTime = dialTime, runTime
+}
+
+// rejectStatus makes an endpoint reject status requests for some time, as if its queue were full.
+func (s *simulation) rejectStatus(endpoint string, d time.Duration) {
+	s.event("%s is busy", endpoint)
+	set := func(busy bool) {
+		s.group.mu.Lock()
+		defer s.group.mu.Unlock()
+		s.group.endpoints[endpoint].busyForStatus = busy
+	}
+	set(true)
+	time.AfterFunc(d, func() { set(false) })
+}
+
+// slowDown makes an endpoint accept connections and run statements slowly for some time. Its queue
+// may be full as well.
+func (s *simulation) slowDown(endpoint string, d time.Duration) {
+	s.event("%s is slow", endpoint)
+	upTo := func(most int) func() time.Duration {
+		return func() time.Duration { return time.Duration(s.intN(most)) * time.Millisecond }
+	}
+	s.setTimes(endpoint, upTo(500), upTo(400))
+	time.AfterFunc(d, func() { s.setTimes(endpoint, nil, nil) })
+	if s.intN(2) == 0 {
+		s.rejectStatus(endpoint, d)
+	}
+}
+
+// replaceInSeries drains the primary several times, some time after its promotion.
+func (s *simulation) replaceInSeries(times int, pause func() time.Duration) {
+	for range times {
+		id := s.group.primaryID()
+		if id == noPrimary {
+			return
+		}
+		s.event("%s drains", id)
+		if s.intN(2) == 0 {
+			s.slowDown(id, pause())
+		}
+		s.listEndpoint(id, func(e *gateway.Endpoint) { e.Draining = true })
+		for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			if now := s.group.primaryID(); now != id && now != noPrimary {
+				break
+			}
+		}
+		time.Sleep(pause())
+		s.listEndpoint(id, func(*gateway.Endpoint) {})
+	}
+}
+
 // disrupt causes one random disruption.
 func (s *simulation) disrupt() {
 	ms := func(least, most int) time.Duration {
 		return time.Duration(least+s.intN(most-least)) * time.Millisecond
 	}
 	s.mu.Lock()
-	s.onPromoted, s.slowPromotions = nil, s.intN(2) == 0
+	s.onPromoted, s.slowPromotions, s.promptPromotions = nil, s.intN(2) == 0, s.intN(2) == 0
 	if s.intN(3) == 0 {
 		s.onPromoted = func(order gateway.Promotion) { s.isolateFor(ms(3000, 7000), s.minority(order.Endpoint)...) }
 	}
@@ -355,7 +472,7 @@
 	if s.intN(2) == 0 {
 		host = s.holder()
 	}
-	switch s.intN(10) {
+	switch s.intN(15) {
 	case 0, 1, 2:
 		s.isolateFor(ms(300, 5000), s.group.primaryID())
 	case 3:
@@ -383,16 +500,18 @@
 			s.store.restore(copied)
 		})
 	case 9:
-		s.group.mu.Lock()
-		e := s.group.endpoints[fmt.Sprintf("e%d", 1+s.intN(3))]
-		e.busyForStatus = true
-		s.group.mu.Unlock()
-		s.event("%s is busy", e.id)
-		time.AfterFunc(ms(200, 2000), func() {
-			s.group.mu.Lock()
-			defer s.group.mu.Unlock()
-			e.busyForStatus = false
-		})
+		s.rejectStatus(fmt.Sprintf("e%d", 1+s.intN(3)), ms(200, 2000))
+	case 10, 11:
+		s.isolateFor(ms(300, 2500), s.group.primaryID())
+	case 12:
+		go s.replaceInSeries(3, func() time.Duration { return ms(500, 2000) })
+	case 13, 14:
+		// Statements wait for connections, in queues of hosts, and at the endpoint.
+		id := fmt.Sprintf("e%d", 1+s.intN(3))
+		if primary := s.group.primaryID(); primary != noPrimary && s.intN(2) == 0 {
+			id = primary
+		}
+		s.slowDown(id, ms(500, 4000))
 	}
 }
 
@@ -433,7 +552,7 @@
 	if len(s.violations) == 0 {
 		return ""
 	}
-	return fmt.Sprintf("%s: %d of %d statements, first: %s", name, len(s.violations), s.runs, s.violations[0])
+	return fmt.Sprintf("%s: of %d statements %v, first: %s", name, s.runs, s.violationsBy, s.violations[0])
 }
 
 // firstPrimary is the primary of a new fleet.
@@ -500,6 +619,110 @@
 	})
 }
 
+// closeIdle makes the host open new connections to the endpoint.
+func (s *simulation) closeIdle(host, endpoint string) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	for c := range s.group.endpoints[endpoint].conns {
+		c.dead = c.dead || c.host == host
+	}
+}
+
+// startReplacement drains the first primary and returns when a host has written the claim, with
+// that host and another one.
+func (s *simulation) startReplacement() (holder, other string) {
+	// Hosts that have just started wait for all permissions.
+	time.Sleep(2 * time.Second)
+	claimed := make(chan struct{})
+	s.store.mu.Lock()
+	s.store.beforeWrite = func(key string) {
+		if key == "claim/g" {
+			s.store.beforeWrite = nil
+			close(claimed)
+		}
+	}
+	s.store.mu.Unlock()
+	s.listEndpoint(firstPrimary, func(e *gateway.Endpoint) { e.Draining = true })
+	<-claimed
+	holder = s.holder()
+	for _, host := range s.names {
+		if host != holder {
+			other = host
+		}
+	}
+	return holder, other
+}
+
+// awaitCommitOfTerm returns when a primary of the term has acknowledged a commit.
+func (s *simulation) awaitCommitOfTerm(term uint64) {
+	for {
+		s.mu.Lock()
+		acknowledged := !s.acknowledged[term].IsZero()
+		s.mu.Unlock()
+		if acknowledged {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against a statement that waits for a connection to the primary to be opened while its
+// host acknowledges a fence, and is then sent to the replaced primary (issue 39).
+func TestStatementWaitingForDialIsNotSentInSimulation(t *testing.T) {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, 1, manyConnections, 3)
+		s.promptPromotions = true
+		_, host := s.startReplacement()
+		// The primary is not demoted, as its queue is full.
+		s.rejectStatus(firstPrimary, time.Minute)
+		s.setTimes(firstPrimary, func() time.Duration { return 500 * time.Millisecond }, nil)
+		s.closeIdle(host, firstPrimary)
+		s.do(s.caller(host, "strict"), write("a", "x"))
+		time.Sleep(3 * time.Second)
+		NewWithT(t).Expect(s.finish("dial")).To(BeEmpty())
+	})
+}
+
+// Guards against statements that wait in the queue of a relay host while it acknowledges a fence,
+// and are then sent to the replaced primary (issue 39).
+func TestStatementWaitingAtRelayHostIsNotSentInSimulation(t *testing.T) {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, 1, 12, 7)
+		s.promptPromotions = true
+		s.addLoad()
+		s.setTimes(firstPrimary, nil, func() time.Duration { return 200 * time.Millisecond })
+		s.startReplacement()
+		s.rejectStatus(firstPrimary, time.Minute)
+		time.Sleep(5 * time.Second)
+		NewWithT(t).Expect(s.finish("relay")).To(BeEmpty())
+	})
+}
+
+// Guards against a statement that a network partition holds up until the permission of its host
+// has ended, and that reaches the replaced primary afterwards (issue 39).
+func TestStatementHeldUpUntilPermissionEndsDoesNotArriveInSimulation(t *testing.T) {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, 1, manyConnections, 5)
+		s.setTimeout(3 * time.Second)
+		s.promptPromotions = true
+		_, host := s.startReplacement()
+		s.store.setUnavailable(host, true)
+		restore := s.isolate(host, firstPrimary)
+		time.Sleep(time.Second)
+		s.group.setCut(host, firstPrimary, true)
+		s.awaitCommitOfTerm(2)
+		s.group.setCut(host, firstPrimary, false)
+		time.Sleep(100 * time.Millisecond)
+		restore()
+		s.store.setUnavailable(host, false)
+		time.Sleep(3 * time.Second)
+		NewWithT(t).Expect(s.finish("lapse")).To(BeEmpty())
+	})
+}
+
 // Guards against two hosts that use primaries of different terms, one of which has
 // acknowledged commits (issue 31): disruptions in series that overlap, holders of claims that
 // end or are cut off, and promotions that take effect late.
@@ -515,6 +738,11 @@
 				maxConnections = 12
 			}
 			s := newSimulation(t, seed, maxConnections, 3+int(seed%3)*2)
+			// Hosts that have just started wait for all permissions.
+			time.Sleep(2 * time.Second)
+			if seed%4 < 2 {
+				s.addLoad()
+			}
 			for range 8 {
 				s.disrupt()
 				time.Sleep(time.Duration(100+s.intN(3000)) * time.Millisecond)
