--- a/internal/gateway/endpoint_conn.go
+++ b/internal/gateway/endpoint_conn.go
@@ -28,6 +28,8 @@
 	// Alive reports whether the idle connection is usable: the endpoint has not closed
 	// it and has not sent unexpected data.
 	Alive() bool
+	// Close closes the connection. A request that has not reached the endpoint, because a
+	// network partition holds it up, is lost: it does not arrive later.
 	Close() error
 }
 
