Gateway: send nothing to an endpoint that may not be used any more

Cause: the endpoint is chosen before a connection is free. Before the send the host found that the primary was fenced or the permission had ended, counted it and sent the statement all the same. The check, the record of the send and the fence were separate steps, so that a fence could be acknowledged between them. Reads that may use replicas and went to the primary by choice were neither checked nor closed by a fence, and a relay host ran them without a check.

The check and the record of the send are now one step under the mutex of the group, for every statement that goes to the primary without a position, and at relay hosts. A fence comes either before, and the statement looks for another endpoint, or after it, and finds the connection in use. New work that has waited until its endpoint has drained or was removed is not sent either.

primary.sent_unpermitted counted such sends; statements.not_started counts the statements that look for another endpoint instead.

--- a/internal/gateway/endpoint_choice.go
+++ b/internal/gateway/endpoint_choice.go
@@ -38,6 +38,9 @@
 type choice struct {
 	target *target
 	after  logpos.Position
+	// primary is true if the endpoint was chosen as the primary. It then checks no position, so
+	// that only this host's knowledge keeps a read from a replaced primary.
+	primary bool
 }
 
 // choose returns the endpoint that is expected to answer soonest. The target is
--- a/internal/gateway/endpoint_conn.go
+++ b/internal/gateway/endpoint_conn.go
@@ -22,6 +22,9 @@
 	Account *budget.Account
 }
 
+// isCommand reports whether the proxy itself asks for the endpoint's state, or changes it.
+func (r Request) isCommand() bool { return r.Op == session.OpStatus || r.Op == session.OpDemote }
+
 // Conn is a connection to an endpoint, either direct or through a relay host. Only
 // Close may be called concurrently with another method.
 type Conn interface {
--- a/internal/gateway/endpoint_exclusion.go
+++ b/internal/gateway/endpoint_exclusion.go
@@ -114,7 +114,7 @@
 func (g *group) able(now time.Time, req requirement) (able []choice, primaryOnly bool) {
 	n := g.need(req)
 	if primary := g.targets[g.primary]; primary != nil && g.exclusion(now, primary, req, n) == notExcluded {
-		able = append(able, choice{target: primary})
+		able = append(able, choice{target: primary, primary: true})
 	}
 	if n.primaryOnly {
 		return able, true
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -33,6 +33,9 @@
 	errEndpointDown = errors.New("the endpoint cannot be reached")
 	// errRequeue means that the calling function should choose an endpoint again.
 	errRequeue = errors.New("no connection became free yet")
+	// errNotStarted means that the endpoint may not get the statement any more, so that it was
+	// not sent.
+	errNotStarted = errors.New("the endpoint may not be used any more")
 )
 
 // pool opens connections to endpoints and lends them to sessions.
@@ -361,48 +364,70 @@
 
 // run runs the request on the connection for a session and updates the endpoint's state
 // from the answer. primary marks work that needs the primary; the mark stays on the
-// connection until release. The returned duration is the time waited for the answer.
+// connection until release. The returned duration is the time waited for the answer. The error
+// is errNotStarted if the endpoint may not get the request any more.
 func (p *pool) run(c *conn, primary bool, deadline time.Time, s *session.State, inTransaction bool, r Request) (Reply, time.Duration, error) {
-	if primary {
-		p.checkBeforeSend(c, r.ID)
-	}
 	c.requestID = r.ID
-	began := p.statementStarted(c, primary)
+	began, ok := p.startStatement(c, primary, !inTransaction && !r.isCommand())
+	if !ok {
+		return Reply{}, 0, errNotStarted
+	}
 	reply, err := c.run(deadline, s, inTransaction, r)
 	p.statementEnded(c, began, &reply, err, r.After)
 	p.observeLimit(c, began, r, &reply, err)
 	return reply, boottime.Now().Sub(began), err
 }
 
-// checkBeforeSend counts and logs a statement for the primary that waited after the choice of
-// its endpoint until the endpoint may not be used any more.
-func (p *pool) checkBeforeSend(c *conn, id string) {
+// startStatement records that a statement is sent on the connection, and returns the time. It
+// returns false if the endpoint may not get the statement any more, although it was chosen.
+//
+// The check and the record are one step under the group's mutex. A fence comes either before, so
+// that nothing is sent, or after it, and then closes the connection.
+func (p *pool) startStatement(c *conn, primary, newWork bool) (time.Time, bool) {
 	g := c.target.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	if g.usablePrimary(now) == c.target {
-		return
-	}
-	p.metrics.Inc(metrics.PrimarySentUnpermitted)
-	p.requestLog.Info().Str("request", id).Str("group", g.name).Str("endpoint", c.target.ID).Str("primary", g.primary).
-		Uint64("term", g.term).Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
-		Bool("permitted", p.primaryPermitted(now)).Msg("statement sent to a primary that may not be used")
+	if why := c.target.startExclusion(now, primary, newWork); why != notExcluded {
+		p.metrics.Inc(metrics.StatementsNotStarted)
+		p.requestLog.Info().Str("request", c.requestID).Str("group", g.name).Str("endpoint", c.target.ID).Str("primary", g.primary).
+			Uint64("term", g.term).Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
+			Str("reason", string(why)).Msg("statement not sent, as its endpoint may not be used any more")
+		return now, false
+	}
+	c.recordStart(now, primary)
+	return now, true
 }
 
-// statementStarted records that a statement is sent on the connection, and returns the
-// time.
-func (p *pool) statementStarted(c *conn, primary bool) time.Time {
-	now := boottime.Now()
-	g := c.target.group
-	g.mu.Lock()
+// recordStart records that a statement is sent on the connection. The group's mutex must be held.
+func (c *conn) recordStart(now time.Time, primary bool) {
 	c.sentAt = now
 	c.usesPrimary = primary
 	c.busy = true
 	c.target.inFlight++
 	c.inFlightAtSend = c.target.inFlight
-	g.mu.Unlock()
-	return now
+}
+
+// startExclusion returns why a statement for which the target was chosen must not be sent to it
+// now. newWork is false for the statements of an open transaction and for the proxy's own, which an
+// endpoint that is leaving still gets. The group's mutex must be held.
+func (t *target) startExclusion(now time.Time, primary, newWork bool) exclusion {
+	g := t.group
+	if primary {
+		if why := g.primaryExclusion(now); why != notExcluded {
+			return why
+		}
+		if g.targets[g.primary] != t {
+			return excludedNotPrimary
+		}
+	}
+	switch {
+	case newWork && t.removed:
+		return excludedRemoved
+	case newWork && t.drained(now):
+		return excludedDrained
+	}
+	return notExcluded
 }
 
 // statementEnded records the answer to the statement that was sent at began, or that no
--- a/internal/gateway/pool_test.go
+++ b/internal/gateway/pool_test.go
@@ -53,3 +53,13 @@
 	g.Expect(q.remove(late)).To(BeFalse())
 	g.Expect(q.first(start)).To(BeNil())
 }
+
+// statementStarted records that a statement is sent on the connection, whether or not its endpoint
+// may be used, and returns the time.
+func (p *pool) statementStarted(c *conn, primary bool) time.Time {
+	c.target.group.mu.Lock()
+	defer c.target.group.mu.Unlock()
+	now := boottime.Now()
+	c.recordStart(now, primary)
+	return now
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -139,6 +139,11 @@
 	deadline, _ := ctx.Deadline()
 	r.Request.Account = budget.FromContext(ctx)
 	reply, _, err := gw.pool.run(c, r.PrimaryOnly, deadline, state, held != nil, r.Request)
+	if errors.Is(err, errNotStarted) {
+		c.broken = held != nil
+		gw.pool.release(c)
+		return refuseRelayed(held != nil, r.PrimaryOnly), nil
+	}
 	if err != nil {
 		gw.connectionLost(c, err)
 		gw.pool.release(c)
@@ -162,15 +167,22 @@
 	return reply, nil
 }
 
+// refuseRelayed answers a request that was not sent, as this host may not use its endpoint any
+// more.
+func refuseRelayed(inTransaction, primaryOnly bool) Reply {
+	switch {
+	case inTransaction:
+		return Reply{Code: CodeAborted, Detail: "the endpoint may have been replaced as primary", State: TxFailed, FromRelay: true}
+	case primaryOnly:
+		return Reply{Code: CodeReadOnly, Detail: "the endpoint is not known to lead", FromRelay: true}
+	}
+	return Reply{Code: CodeBusy, Detail: "the endpoint is leaving", FromRelay: true}
+}
+
 // relayConn returns a connection for the request, or the reply if the request cannot
 // run here. held is the connection of the request's transaction, or nil.
 func (gw *Gateway) relayConn(ctx context.Context, held *conn, r RelayRequest) (*conn, *Reply) {
 	if held != nil {
-		if r.PrimaryOnly && !held.target.group.mayUseAsPrimary(boottime.Now(), held.target) {
-			held.broken = true
-			gw.pool.release(held)
-			return nil, &Reply{Code: CodeAborted, Detail: "the endpoint may have been replaced as primary", State: TxFailed}
-		}
 		return held, nil
 	}
 	if r.InTransaction {
@@ -190,7 +202,8 @@
 		return nil, &Reply{Code: CodeMisrouted, Detail: "the host does not hold connections to the endpoint"}
 	}
 	if r.PrimaryOnly && !isPrimary {
-		return nil, &Reply{Code: CodeReadOnly, Detail: "the endpoint is not known to lead"}
+		refusal := refuseRelayed(false, true)
+		return nil, &refusal
 	}
 	request := connRequest{QueuedRequest: r.queuedRequest(boottime.Now()), team: r.Team, database: r.Database}
 	c, err := gw.pool.checkout(ctx, t, nil, request)
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -55,6 +55,12 @@
 	return a.err == nil && a.reply.FromRelay && a.reply.Code == CodeMisrouted
 }
 
+// choosesAgain reports whether nothing was sent because the endpoint was not free, or could not be
+// used any more, so that another one may serve the statement.
+func (a attempt) choosesAgain() bool {
+	return errors.Is(a.err, errRequeue) || errors.Is(a.err, errNotStarted)
+}
+
 // queueFull reports whether a statement that only the primary can run was refused
 // because too many statements wait there.
 func (a attempt) queueFull(r requirement) bool { return r.primary && errors.Is(a.err, errNoConnection) }
@@ -109,7 +115,7 @@
 // was sent, or another relay host of the endpoint may hold connections. relayChanges is how often
 // the latter has happened.
 func (s *sessionServer) repeatsAttempt(a attempt, relayChanges *int) bool {
-	if errors.Is(a.err, errRequeue) {
+	if a.choosesAgain() {
 		return true
 	}
 	if !a.wrongRelay() || *relayChanges >= maxRelayChanges {
@@ -179,15 +185,18 @@
 	if err != nil {
 		return attempt{err: err, chosen: chosen}
 	}
-	reply, err := s.send(c, primary, s.answerDeadline(ctx, st), false, Request{Statement: st, After: chosen.after})
+	reply, err := s.send(c, chosen.primary, s.answerDeadline(ctx, st), false, Request{Statement: st, After: chosen.after})
 	if err == nil && reply.OK() && st.Writes && !chosen.target.group.mayUseAsPrimary(boottime.Now(), chosen.target) {
 		s.gateway.events.answerNotCounted(st.ID, s.db.Name, chosen.target, reply.Position)
 		err = errPrimaryReplaced
 	}
 	s.gateway.pool.release(c)
-	return attempt{reply: reply, sent: !errors.Is(err, ErrNotSent), err: err, chosen: chosen}
+	return attempt{reply: reply, sent: !notSent(err), err: err, chosen: chosen}
 }
 
+// notSent reports whether the error means that the statement certainly did not reach its endpoint.
+func notSent(err error) bool { return errors.Is(err, ErrNotSent) || errors.Is(err, errNotStarted) }
+
 // send runs the request on the connection and records the connection as lost if no
 // answer came.
 func (s *sessionServer) send(c *conn, primary bool, deadline time.Time, inTransaction bool, r Request) (Reply, error) {
@@ -197,7 +206,7 @@
 	if reply.Dropped && reply.OK() {
 		reply = reply.WithoutRows(r, inTransaction)
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, errNotStarted) {
 		s.gateway.events.answerLost(r.ID, s.db.Name, c.target, waited, err)
 		s.gateway.connectionLost(c, err)
 	}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -91,7 +91,7 @@
 		op = session.OpBeginRead
 	}
 	end, _ := ctx.Deadline()
-	reply, err := s.send(c, primary, end, false, Request{Statement: session.Statement{Op: op}, After: chosen.after})
+	reply, err := s.send(c, chosen.primary, end, false, Request{Statement: session.Statement{Op: op}, After: chosen.after})
 	if err != nil || !reply.OK() {
 		s.gateway.pool.release(c)
 		// sent stays false, because no statement of the caller has been sent.
@@ -114,11 +114,11 @@
 func (s *sessionServer) runPinned(ctx context.Context, st session.Statement) Reply {
 	c := s.pinned
 	tx := s.state.Transaction()
-	if !tx.ReadOnly && !c.target.group.mayUseAsPrimary(boottime.Now(), c.target) {
-		return s.abortOnReplacedPrimary()
-	}
 	end, _ := ctx.Deadline()
 	reply, err := s.send(c, !tx.ReadOnly, end, true, Request{Statement: st})
+	if errors.Is(err, errNotStarted) {
+		return s.abortOnReplacedPrimary()
+	}
 	if err != nil {
 		s.pinned = nil
 		s.gateway.pool.release(c)
@@ -191,7 +191,7 @@
 			s.token = operationToken{}
 			return s.commitPinned(ctx, st)
 		}
-		if !errors.Is(a.err, errRequeue) {
+		if !a.choosesAgain() {
 			break
 		}
 	}
@@ -205,16 +205,13 @@
 	c := s.pinned
 	tx := s.state.Transaction()
 	wrote := tx.Wrote
-	if !tx.ReadOnly && !c.target.group.mayUseAsPrimary(boottime.Now(), c.target) {
-		reply := s.abortOnReplacedPrimary()
-		s.state.End()
-		reply.State = TxIdle
-		return reply
-	}
-	s.pinned = nil
 	s.state.End()
 	end, _ := ctx.Deadline()
 	reply, err := s.send(c, !tx.ReadOnly, end, true, Request{Statement: st})
+	if errors.Is(err, errNotStarted) {
+		return s.abortOnReplacedPrimary()
+	}
+	s.pinned = nil
 	if err != nil {
 		s.gateway.pool.release(c)
 		if !wrote {
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -111,9 +111,9 @@
 	FailoversCompleted    Name = "changes.done"
 	FailoversAborted      Name = "changes.given_up"
 	PrimaryPermissionLost Name = "permission.lost"
-	// PrimarySentUnpermitted counts statements that waited after the choice of the primary and
-	// were sent when it might not be used any more.
-	PrimarySentUnpermitted Name = "primary.sent_unpermitted"
+	// StatementsNotStarted counts statements that were not sent to the endpoint that was chosen
+	// for them, as it might not be used any more.
+	StatementsNotStarted Name = "statements.not_started"
 	// PrimaryUnanswered counts statements that were not answered when this host stopped using
 	// their endpoint as the primary.
 	PrimaryUnanswered Name = "primary.unanswered"
