Gateway: give up unanswered statements when their primary may be replaced

Cause: only a fence request closed the connections with work on the primary, and only if the host knew no newer primary. A host that learned of the claim from the store or by gossip, whose permission ended, or that already knew the successor did nothing about what it had sent. If the path to the primary was cut, these bytes arrived when it was back.

The connections are now closed, which discards what has not arrived: - before a fence request is acknowledged, by the term in which the work began, whichever primary is known now; - after a fence that is learned otherwise, within the grace period of a planned failover, or at the end of the permission if that is earlier; - when the permission ends; the holder of a claim that does not reach this host waits for that time; - when the endpoint is no longer listed, as fences are not applied to it then.

Relayed statements are closed by the relay host that sent them.

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -131,11 +131,16 @@
 	c.permittedUntil = until
 	c.gw.permittedUntil.Store(until.UnixNano())
 	now := boottime.Now()
+	if left := until.Sub(now); left > 0 {
+		c.permissionTimer.Reset(left)
+	}
 	wasPermitted, isPermitted := c.permitted, until.After(now)
 	c.permitted = isPermitted
 	if wasPermitted != isPermitted {
 		if wasPermitted {
 			c.gw.metrics.Inc(metrics.PrimaryPermissionLost)
+			// The timer does not count the time in which the host was suspended.
+			c.permissionEnded()
 		}
 		c.gw.events.log.Info().Bool("permitted", isPermitted).Bool("listed", c.isListed()).Dur("claims_age_ms", now.Sub(c.completeAsOf[TableState])).
 			Dur("relayed_age_ms", now.Sub(c.relayedEvidence)).Dur("left_ms", until.Sub(now)).Uint64("electorate", c.electorate.version).Msg("permission to use primaries changed")
@@ -145,6 +150,18 @@
 	}
 }
 
+// permissionEnded closes the connections on which statements for primaries wait for their answer,
+// unless the permission has been renewed. It may be called from any goroutine.
+func (c *controller) permissionEnded() {
+	if left := c.gw.primaryPermittedUntil().Sub(boottime.Now()); left > 0 {
+		c.permissionTimer.Reset(left)
+		return
+	}
+	for _, g := range *c.gw.currentGroups.Load() {
+		g.closeUnansweredPrimaryWork()
+	}
+}
+
 // notifyAllGroups wakes the waiting sessions of all groups.
 func (c *controller) notifyAllGroups() {
 	for _, g := range *c.gw.currentGroups.Load() {
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -36,8 +36,10 @@
 	// requestID is the ID of the statement in flight, for the log. Other goroutines read it only
 	// while sentAt is set.
 	requestID string
-	// usesPrimary is true while the connection is used for work that needs the primary.
+	// usesPrimary is true while the connection is used for work that needs the primary, of the
+	// term primaryTerm. The group's mutex guards both.
 	usesPrimary bool
+	primaryTerm uint64
 	// queuedRequest is the request that the connection was checked out for.
 	queuedRequest admission.QueuedRequest
 	// database is the name of the database that the connection was checked out for.
@@ -51,6 +53,9 @@
 	busy bool
 	// broken connections are closed at release.
 	broken bool
+	// revoked is true once the connection was closed because its primary may be replaced. The
+	// group's mutex guards it.
+	revoked bool
 }
 
 // run runs the request for the session, after it has replayed missing session state on
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/beryltrestle/beryltrestle/coord/permission"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -73,8 +74,10 @@
 	// permittedUntil is when the permission to use primaries ends.
 	permittedUntil time.Time
 	// permitted is whether the permission stood when it was last computed.
-	permitted     bool
-	readingClaims bool
+	permitted bool
+	// permissionTimer calls permissionEnded when the permission ends.
+	permissionTimer *time.Timer
+	readingClaims   bool
 	// registering is true while this host's row is being written.
 	registering bool
 	lastCleanup time.Time
@@ -109,6 +112,8 @@
 		lateMirrors: make(map[TableName]bool), departedHosts: make(map[string]time.Time), startedAt: boottime.Now(),
 		failed: make(chan struct{}),
 	}
+	c.permissionTimer = time.AfterFunc(permission.Duration, c.permissionEnded)
+	c.permissionTimer.Stop()
 	c.fleetSize.Store(1)
 	for _, name := range Tables {
 		c.tables[name] = rows.NewTable()
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -14,9 +14,10 @@
 // group then, so its answer must not count as an acknowledgement.
 var errUnknownGroup = errors.New("the group is not known here")
 
-// Fence handles a FenceRequest of a host that runs a failover. When it returns, this
-// host starts nothing on a primary of the fenced term and will not report a statement
-// that is in flight to it as a success. It may be called from any goroutine.
+// Fence handles a FenceRequest of a host that runs a failover. When it returns, this host
+// starts nothing on a primary of the fenced term, what it has sent there is answered or does not
+// arrive any more, and it will not report an answer as a success. It may be called from any
+// goroutine.
 func (gw *Gateway) Fence(r FenceRequest) (FenceReply, error) {
 	g := gw.group(r.Group)
 	if g == nil {
@@ -32,13 +33,10 @@
 	g.mu.Unlock()
 	gw.events.log.Info().Str("group", r.Group).Uint64("term", r.Fence.Term).Uint64("claim", r.Fence.Version).
 		Bool("withdrawn", r.Fence.Withdrawn).Dur("grace_ms", r.Grace).Bool("fenced", fenced).Msg("fence request received from the claim holder")
-	if !fenced {
-		return reply, nil
-	}
 	deadline := time.Now().Add(r.Grace)
-	for g.countPrimaryConns() > 0 && time.Now().Before(deadline) && wait.Sleep(gw.ctx, 5*time.Millisecond) {
+	for g.countFencedWork() > 0 && time.Now().Before(deadline) && wait.Sleep(gw.ctx, 5*time.Millisecond) {
 	}
-	g.closePrimaryConns()
+	g.closeFencedWork()
 	return reply, nil
 }
 
@@ -53,29 +51,82 @@
 	return FenceReply{Term: g.term, PrimaryAnsweredAgo: boottime.Now().Sub(t.answeredAt), Direct: !t.usesRelay()}
 }
 
-// countPrimaryConns returns the number of connections that are used for work on the
-// fenced primary.
-func (g *group) countPrimaryConns() int {
+// countFencedWork returns the number of connections that are used for work on primaries of
+// fenced terms.
+func (g *group) countFencedWork() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.fencedWork())
+}
+
+// closeFencedWork closes the connections that are used for work on primaries of fenced terms.
+// Statements that wait for an answer there fail.
+func (g *group) closeFencedWork() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	count := 0
-	g.eachPrimaryConn(func(*conn) { count++ })
-	return count
+	g.closePrimaryWork(g.fencedWork())
 }
 
-// closePrimaryConns closes the connections that are used for work on the fenced
-// primary. Statements that wait for an answer there fail.
-func (g *group) closePrimaryConns() {
+// closeUnansweredPrimaryWork closes the direct connections on which a statement for a primary waits
+// for its answer. It is called when the permission to use primaries has ended: this host cannot
+// tell any more whether the primary is being replaced. Relay hosts do the same for what they have
+// sent.
+func (g *group) closeUnansweredPrimaryWork() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.closePrimaryWork(g.primaryWork(func(c *conn) bool { return !c.sentAt.IsZero() && c.relayAddress == "" }))
+}
+
+// closePrimaryWork closes connections that are used for work on a primary. What was sent on them
+// and has not reached the endpoint yet does not reach it any more; see Conn. The mutex must be
+// held.
+func (g *group) closePrimaryWork(conns []*conn) {
 	now := boottime.Now()
-	g.eachPrimaryConn(func(c *conn) {
+	for _, c := range conns {
 		if !c.sentAt.IsZero() {
 			g.pool.logUnanswered(c, now)
 		}
-		c.broken = true
+		c.revoked = true
 		c.Close()
-	})
+	}
+}
+
+// fencedWork returns the connections that are used for work on primaries of fenced terms. The
+// mutex must be held.
+func (g *group) fencedWork() []*conn {
+	return g.primaryWork(func(c *conn) bool { return c.primaryTerm <= g.fence.fencedTerm() })
+}
+
+// primaryWork returns the connections that are used for work on a primary and meet the
+// condition. The mutex must be held.
+func (g *group) primaryWork(condition func(*conn) bool) []*conn {
+	var out []*conn
+	for _, t := range g.targets {
+		out = append(out, t.primaryWork(condition)...)
+	}
+	return out
+}
+
+// primaryWork is group.primaryWork for the connections to one endpoint.
+func (t *target) primaryWork(condition func(*conn) bool) []*conn {
+	var out []*conn
+	for c := range t.conns {
+		if c.usesPrimary && !c.revoked && condition(c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// closeFencedWorkLater closes the work on primaries of fenced terms that has not ended within
+// plannedFailoverGrace, or by the end of the permission under which it was sent if that comes
+// first. The holder of the claim may not reach this host. It then waits until this host's
+// permission has ended before it has a successor promoted. The mutex must be held.
+func (g *group) closeFencedWorkLater(now time.Time) {
+	if len(g.fencedWork()) == 0 {
+		return
+	}
+	time.AfterFunc(min(plannedFailoverGrace, g.pool.permittedUntil().Sub(now)), g.closeFencedWork)
 }
 
 // logUnanswered counts and logs a statement that is not answered when this host stops using its
@@ -85,20 +136,5 @@
 	p.metrics.Inc(metrics.PrimaryUnanswered)
 	p.requestLog.Info().Str("request", c.requestID).Str("group", g.name).Str("endpoint", c.target.ID).Str("relay", c.relayAddress).
 		Uint64("term", g.term).Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
-		Dur("sent_ago_ms", now.Sub(c.sentAt)).Msg("statement given up as its primary is being replaced")
-}
-
-// eachPrimaryConn calls f for each connection that is used for work on the fenced
-// primary. It does nothing if a newer primary is known.
-func (g *group) eachPrimaryConn(f func(*conn)) {
-	if !g.fenced() {
-		return
-	}
-	for _, t := range g.targets {
-		for c := range t.conns {
-			if c.usesPrimary {
-				f(c)
-			}
-		}
-	}
+		Dur("sent_ago_ms", now.Sub(c.sentAt)).Msg("unanswered statement given up, as its primary may be replaced")
 }
--- a/internal/gateway/fence_state.go
+++ b/internal/gateway/fence_state.go
@@ -57,6 +57,7 @@
 	g.fence, g.fencedAt = f, now
 	g.pool.log.Info().Str("group", g.name).Uint64("claim", f.Version).Uint64("claim_term", f.Term).Uint64("ended_term", f.EndedTerm).
 		Bool("withdrawn", f.Withdrawn).Str("primary", g.primary).Uint64("term", g.term).Bool("fenced", g.fenced()).Msg("claim known")
+	g.closeFencedWorkLater(now)
 	g.notify()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,7 +135,7 @@
 	}
 	gw.pool = &pool{
 		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, log: gw.events.log, requestLog: gw.events.request, zone: cfg.AvailabilityZone,
-		zoneDistance: cfg.ZoneDistance, parseStatus: cfg.ParseStatus, onFailure: gw.controller.requestProbe, primaryPermitted: gw.primaryPermitted, drainBound: cfg.DrainBound,
+		zoneDistance: cfg.ZoneDistance, parseStatus: cfg.ParseStatus, onFailure: gw.controller.requestProbe, primaryPermitted: gw.primaryPermitted, permittedUntil: gw.primaryPermittedUntil, drainBound: cfg.DrainBound,
 		adaptiveConcurrency: cfg.AdaptiveConcurrency,
 	}
 	return gw
@@ -217,6 +217,9 @@
 	return now.UnixNano() < gw.permittedUntil.Load()
 }
 
+// primaryPermittedUntil returns when this host's permission to use primaries ends.
+func (gw *Gateway) primaryPermittedUntil() time.Time { return time.Unix(0, gw.permittedUntil.Load()) }
+
 // tryRetry takes one retry from the retry budget. It returns false if the budget is
 // spent.
 func (gw *Gateway) tryRetry() bool {
--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -185,6 +185,8 @@
 	for _, t := range retired {
 		t.failWaiting(errEndpointDown)
 		t.closeIdle()
+		// Fences are not applied to it any more.
+		g.closePrimaryWork(t.primaryWork(func(*conn) bool { return true }))
 	}
 	g.health.SetEndpoints(now, slices.Collect(maps.Keys(g.targets)))
 	g.notify()
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -52,8 +52,10 @@
 	parseStatus  StatusParser
 	// adaptiveConcurrency is Config.AdaptiveConcurrency.
 	adaptiveConcurrency bool
-	// primaryPermitted reports whether this host may use primaries at the given time.
+	// primaryPermitted reports whether this host may use primaries at the given time, and
+	// permittedUntil returns until when.
 	primaryPermitted func(time.Time) bool
+	permittedUntil   func() time.Time
 	// drainBound is the time after which an endpoint that drains must get no new work.
 	drainBound time.Duration
 	// onFailure is called after failed dials and lost connections, and if an endpoint
@@ -311,7 +313,7 @@
 	defer g.mu.Unlock()
 	c.sentAt, c.usesPrimary = time.Time{}, false
 	c.busy = false
-	if c.broken || t.removed || len(t.conns) > t.limit || !t.mayReuse(c) {
+	if c.broken || c.revoked || t.removed || len(t.conns) > t.limit || !t.mayReuse(c) {
 		t.drop(c)
 		t.grantWaiters()
 		return
@@ -381,8 +383,9 @@
 // startStatement records that a statement is sent on the connection, and returns the time. It
 // returns false if the endpoint may not get the statement any more, although it was chosen.
 //
-// The check and the record are one step under the group's mutex. A fence comes either before, so
-// that nothing is sent, or after it, and then closes the connection.
+// The check and the record are one step under the group's mutex. A fence, or the end of the
+// permission, comes either before, so that nothing is sent, or after it, and then closes the
+// connection; see closePrimaryWork.
 func (p *pool) startStatement(c *conn, primary, newWork bool) (time.Time, bool) {
 	g := c.target.group
 	g.mu.Lock()
@@ -402,7 +405,7 @@
 // recordStart records that a statement is sent on the connection. The group's mutex must be held.
 func (c *conn) recordStart(now time.Time, primary bool) {
 	c.sentAt = now
-	c.usesPrimary = primary
+	c.usesPrimary, c.primaryTerm = primary, c.target.group.term
 	c.busy = true
 	c.target.inFlight++
 	c.inFlightAtSend = c.target.inFlight
