Gateway: demote a replaced primary through hosts that reach it

The claim holder now asks up to two of the hosts that have just had a direct answer of the primary to pass the demotion on, if it does not reach the primary itself. This comes before the order of the promotion and takes no time if no host reaches the primary.

--- /dev/null
+++ b/internal/gateway/demote.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/coord/session"
+	"github.com/beryltrestle/beryltrestle/coord/succession"
+)
+
+// maxDemotingHosts limits how many other hosts are asked to pass the demotion on. One suffices
+// unless it is cut off at that moment.
+const maxDemotingHosts = 2
+
+// errNotDemoted means that the old primary did not answer that it has become a replica.
+var errNotDemoted = errors.New("the old primary did not become a replica")
+
+// directHosts returns the addresses of some hosts that the primary has just answered directly.
+func (p *hostPoll) directHosts() []string {
+	var out []string
+	for address, r := range p.replies {
+		if len(out) < maxDemotingHosts && r.Direct && r.primaryAnsweredWithin(succession.UnreachableTimeout) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// demote makes the old primary a replica if this host or one of the others reaches it. It then
+// commits no write that is still on its way, and serves no host that does not know of the failover
+// yet. A network partition may separate the primary from this host only.
+func (f *failover) demote(ctx context.Context, others []string) {
+	if f.oldPrimary == nil || f.reason == succession.ReasonUnclaimed {
+		return
+	}
+	st := session.Statement{Op: session.OpDemote, Args: strconv.FormatUint(f.term+1, 10)}
+	direct, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	s, err := f.controller.gw.pool.runCommand(direct, f.oldPrimary, st)
+	f.logDemotion("", s, err)
+	if err == nil {
+		return
+	}
+	var wg sync.WaitGroup
+	for _, address := range others {
+		wg.Go(f.controller.guarded("demote through another host", func() {
+			f.logDemotion(address, Status{}, f.demoteThrough(ctx, address, st))
+		}))
+	}
+	wg.Wait()
+}
+
+// demoteThrough sends the statement through the host at the address.
+func (f *failover) demoteThrough(ctx context.Context, address string, st session.Statement) error {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	f.group.mu.Lock()
+	e := f.oldPrimary.Endpoint
+	f.group.mu.Unlock()
+	relay := f.controller.gw.cfg.Peers.Relay(address, e)
+	defer relay.Close()
+	deadline, _ := ctx.Deadline()
+	reply, err := relay.Run(deadline, RelayRequest{Request: Request{Statement: st}})
+	if err == nil && !reply.OK() {
+		err = errors.Wrapf(errNotDemoted, "%s", reply.Detail)
+	}
+	return err
+}
+
+// logDemotion logs the answer to a demotion. through is the address of the host that passed it on;
+// empty if this host reached the endpoint itself.
+func (f *failover) logDemotion(through string, s Status, err error) {
+	f.controller.gw.events.log.Info().Str("group", f.group.name).Str("endpoint", f.oldPrimary.ID).Str("through", through).
+		Bool("primary", s.Primary).Uint64("term", s.Term).Stringer("received", s.Received).AnErr("error", err).
+		Msg("old primary asked to become a replica")
+}
--- /dev/null
+++ b/internal/gateway/demote_test.go
@@ -0,0 +1,68 @@
+package gateway_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/internal/gateway"
+)
+
+// rolePromoter records whether e1 is still a primary when another endpoint is promoted.
+type rolePromoter struct {
+	*fakeGroup
+	e1Leads chan bool
+}
+
+// Promote implements gateway.Promoter.
+func (p rolePromoter) Promote(ctx context.Context, order gateway.Promotion) error {
+	p.mu.Lock()
+	leads := p.endpoints["e1"].primary
+	p.mu.Unlock()
+	p.e1Leads <- leads
+	return p.fakeGroup.Promote(ctx, order)
+}
+
+// Guards against a replaced primary that still commits writes which are on their way, because only
+// the host that replaces it is cut off from it and other hosts are not asked to demote it
+// (issue 39).
+func TestPrimaryIsDemotedThroughAnotherHost(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := newFleet(manyConnections)
+	e1Leads := make(chan bool, 8)
+	f.configure = func(cfg *gateway.Config) { cfg.Promoter = rolePromoter{f.group, e1Leads} }
+	f.startAll(t, "h1", "h2", "h3")
+	writeUntilConfirmed(t, f, "h1", time.Second)
+	// Only h1 can write the claim. The primary answers the other hosts all the time.
+	f.store.setUnavailable("h2", true)
+	f.store.setUnavailable("h3", true)
+	ended := make(chan struct{})
+	defer close(ended)
+	for _, host := range []string{"h2", "h3"} {
+		caller := f.caller(host, "strict")
+		go func() {
+			for {
+				select {
+				case <-ended:
+					return
+				case <-time.After(5 * time.Millisecond):
+					caller.do(read("a"))
+				}
+			}
+		}()
+	}
+	f.store.mu.Lock()
+	f.store.beforeWrite = func(key string) {
+		if key == "claim/g" {
+			f.group.setCut("h1", "e1", true)
+		}
+	}
+	f.store.mu.Unlock()
+	f.listEndpoint("e1", func(e *gateway.Endpoint) { e.Draining = true })
+	var leads bool
+	g.Eventually(e1Leads, 6*time.Second).Should(Receive(&leads))
+	g.Expect(leads).To(BeFalse())
+}
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -12,7 +11,6 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/electorate"
 	"github.com/beryltrestle/beryltrestle/coord/permission"
-	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/coord/succession"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -276,7 +274,7 @@
 	demoted := make(chan struct{})
 	f.controller.spawn("demote", func() {
 		defer close(demoted)
-		f.demote(ctx)
+		f.demote(ctx, poll.directHosts())
 	})
 	if !poll.accountsFor(users) || !refreshed || f.unaskedHostMayUsePrimary(&poll) {
 		quorumAt := poll.quorumAt(f.electorate, left, leftAt)
@@ -315,17 +313,3 @@
 	})
 	return mayUse
 }
-
-// demote makes the old primary a replica if it can be reached. It then neither commits
-// writes nor serves hosts that do not know of the failover yet.
-func (f *failover) demote(ctx context.Context) {
-	if f.oldPrimary == nil || f.reason == succession.ReasonUnclaimed {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	st := session.Statement{Op: session.OpDemote, Args: strconv.FormatUint(f.term+1, 10)}
-	s, err := f.controller.gw.pool.runCommand(ctx, f.oldPrimary, st)
-	f.controller.gw.events.log.Info().Str("group", f.group.name).Str("endpoint", f.oldPrimary.ID).Bool("primary", s.Primary).
-		Uint64("term", s.Term).Stringer("received", s.Received).AnErr("error", err).Msg("old primary asked to become a replica")
-}
