Gateway: authorize a statement again if it has waited

Cause: a key was checked when the statement arrived. It then waits for an endpoint up to its timeout, 4 s at the users' sites, while a withdrawal must take effect within 5 s.

An authorization now has an end: the age of the configuration's proof reaches the bound. A statement is authorized again if it waits longer or if the configuration changes, and nothing is sent after that time, also not by a relay host, which gets the time left with the request.

TestStatementThatWaitsDoesNotRunWithWithdrawnKey: the write ran before, and is refused after.

--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -157,7 +157,7 @@
 	out := &fleetv1.RelayRequest{
 		Lease: r.TransactionID, Group: r.Group, Endpoint: r.Endpoint, Values: r.SessionValues, Team: r.Team, Database: r.Database,
 		Id: r.Request.ID, Text: r.Request.Text, Op: uint32(r.Request.Op), Name: r.Request.Name,
-		Args: r.Request.Args, Writes: r.Request.Writes, Primary: r.PrimaryOnly, Continues: r.InTransaction, Priority: int64(r.Priority), ObjectiveUs: r.TimeToObjective.Microseconds(), TimeoutUs: r.Timeout.Microseconds(),
+		Args: r.Request.Args, Writes: r.Request.Writes, Primary: r.PrimaryOnly, Continues: r.InTransaction, Priority: int64(r.Priority), ObjectiveUs: r.TimeToObjective.Microseconds(), TimeoutUs: r.Timeout.Microseconds(), StartWithinUs: microsUp(r.StartWithin),
 		After: encodePosition(r.Request.After),
 	}
 	if r.Prepared != nil {
@@ -166,12 +166,25 @@
 	return out
 }
 
+// microsUp returns the microseconds of d, rounded up, so that a short time does not become 0.
+func microsUp(d time.Duration) int64 { return (d + time.Microsecond - 1).Microseconds() }
+
+// startWithin converts the time within which a request must be sent. A time that is out of range
+// must not mean that there is no limit.
+func startWithin(us int64) time.Duration {
+	if us == 0 {
+		return 0
+	}
+	return max(clampedMicros(us, maxRelayTimeout), 1)
+}
+
 // decodeRelayRequest converts a relay request from protobuf.
 func decodeRelayRequest(m *fleetv1.RelayRequest) gateway.RelayRequest {
 	r := gateway.RelayRequest{
 		TransactionID: m.GetLease(), Group: m.GetGroup(), Endpoint: m.GetEndpoint(), SessionValues: m.GetValues(), Team: m.GetTeam(), Database: m.GetDatabase(),
 		PrimaryOnly: m.GetPrimary(), Timeout: clampedMicros(m.GetTimeoutUs(), maxRelayTimeout), Rollback: m.GetAbandon(), InTransaction: m.GetContinues(),
 		Priority: int(m.GetPriority()), TimeToObjective: clampedMicros(m.GetObjectiveUs(), maxRelayTimeout),
+		StartWithin: startWithin(m.GetStartWithinUs()),
 		Request: gateway.Request{
 			Statement: session.Statement{
 				ID: m.GetId(), Text: m.GetText(), Op: session.Op(m.GetOp()),
--- a/internal/gateway/authorization.go
+++ b/internal/gateway/authorization.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/access"
@@ -17,20 +18,25 @@
 	configured bool
 	// team is the caller's team; without a name if the database requires no key.
 	team access.Team
+	// catalog is the configuration that the authorization follows from, and until the time by
+	// which a statement must have been sent to an endpoint; zero if there is no limit. Later the
+	// key may have been withdrawn for longer than the bound.
+	catalog *Catalog
+	until   time.Time
 }
 
 // authorize returns what the caller may use, or the refusal if it must not use its database.
 // accepted is the time at which this host accepted the caller's statement, read after the statement
-// had arrived. inTransaction is the database of the caller's open transaction, which may continue
-// after the database was removed from the configuration.
-func (gw *Gateway) authorize(caller Caller, inTransaction Database, accepted time.Time) (authorization, *Reply) {
+// had arrived. begun is the database of the caller's open transaction or waiting statement, which
+// may continue after the database was removed from the configuration.
+func (gw *Gateway) authorize(caller Caller, begun Database, accepted time.Time) (authorization, *Reply) {
 	// The proof is loaded first, so that it never belongs to a newer configuration than the
 	// catalog.
 	age := gw.catalogAge(accepted)
 	catalog := gw.catalog()
 	db, ok := catalog.Databases[caller.Database()]
-	out := authorization{database: db, configured: ok}
-	if !db.KeyRequired && (ok || !inTransaction.KeyRequired) {
+	out := authorization{database: db, configured: ok, catalog: catalog}
+	if !db.KeyRequired && (ok || !begun.KeyRequired) {
 		return out, nil
 	}
 	team, held := catalog.Teams.TeamOfKey(caller.Key())
@@ -38,6 +44,9 @@
 	switch reason {
 	case "":
 		out.team = team
+		if bound := gw.accessPolicy().Revocation; bound > 0 {
+			out.until = accepted.Add(bound - age)
+		}
 		return out, nil
 	case metrics.RefusedUnknownKey:
 		gw.metrics.Inc(reason)
@@ -80,14 +89,37 @@
 	return gw.accessPolicy().Decide(true, age) == access.Accepted
 }
 
+// renewAuthorization authorizes the running statement again if it has waited until its authorization
+// ended or the configuration changed. It returns the refusal if the statement must not run any more.
+func (s *sessionServer) renewAuthorization(ctx context.Context) *Reply {
+	a := s.authorized
+	if a.until.IsZero() || a.catalog == s.gateway.catalog() && boottime.Now().Before(a.until) {
+		return nil
+	}
+	// The statement's database requires a key, even if the configuration lacks it now.
+	if refusal := s.authorizeFor(s.db); refusal != nil {
+		return refusal
+	}
+	if !s.token.held || s.token.team == s.authorized.team.Name {
+		return nil
+	}
+	s.refundToken()
+	return s.takeToken(ctx)
+}
+
 // authorizeStatement authorizes the caller for one more statement. If it must not run, the
 // open transaction is rolled back and the refusal is returned.
 func (s *sessionServer) authorizeStatement() *Reply {
-	var inTransaction Database
 	if s.state.Transaction() != nil {
-		inTransaction = s.db
+		return s.authorizeFor(s.db)
 	}
-	authorized, refusal := s.gateway.authorize(s.caller, inTransaction, boottime.Now())
+	return s.authorizeFor(Database{})
+}
+
+// authorizeFor is authorizeStatement for a statement of the database that was configured when the
+// transaction or the statement began; the zero Database if there is none.
+func (s *sessionServer) authorizeFor(begun Database) *Reply {
+	authorized, refusal := s.gateway.authorize(s.caller, begun, boottime.Now())
 	if refusal == nil && s.pinned != nil && s.pinned.team != authorized.team.Name {
 		// The connection belongs to the team that held the key when the transaction began.
 		s.gateway.metrics.Inc(metrics.RefusedTransactionLost)
--- a/internal/gateway/authorization_test.go
+++ b/internal/gateway/authorization_test.go
@@ -14,7 +14,8 @@
 // revocationBound is short, so that a test can wait for it.
 const revocationBound = 2 * time.Second
 
-// putTeams writes a configuration with a database that requires a key and one that does not.
+// putTeams writes a configuration with a database that requires a key and one that does not, and
+// one that requires a key and has a long timeout.
 func (f *fakeFleet) putTeams(version uint64, entries ...access.Entry) {
 	group := gateway.Group{Name: "g", MaxConnections: manyConnections}
 	f.store.putRow(gateway.TableCatalog, "config", catalogWithTeams{Entries: entries, Catalog: gateway.Catalog{
@@ -22,6 +23,7 @@
 		Databases: map[string]gateway.Database{
 			"strict": {Name: "strict", Group: "g", Timeout: time.Second},
 			"keyed":  {Name: "keyed", Group: "g", Timeout: time.Second, KeyRequired: true},
+			"slow":   {Name: "slow", Group: "g", Timeout: 8 * time.Second, KeyRequired: true},
 		},
 	}})
 }
@@ -111,6 +113,47 @@
 	g.Eventually(func() gateway.Code { return open.do(readX).Code }, 3*time.Second, 20*time.Millisecond).Should(Equal(gateway.CodeNone))
 }
 
+// Guards against a statement that waits for an endpoint while its key is withdrawn, and then runs
+// (issue 39: a check whose result is used later); also if its database is removed at the same time,
+// so that no configured database requires a key of it.
+func TestStatementThatWaitsDoesNotRunWithWithdrawnKey(t *testing.T) {
+	t.Parallel()
+	withdrawn := []access.Entry{{Name: "red", Keys: []string{}}, {Name: "blue", Keys: []string{"b1"}}}
+	for name, change := range map[string]func(*fakeFleet){
+		"key withdrawn": func(f *fakeFleet) { f.putTeams(3, withdrawn...) },
+		"database removed": func(f *fakeFleet) {
+			f.store.putRow(gateway.TableCatalog, "config", catalogWithTeams{Entries: withdrawn, Catalog: gateway.Catalog{
+				Version: 3, IdleTransactionTimeout: 2 * time.Second, Groups: map[string]gateway.Group{"g": {Name: "g", MaxConnections: manyConnections}},
+			}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := startKeyedFleet(t, "h1")
+			waiting := f.callerWithKey("h1", "slow", "r1")
+			g.Expect(waiting.do(readX).Code).To(Equal(gateway.CodeNone))
+			f.group.mu.Lock()
+			f.group.promoterError = errUnreachable
+			f.group.mu.Unlock()
+			f.group.stop("e1")
+			answered := make(chan gateway.Reply, 1)
+			st := write("waited", "1")
+			go func() { answered <- waiting.do(st) }()
+			g.Consistently(answered, 300*time.Millisecond).ShouldNot(Receive())
+			change(f)
+			time.Sleep(revocationBound)
+			f.group.mu.Lock()
+			f.group.promoterError = nil
+			f.group.mu.Unlock()
+			var reply gateway.Reply
+			g.Eventually(answered, 6*time.Second).Should(Receive(&reply))
+			g.Expect(reply.Code).To(Equal(gateway.CodeUnauthenticated))
+			g.Expect(f.group.hasWrite("e2", st.ID) || f.group.hasWrite("e3", st.ID)).To(BeFalse())
+		})
+	}
+}
+
 // Guards against a statement that runs on a connection of the team which held the key when the
 // transaction began, after the key has moved to another team.
 func TestTransactionEndsWhenTheKeyMovesToAnotherTeam(t *testing.T) {
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -88,6 +88,9 @@
 // runRelayed sends the request with the session state to the relay host, which runs it.
 func (c *conn) runRelayed(relay RelayConn, deadline time.Time, s *session.State, p session.Prepared, execute bool, r Request) (Reply, error) {
 	request := RelayRequest{Team: c.team, Database: c.database, SessionValues: s.Values(), Request: r, PrimaryOnly: c.usesPrimary, Priority: c.queuedRequest.Priority, TimeToObjective: c.queuedRequest.TimeToObjective(boottime.Now())}
+	if !r.StartBy.IsZero() {
+		request.StartWithin = max(r.StartBy.Sub(boottime.Now()), 1)
+	}
 	if execute {
 		request.Prepared = &p
 	}
--- a/internal/gateway/endpoint_conn.go
+++ b/internal/gateway/endpoint_conn.go
@@ -18,6 +18,9 @@
 	// After is the log position that the endpoint must have applied to run the
 	// statement; zero for none.
 	After logpos.Position
+	// StartBy is the time by which the statement must be sent to the endpoint, as what allowed it
+	// may not hold any longer; zero if there is no limit.
+	StartBy time.Time
 	// Account is charged for the answer; nil if no client does.
 	Account *budget.Account
 }
--- a/internal/gateway/endpoint_exclusion.go
+++ b/internal/gateway/endpoint_exclusion.go
@@ -25,6 +25,7 @@
 	excludedBackoff         exclusion = "backoff after a failure"
 	excludedNotPrimary      exclusion = "not the primary"
 	excludedDraining        exclusion = "draining"
+	excludedLate            exclusion = "the statement has waited longer than its authorization lasts"
 	excludedAvoided         exclusion = "could not serve the statement before"
 	excludedUnknownPosition exclusion = "the position that a replica must have is not known"
 	excludedLag             exclusion = "the lag does not cover the position"
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -370,7 +370,7 @@
 // is errNotStarted if the endpoint may not get the request any more.
 func (p *pool) run(c *conn, primary bool, deadline time.Time, s *session.State, inTransaction bool, r Request) (Reply, time.Duration, error) {
 	c.requestID = r.ID
-	began, ok := p.startStatement(c, primary, !inTransaction && !r.isCommand())
+	began, ok := p.startStatement(c, primary, !inTransaction && !r.isCommand(), r.StartBy)
 	if !ok {
 		return Reply{}, 0, errNotStarted
 	}
@@ -386,12 +386,16 @@
 // The check and the record are one step under the group's mutex. A fence, or the end of the
 // permission, comes either before, so that nothing is sent, or after it, and then closes the
 // connection; see closePrimaryWork.
-func (p *pool) startStatement(c *conn, primary, newWork bool) (time.Time, bool) {
+func (p *pool) startStatement(c *conn, primary, newWork bool, startBy time.Time) (time.Time, bool) {
 	g := c.target.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	if why := c.target.startExclusion(now, primary, newWork); why != notExcluded {
+	why := c.target.startExclusion(now, primary, newWork)
+	if !startBy.IsZero() && now.After(startBy) {
+		why = excludedLate
+	}
+	if why != notExcluded {
 		p.metrics.Inc(metrics.StatementsNotStarted)
 		p.requestLog.Info().Str("request", c.requestID).Str("group", g.name).Str("endpoint", c.target.ID).Str("primary", g.primary).
 			Uint64("term", g.term).Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -52,6 +52,9 @@
 	// Timeout is how long the sender waits for the answer, not counting network
 	// transfer.
 	Timeout time.Duration
+	// StartWithin is the time within which the request must be sent to the endpoint; zero means
+	// that there is no limit.
+	StartWithin time.Duration
 	// InTransaction means that the transaction has begun on the relay host. If the
 	// relay host no longer has it, the request must not run.
 	InTransaction bool
@@ -66,6 +69,15 @@
 	return db.queuedRequest(arrived)
 }
 
+// startBy returns the time by which a request that arrived at the given time must be sent to the
+// endpoint; zero if there is no limit.
+func (r RelayRequest) startBy(arrived time.Time) time.Time {
+	if r.StartWithin == 0 {
+		return time.Time{}
+	}
+	return arrived.Add(r.StartWithin)
+}
+
 // ErrNotSent means that the request certainly did not reach the endpoint.
 var ErrNotSent = errors.New("the request was not sent")
 
@@ -115,6 +127,7 @@
 func (gw *Gateway) Relay(ctx context.Context, r RelayRequest) (Reply, error) {
 	gw.metrics.Inc(metrics.RelayedRequests)
 	defer gw.relayedTransactions.begin()()
+	arrived := boottime.Now()
 	held := gw.takeRelayedTransaction(r.TransactionID)
 	if r.Rollback {
 		if held != nil {
@@ -137,7 +150,7 @@
 		state.Prepare(r.Request.Name, r.Prepared.Definition, r.Prepared.Writes)
 	}
 	deadline, _ := ctx.Deadline()
-	r.Request.Account = budget.FromContext(ctx)
+	r.Request.Account, r.Request.StartBy = budget.FromContext(ctx), r.startBy(arrived)
 	reply, _, err := gw.pool.run(c, r.PrimaryOnly, deadline, state, held != nil, r.Request)
 	if errors.Is(err, errNotStarted) {
 		c.broken = held != nil
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -94,6 +94,9 @@
 		if !ok {
 			return s.giveUp(st, last)
 		}
+		if refusal := s.renewAuthorization(ctx); refusal != nil {
+			return *refusal
+		}
 		a := s.sendOnce(ctx, st, chosen, req.primary, arrived)
 		if s.repeatsAttempt(a, &relayChanges) {
 			continue
@@ -201,7 +204,7 @@
 // answer came.
 func (s *sessionServer) send(c *conn, primary bool, deadline time.Time, inTransaction bool, r Request) (Reply, error) {
 	defer s.gateway.pool.releaseAfterPanic(c)
-	r.Account = s.account
+	r.Account, r.StartBy = s.account, s.authorized.until
 	reply, waited, err := s.gateway.pool.run(c, primary, deadline, s.state, inTransaction, r)
 	if reply.Dropped && reply.OK() {
 		reply = reply.WithoutRows(r, inTransaction)
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -45,6 +45,9 @@
 		if !ok {
 			return s.giveUpFirst(last)
 		}
+		if refusal := s.renewAuthorization(ctx); refusal != nil {
+			return *refusal
+		}
 		a := s.openTransaction(ctx, chosen, req.primary, arrived)
 		if s.repeatsAttempt(a, &relayChanges) {
 			continue
@@ -186,6 +189,9 @@
 		if !ok {
 			break
 		}
+		if refusal := s.renewAuthorization(ctx); refusal != nil {
+			return s.endRefusedCommit(st, *refusal)
+		}
 		a := s.openTransaction(ctx, chosen, req.primary, arrived)
 		if a.err == nil && a.reply.OK() {
 			s.token = operationToken{}
