Gateway: send nothing more on a connection that was given up

A fence closes the connection of an open transaction; if the claim is withdrawn before the next statement, the primary may be used again, and the statement met the closed connection.

The statement is refused before the send, and the transaction answered as aborted, which is a promise that holds.

TestCommitOnRevokedConnectionIsAborted fails without the check.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -392,6 +392,9 @@
 	defer g.mu.Unlock()
 	now := boottime.Now()
 	why := c.target.startExclusion(now, primary, newWork)
+	if c.revoked {
+		why = excludedRevoked
+	}
 	if !startBy.IsZero() && now.After(startBy) {
 		why = excludedLate
 	}
