Gateway: a statement that this host gives up is no failure of its endpoint

Each connection that the host itself had closed counted as a connection that the endpoint had lost.

The record of the send stays until the connection is closed, so that the end of the permission finds a statement whose answer has timed out as well.

--- a/internal/gateway/adaptive_window.go
+++ b/internal/gateway/adaptive_window.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/beryltrestle/beryltrestle/coord/concurrency"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
@@ -35,7 +37,7 @@
 // observeLimit updates the endpoint's concurrency limit with a statement that was sent at
 // began and has ended.
 func (p *pool) observeLimit(c *conn, began time.Time, r Request, reply *Reply, err error) {
-	if !p.adaptiveConcurrency || c.relayAddress != "" {
+	if !p.adaptiveConcurrency || c.relayAddress != "" || errors.Is(err, errPrimaryReplaced) {
 		return
 	}
 	now := boottime.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -248,6 +248,9 @@
 
 // connectionLost records that a connection failed while it was in use.
 func (gw *Gateway) connectionLost(c *conn, err error) {
+	if errors.Is(err, errPrimaryReplaced) {
+		return
+	}
 	t := c.target
 	now := boottime.Now()
 	t.recordLostConnection(now, c, err)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -367,7 +367,8 @@
 // run runs the request on the connection for a session and updates the endpoint's state
 // from the answer. primary marks work that needs the primary; the mark stays on the
 // connection until release. The returned duration is the time waited for the answer. The error
-// is errNotStarted if the endpoint may not get the request any more.
+// is errNotStarted if the endpoint may not get the request any more, and errPrimaryReplaced if
+// this host has given the request up for that reason.
 func (p *pool) run(c *conn, primary bool, deadline time.Time, s *session.State, inTransaction bool, r Request) (Reply, time.Duration, error) {
 	c.requestID = r.ID
 	began, ok := p.startStatement(c, primary, !inTransaction && !r.isCommand(), r.StartBy)
@@ -375,11 +376,23 @@
 		return Reply{}, 0, errNotStarted
 	}
 	reply, err := c.run(deadline, s, inTransaction, r)
+	if err != nil && c.isRevoked() {
+		// The endpoint has not failed.
+		err = errors.WithSecondaryError(errPrimaryReplaced, err)
+	}
 	p.statementEnded(c, began, &reply, err, r.After)
 	p.observeLimit(c, began, r, &reply, err)
 	return reply, boottime.Now().Sub(began), err
 }
 
+// isRevoked reports whether this host has closed the connection because its primary may be
+// replaced.
+func (c *conn) isRevoked() bool {
+	c.target.group.mu.Lock()
+	defer c.target.group.mu.Unlock()
+	return c.revoked
+}
+
 // startStatement records that a statement is sent on the connection, and returns the time. It
 // returns false if the endpoint may not get the statement any more, although it was chosen.
 //
@@ -448,8 +461,14 @@
 	g := t.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c.sentAt = time.Time{}
+	if err == nil {
+		// Otherwise the request may still be on its way until the connection is closed.
+		c.sentAt = time.Time{}
+	}
 	t.inFlight--
+	if errors.Is(err, errPrimaryReplaced) {
+		return
+	}
 	if err != nil || !reply.FromRelay {
 		took := now.Sub(began)
 		g.health.Observe(t.ID, took, 0, err != nil || reply.Code == CodeFailed)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -153,7 +153,7 @@
 	r.Request.Account, r.Request.StartBy = budget.FromContext(ctx), r.startBy(arrived)
 	reply, _, err := gw.pool.run(c, r.PrimaryOnly, deadline, state, held != nil, r.Request)
 	if errors.Is(err, errNotStarted) {
-		c.broken = held != nil
+		c.broken = c.broken || held != nil
 		gw.pool.release(c)
 		return refuseRelayed(held != nil, r.PrimaryOnly), nil
 	}
