Gateway: notice a lapse of the permission that is over when it is looked at

A permission could end and be renewed by newer evidence between two ticks, while its timer was late; what was unanswered then was not given up (found in the review, by reading). The renewal shows the gap, and closes that work before the new permission counts. The timers that close work are guarded like the other goroutines.

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -128,6 +128,10 @@
 	if !c.isListed() || c.electorate.Sets() == nil || c.unregistering {
 		until = time.Time{}
 	}
+	if !c.permittedUntil.IsZero() && until.Add(-permission.Duration).After(c.permittedUntil) {
+		// The permission ended before this renewal was asked for, without a timer or a tick in between.
+		c.closeUnansweredPrimaryWork()
+	}
 	c.permittedUntil = until
 	c.gw.permittedUntil.Store(until.UnixNano())
 	now := boottime.Now()
@@ -157,6 +161,12 @@
 		c.permissionTimer.Reset(left)
 		return
 	}
+	c.closeUnansweredPrimaryWork()
+}
+
+// closeUnansweredPrimaryWork closes the unanswered work on the primaries of all groups. It may be
+// called from any goroutine.
+func (c *controller) closeUnansweredPrimaryWork() {
 	for _, g := range *c.gw.currentGroups.Load() {
 		g.closeUnansweredPrimaryWork()
 	}
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -112,7 +112,8 @@
 		lateMirrors: make(map[TableName]bool), departedHosts: make(map[string]time.Time), startedAt: boottime.Now(),
 		failed: make(chan struct{}),
 	}
-	c.permissionTimer = time.AfterFunc(permission.Duration, c.permissionEnded)
+	// A timer without a time to run: updatePermission sets it.
+	c.permissionTimer = time.AfterFunc(permission.Duration, c.guarded("permission ended", c.permissionEnded))
 	c.permissionTimer.Stop()
 	c.fleetSize.Store(1)
 	for _, name := range Tables {
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -126,7 +126,10 @@
 	if len(g.fencedWork()) == 0 {
 		return
 	}
-	time.AfterFunc(min(plannedFailoverGrace, g.pool.permittedUntil().Sub(now)), g.closeFencedWork)
+	time.AfterFunc(min(plannedFailoverGrace, g.pool.permittedUntil().Sub(now)), func() {
+		// The guard has reported a panic.
+		_ = g.pool.guard.Do("close work on a fenced primary", g.closeFencedWork)
+	})
 }
 
 // logUnanswered counts and logs a statement that is not answered when this host stops using its
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,7 +134,7 @@
 		gw.quota = newTeamQuota(cfg)
 	}
 	gw.pool = &pool{
-		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, log: gw.events.log, requestLog: gw.events.request, zone: cfg.AvailabilityZone,
+		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, guard: guard, log: gw.events.log, requestLog: gw.events.request, zone: cfg.AvailabilityZone,
 		zoneDistance: cfg.ZoneDistance, parseStatus: cfg.ParseStatus, onFailure: gw.controller.requestProbe, primaryPermitted: gw.primaryPermitted, permittedUntil: gw.primaryPermittedUntil, drainBound: cfg.DrainBound,
 		adaptiveConcurrency: cfg.AdaptiveConcurrency,
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -12,6 +12,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/recovery"
 )
 
 const (
@@ -43,6 +44,7 @@
 	dialer  Dialer
 	peers   PeerClient
 	metrics *metrics.Registry
+	guard   recovery.Guard
 	// log and requestLog are those of the event log.
 	log, requestLog zerolog.Logger
 	// zone is this host's availability zone. zoneDistance is added to the expected
