--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -33,7 +35,8 @@
 	endpoint      string
 	transactionID uint64
 	// inTransaction is true while the relay host keeps an open transaction.
-	inTransaction bool
+	inTransaction atomic.Bool
+	closed        sync.Once
 	ctx           context.Context
 	cancel        context.CancelFunc
 	notRunning    func(error) bool
@@ -52,7 +55,7 @@
 func (r *relayConn) Run(deadline time.Time, request gateway.RelayRequest) (gateway.Reply, error) {
 	ctx, cancel := context.WithDeadline(r.ctx, deadline)
 	defer cancel()
-	request.TransactionID, request.Group, request.Endpoint, request.InTransaction = r.transactionID, r.group, r.endpoint, r.inTransaction
+	request.TransactionID, request.Group, request.Endpoint, request.InTransaction = r.transactionID, r.group, r.endpoint, r.inTransaction.Load()
 	request.Timeout = max(time.Until(deadline)-relayMargin, 0)
 	size, account := requestSize(request), request.Request.Account
 	if err := take(account, size, 1); err != nil {
@@ -82,7 +85,7 @@
 		return gateway.Reply{}, errMalformedAnswer
 	}
 	reply := decodeReply(response.Msg)
-	r.inTransaction = reply.State != gateway.TxIdle
+	r.inTransaction.Store(reply.State != gateway.TxIdle)
 	return reply, nil
 }
 
@@ -90,7 +93,7 @@
 // suffice here or at the relay host. An open transaction fails.
 func (r *relayConn) refusedForMemory() gateway.Reply {
 	reply := gateway.Reply{Code: gateway.CodeBusy, Detail: string(metrics.RefusedMemory), FromRelay: true, Dropped: true}
-	if r.inTransaction {
+	if r.inTransaction.Load() {
 		reply.State = gateway.TxFailed
 	}
 	return reply
@@ -103,18 +106,22 @@
 // transaction. If that fails, the relay host rolls back when the transaction has been
 // idle for too long.
 func (r *relayConn) Close() error {
-	r.cancel()
-	if !r.inTransaction {
-		return nil
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
-		defer cancel()
-		_, _ = r.client.connTo(r.address).client.Relay(ctx, connect.NewRequest(&fleetv1.RelayRequest{Lease: r.transactionID, Abandon: true}))
-	}()
+	r.closed.Do(func() {
+		r.cancel()
+		if r.inTransaction.Load() {
+			go r.abandon()
+		}
+	})
 	return nil
 }
 
+// abandon asks the relay host to roll the open transaction back.
+func (r *relayConn) abandon() {
+	ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
+	defer cancel()
+	_, _ = r.client.connTo(r.address).client.Relay(ctx, connect.NewRequest(&fleetv1.RelayRequest{Lease: r.transactionID, Abandon: true}))
+}
+
 // Relay implements fleetv1connect.FleetServiceHandler.
 func (s *Server) Relay(ctx context.Context, r *connect.Request[fleetv1.RelayRequest]) (*connect.Response[fleetv1.RelayResponse], error) {
 	if !validPosition(r.Msg.GetAfter()) {
