--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -209,7 +209,14 @@
 func (c *controller) applyClaim(name string, r rows.Row) {
 	m := c.monitors[name]
 	g := c.gw.group(name)
-	if m == nil || g == nil || r.Deleted || r.Version <= m.claimVersion {
+	if m != nil && g != nil {
+		c.applyClaimTo(g, m, r)
+	}
+}
+
+// applyClaimTo is applyClaim for a group that may not be in use yet.
+func (c *controller) applyClaimTo(g *group, m *groupMonitor, r rows.Row) {
+	if r.Deleted || r.Version <= m.claimVersion {
 		return
 	}
 	claim, err := decodeRecord[claimRecord](r)
--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -71,7 +71,6 @@
 		}
 		c.updateGroup(now, g, config, listed[name], hosts)
 	}
-	c.gw.currentGroups.Store(&groups)
 	if len(created) > 0 {
 		// Earlier answers of the other hosts could not include claims on the new
 		// groups.
@@ -82,9 +81,13 @@
 		c.updatePermission()
 	}
 	for _, name := range created {
+		// No session may use the group before its claim is known.
 		if r, ok := c.tables[TableState].Get(claimPrefix + name); ok {
-			c.applyClaim(name, r)
+			c.applyClaimTo(groups[name], c.monitors[name], r)
 		}
+	}
+	c.gw.currentGroups.Store(&groups)
+	for _, name := range created {
 		if r, ok := c.tables[TableState].Get(replicaSetPrefix + name); ok {
 			c.applyReplicaSet(name, r)
 		}
