--- a/internal/gateway/demote.go
+++ b/internal/gateway/demote.go
@@ -18,8 +18,9 @@
 // errNotDemoted means that the old primary did not answer that it has become a replica.
 var errNotDemoted = errors.New("the old primary did not become a replica")
 
-// directHosts returns the addresses of some hosts that the primary has just answered directly.
-func (p *hostPoll) directHosts() []string {
+// hostsReachingPrimary returns the addresses of some hosts that the primary has just answered
+// directly.
+func (p *hostPoll) hostsReachingPrimary() []string {
 	var out []string
 	for address, r := range p.replies {
 		if len(out) < maxDemotingHosts && r.Direct && r.primaryAnsweredWithin(succession.UnreachableTimeout) {
@@ -40,14 +41,17 @@
 	direct, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	s, err := f.controller.gw.pool.runCommand(direct, f.oldPrimary, st)
-	f.logDemotion("", s, err)
+	f.controller.gw.events.log.Info().Str("group", f.group.name).Str("endpoint", f.oldPrimary.ID).Bool("primary", s.Primary).
+		Uint64("term", s.Term).Stringer("received", s.Received).AnErr("error", err).Msg("old primary asked to become a replica")
 	if err == nil {
 		return
 	}
 	var wg sync.WaitGroup
 	for _, address := range others {
 		wg.Go(f.controller.guarded("demote through another host", func() {
-			f.logDemotion(address, Status{}, f.demoteThrough(ctx, address, st))
+			err := f.demoteThrough(ctx, address, st)
+			f.controller.gw.events.log.Info().Str("group", f.group.name).Str("endpoint", f.oldPrimary.ID).Str("through", address).
+				AnErr("error", err).Msg("old primary asked through another host to become a replica")
 		}))
 	}
 	wg.Wait()
@@ -55,7 +59,7 @@
 
 // demoteThrough sends the statement through the host at the address.
 func (f *failover) demoteThrough(ctx context.Context, address string, st session.Statement) error {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	ctx, cancel := context.WithTimeout(ctx, primaryReportTimeout)
 	defer cancel()
 	f.group.mu.Lock()
 	e := f.oldPrimary.Endpoint
@@ -69,11 +73,3 @@
 	}
 	return err
 }
-
-// logDemotion logs the answer to a demotion. through is the address of the host that passed it on;
-// empty if this host reached the endpoint itself.
-func (f *failover) logDemotion(through string, s Status, err error) {
-	f.controller.gw.events.log.Info().Str("group", f.group.name).Str("endpoint", f.oldPrimary.ID).Str("through", through).
-		Bool("primary", s.Primary).Uint64("term", s.Term).Stringer("received", s.Received).AnErr("error", err).
-		Msg("old primary asked to become a replica")
-}
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -19,7 +19,7 @@
 
 const (
 	// primaryReportTimeout limits the poll that asks the other hosts whether the
-	// primary still answers them.
+	// primary still answers them, and their answer to a demotion.
 	primaryReportTimeout = 200 * time.Millisecond
 	// fenceTimeout is how long the other hosts have to stop using the primary, in
 	// addition to the grace period for work in flight.
@@ -274,7 +274,7 @@
 	demoted := make(chan struct{})
 	f.controller.spawn("demote", func() {
 		defer close(demoted)
-		f.demote(ctx, poll.directHosts())
+		f.demote(ctx, poll.hostsReachingPrimary())
 	})
 	if !poll.accountsFor(users) || !refreshed || f.unaskedHostMayUsePrimary(&poll) {
 		quorumAt := poll.quorumAt(f.electorate, left, leftAt)
