--- a/internal/gateway/endpoint_exclusion.go
+++ b/internal/gateway/endpoint_exclusion.go
@@ -25,7 +25,6 @@
 	excludedBackoff         exclusion = "backoff after a failure"
 	excludedNotPrimary      exclusion = "not the primary"
 	excludedDraining        exclusion = "draining"
-	excludedLate            exclusion = "the authorization of the statement has ended"
 	excludedRevoked         exclusion = "the connection was closed as the primary may be replaced"
 	excludedAvoided         exclusion = "could not serve the statement before"
 	excludedUnknownPosition exclusion = "the position that a replica must have is not known"
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -37,6 +37,8 @@
 	// errNotStarted means that the endpoint may not get the statement any more, so that it was
 	// not sent.
 	errNotStarted = errors.New("the endpoint may not be used any more")
+	// errLate means that the authorization of the statement has ended, so that it was not sent.
+	errLate = errors.New("the statement has waited longer than its authorization lasts")
 )
 
 // pool opens connections to endpoints and lends them to sessions.
@@ -369,13 +371,13 @@
 // run runs the request on the connection for a session and updates the endpoint's state
 // from the answer. primary marks work that needs the primary; the mark stays on the
 // connection until release. The returned duration is the time waited for the answer. The error
-// is errNotStarted if the endpoint may not get the request any more, and errPrimaryReplaced if
+// is errNotStarted or errLate if the request must not be sent any more, and errPrimaryReplaced if
 // this host has given the request up for that reason.
 func (p *pool) run(c *conn, primary bool, deadline time.Time, s *session.State, inTransaction bool, r Request) (Reply, time.Duration, error) {
 	c.requestID = r.ID
-	began, ok := p.startStatement(c, primary, !inTransaction && !r.isCommand(), r.StartBy)
-	if !ok {
-		return Reply{}, 0, errNotStarted
+	began, err := p.startStatement(c, primary, !inTransaction && !r.isCommand(), r.StartBy)
+	if err != nil {
+		return Reply{}, 0, err
 	}
 	reply, err := c.run(deadline, s, inTransaction, r)
 	if err != nil && c.isRevoked() {
@@ -396,12 +398,13 @@
 }
 
 // startStatement records that a statement is sent on the connection, and returns the time. It
-// returns false if the endpoint may not get the statement any more, although it was chosen.
+// returns errNotStarted if the endpoint may not get the statement any more, although it was chosen,
+// and errLate after startBy.
 //
 // The check and the record are one step under the group's mutex. A fence, or the end of the
 // permission, comes either before, so that nothing is sent, or after it, and then closes the
 // connection; see closePrimaryWork.
-func (p *pool) startStatement(c *conn, primary, newWork bool, startBy time.Time) (time.Time, bool) {
+func (p *pool) startStatement(c *conn, primary, newWork bool, startBy time.Time) (time.Time, error) {
 	g := c.target.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -411,17 +414,17 @@
 		why = excludedRevoked
 	}
 	if !startBy.IsZero() && now.After(startBy) {
-		why = excludedLate
+		return now, errLate
 	}
 	if why != notExcluded {
 		p.metrics.Inc(metrics.StatementsNotStarted)
 		p.requestLog.Info().Str("request", c.requestID).Str("group", g.name).Str("endpoint", c.target.ID).Str("primary", g.primary).
 			Uint64("term", g.term).Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
 			Str("reason", string(why)).Msg("statement not sent, as its endpoint may not be used any more")
-		return now, false
+		return now, errNotStarted
 	}
 	c.recordStart(now, primary)
-	return now, true
+	return now, nil
 }
 
 // recordStart records that a statement is sent on the connection. The group's mutex must be held.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -152,10 +152,10 @@
 	deadline, _ := ctx.Deadline()
 	r.Request.Account, r.Request.StartBy = budget.FromContext(ctx), r.startBy(arrived)
 	reply, _, err := gw.pool.run(c, r.PrimaryOnly, deadline, state, held != nil, r.Request)
-	if errors.Is(err, errNotStarted) {
+	if notStarted(err) {
 		c.broken = c.broken || held != nil
 		gw.pool.release(c)
-		return refuseRelayed(held != nil, r.PrimaryOnly), nil
+		return refuseRelayed(held != nil, r.PrimaryOnly && !errors.Is(err, errLate)), nil
 	}
 	if err != nil {
 		gw.connectionLost(c, err)
@@ -185,11 +185,11 @@
 func refuseRelayed(inTransaction, primaryOnly bool) Reply {
 	switch {
 	case inTransaction:
-		return Reply{Code: CodeAborted, Detail: "the endpoint may have been replaced as primary", State: TxFailed, FromRelay: true}
+		return Reply{Code: CodeAborted, Detail: "the transaction cannot go on at its endpoint", State: TxFailed, FromRelay: true}
 	case primaryOnly:
 		return Reply{Code: CodeReadOnly, Detail: "the endpoint is not known to lead", FromRelay: true}
 	}
-	return Reply{Code: CodeBusy, Detail: "the endpoint is leaving", FromRelay: true}
+	return Reply{Code: CodeBusy, Detail: "the request is late or the endpoint is leaving", FromRelay: true}
 }
 
 // relayConn returns a connection for the request, or the reply if the request cannot
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -58,7 +58,7 @@
 // choosesAgain reports whether nothing was sent because the endpoint was not free, or could not be
 // used any more, so that another one may serve the statement.
 func (a attempt) choosesAgain() bool {
-	return errors.Is(a.err, errRequeue) || errors.Is(a.err, errNotStarted)
+	return errors.Is(a.err, errRequeue) || notStarted(a.err)
 }
 
 // queueFull reports whether a statement that only the primary can run was refused
@@ -198,7 +198,10 @@
 }
 
 // notSent reports whether the error means that the statement certainly did not reach its endpoint.
-func notSent(err error) bool { return errors.Is(err, ErrNotSent) || errors.Is(err, errNotStarted) }
+func notSent(err error) bool { return errors.Is(err, ErrNotSent) || notStarted(err) }
+
+// notStarted reports whether this host has not sent the statement, as it must not any more.
+func notStarted(err error) bool { return errors.Is(err, errNotStarted) || errors.Is(err, errLate) }
 
 // send runs the request on the connection and records the connection as lost if no
 // answer came.
@@ -209,7 +212,7 @@
 	if reply.Dropped && reply.OK() {
 		reply = reply.WithoutRows(r, inTransaction)
 	}
-	if err != nil && !errors.Is(err, errNotStarted) {
+	if err != nil && !notStarted(err) {
 		s.gateway.events.answerLost(r.ID, s.db.Name, c.target, waited, err)
 		s.gateway.connectionLost(c, err)
 	}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -119,7 +117,7 @@
 	tx := s.state.Transaction()
 	end, _ := ctx.Deadline()
 	reply, err := s.send(c, !tx.ReadOnly, end, true, Request{Statement: st})
-	if errors.Is(err, errNotStarted) {
+	if notStarted(err) {
 		return s.abortOnReplacedPrimary()
 	}
 	if err != nil {
@@ -214,7 +212,7 @@
 	s.state.End()
 	end, _ := ctx.Deadline()
 	reply, err := s.send(c, !tx.ReadOnly, end, true, Request{Statement: st})
-	if errors.Is(err, errNotStarted) {
+	if notStarted(err) {
 		return s.abortOnReplacedPrimary()
 	}
 	s.pinned = nil
