--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -33,7 +35,8 @@
 	endpoint      string
 	transactionID uint64
 	// inTransaction is true while the relay host keeps an open transaction.
-	inTransaction bool
+	inTransaction atomic.Bool
+	closed        sync.Once
 	ctx           context.Context
 	cancel        context.CancelFunc
 	notRunning    func(error) bool
@@ -52,7 +55,7 @@
 func (r *relayConn) Run(deadline time.Time, request gateway.RelayRequest) (gateway.Reply, error) {
 	ctx, cancel := context.WithDeadline(r.ctx, deadline)
 	defer cancel()
-	request.TransactionID, request.Group, request.Endpoint, request.InTransaction = r.transactionID, r.group, r.endpoint, r.inTransaction
+	request.TransactionID, request.Group, request.Endpoint, request.InTransaction = r.transactionID, r.group, r.endpoint, r.inTransaction.Load()
 	request.Timeout = max(time.Until(deadline)-relayMargin, 0)
 	size, account := requestSize(request), request.Request.Account
 	if err := take(account, size, 1); err != nil {
@@ -82,7 +85,7 @@
 		return gateway.Reply{}, errMalformedAnswer
 	}
 	reply := decodeReply(response.Msg)
-	r.inTransaction = reply.State != gateway.TxIdle
+	r.inTransaction.Store(reply.State != gateway.TxIdle)
 	return reply, nil
 }
 
@@ -90,7 +93,7 @@
 // suffice here or at the relay host. An open transaction fails.
 func (r *relayConn) refusedForMemory() gateway.Reply {
 	reply := gateway.Reply{Code: gateway.CodeBusy, Detail: string(metrics.RefusedMemory), FromRelay: true, Dropped: true}
-	if r.inTransaction {
+	if r.inTransaction.Load() {
 		reply.State = gateway.TxFailed
 	}
 	return reply
@@ -103,18 +106,22 @@
 // transaction. If that fails, the relay host rolls back when the transaction has been
 // idle for too long.
 func (r *relayConn) Close() error {
-	r.cancel()
-	if !r.inTransaction {
-		return nil
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
-		defer cancel()
-		_, _ = r.client.connTo(r.address).client.Relay(ctx, connect.NewRequest(&fleetv1.RelayRequest{Lease: r.transactionID, Abandon: true}))
-	}()
+	r.closed.Do(func() {
+		r.cancel()
+		if r.inTransaction.Load() {
+			go r.abandon()
+		}
+	})
 	return nil
 }
 
+// abandon asks the relay host to roll the open transaction back.
+func (r *relayConn) abandon() {
+	ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
+	defer cancel()
+	_, _ = r.client.connTo(r.address).client.Relay(ctx, connect.NewRequest(&fleetv1.RelayRequest{Lease: r.transactionID, Abandon: true}))
+}
+
 // Relay implements fleetv1connect.FleetServiceHandler.
 func (s *Server) Relay(ctx context.Context, r *connect.Request[fleetv1.RelayRequest]) (*connect.Response[fleetv1.RelayResponse], error) {
 	if !validPosition(r.Msg.GetAfter()) {
@@ -157,7 +164,7 @@
 	out := &fleetv1.RelayRequest{
 		Lease: r.TransactionID, Group: r.Group, Endpoint: r.Endpoint, Values: r.SessionValues, Team: r.Team, Database: r.Database,
 		Id: r.Request.ID, Text: r.Request.Text, Op: uint32(r.Request.Op), Name: r.Request.Name,
-		Args: r.Request.Args, Writes: r.Request.Writes, Primary: r.PrimaryOnly, Continues: r.InTransaction, Priority: int64(r.Priority), ObjectiveUs: r.TimeToObjective.Microseconds(), TimeoutUs: r.Timeout.Microseconds(),
+		Args: r.Request.Args, Writes: r.Request.Writes, Primary: r.PrimaryOnly, Continues: r.InTransaction, Priority: int64(r.Priority), ObjectiveUs: r.TimeToObjective.Microseconds(), TimeoutUs: r.Timeout.Microseconds(), StartWithinUs: microsUp(r.StartWithin),
 		After: encodePosition(r.Request.After),
 	}
 	if r.Prepared != nil {
@@ -166,12 +173,25 @@
 	return out
 }
 
+// microsUp returns the microseconds of d, rounded up, so that a short time does not become 0.
+func microsUp(d time.Duration) int64 { return (d + time.Microsecond - 1).Microseconds() }
+
+// startWithin converts the time within which a request must be sent. A time that is out of range
+// must not mean that there is no limit.
+func startWithin(us int64) time.Duration {
+	if us == 0 {
+		return 0
+	}
+	return max(clampedMicros(us, maxRelayTimeout), 1)
+}
+
 // decodeRelayRequest converts a relay request from protobuf.
 func decodeRelayRequest(m *fleetv1.RelayRequest) gateway.RelayRequest {
 	r := gateway.RelayRequest{
 		TransactionID: m.GetLease(), Group: m.GetGroup(), Endpoint: m.GetEndpoint(), SessionValues: m.GetValues(), Team: m.GetTeam(), Database: m.GetDatabase(),
 		PrimaryOnly: m.GetPrimary(), Timeout: clampedMicros(m.GetTimeoutUs(), maxRelayTimeout), Rollback: m.GetAbandon(), InTransaction: m.GetContinues(),
 		Priority: int(m.GetPriority()), TimeToObjective: clampedMicros(m.GetObjectiveUs(), maxRelayTimeout),
+		StartWithin: startWithin(m.GetStartWithinUs()),
 		Request: gateway.Request{
 			Statement: session.Statement{
 				ID: m.GetId(), Text: m.GetText(), Op: session.Op(m.GetOp()),
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -128,14 +128,23 @@
 	if !c.isListed() || c.electorate.Sets() == nil || c.unregistering {
 		until = time.Time{}
 	}
+	if !c.permittedUntil.IsZero() && until.Add(-permission.Duration).After(c.permittedUntil) {
+		// The permission ended before this renewal was asked for, without a timer or a tick in between.
+		c.closeUnansweredPrimaryWork()
+	}
 	c.permittedUntil = until
 	c.gw.permittedUntil.Store(until.UnixNano())
 	now := boottime.Now()
+	if left := until.Sub(now); left > 0 {
+		c.permissionTimer.Reset(left)
+	}
 	wasPermitted, isPermitted := c.permitted, until.After(now)
 	c.permitted = isPermitted
 	if wasPermitted != isPermitted {
 		if wasPermitted {
 			c.gw.metrics.Inc(metrics.PrimaryPermissionLost)
+			// The timer does not count the time in which the host was suspended.
+			c.permissionEnded()
 		}
 		c.gw.events.log.Info().Bool("permitted", isPermitted).Bool("listed", c.isListed()).Dur("claims_age_ms", now.Sub(c.completeAsOf[TableState])).
 			Dur("relayed_age_ms", now.Sub(c.relayedEvidence)).Dur("left_ms", until.Sub(now)).Uint64("electorate", c.electorate.version).Msg("permission to use primaries changed")
@@ -145,6 +154,24 @@
 	}
 }
 
+// permissionEnded closes the connections on which statements for primaries wait for their answer,
+// unless the permission has been renewed. It may be called from any goroutine.
+func (c *controller) permissionEnded() {
+	if left := c.gw.primaryPermittedUntil().Sub(boottime.Now()); left > 0 {
+		c.permissionTimer.Reset(left)
+		return
+	}
+	c.closeUnansweredPrimaryWork()
+}
+
+// closeUnansweredPrimaryWork closes the unanswered work on the primaries of all groups. It may be
+// called from any goroutine.
+func (c *controller) closeUnansweredPrimaryWork() {
+	for _, g := range *c.gw.currentGroups.Load() {
+		g.closeUnansweredPrimaryWork()
+	}
+}
+
 // notifyAllGroups wakes the waiting sessions of all groups.
 func (c *controller) notifyAllGroups() {
 	for _, g := range *c.gw.currentGroups.Load() {
--- a/internal/gateway/endpoint_conn.go
+++ b/internal/gateway/endpoint_conn.go
@@ -18,16 +18,24 @@
 	// After is the log position that the endpoint must have applied to run the
 	// statement; zero for none.
 	After logpos.Position
+	// StartBy is the time by which the statement must be sent to the endpoint, as what allowed it
+	// may not hold any longer; zero if there is no limit.
+	StartBy time.Time
 	// Account is charged for the answer; nil if no client does.
 	Account *budget.Account
 }
 
+// isCommand reports whether the proxy itself asks for the endpoint's state, or changes it.
+func (r Request) isCommand() bool { return r.Op == session.OpStatus || r.Op == session.OpDemote }
+
 // Conn is a connection to an endpoint, either direct or through a relay host. Only
 // Close may be called concurrently with another method.
 type Conn interface {
 	// Alive reports whether the idle connection is usable: the endpoint has not closed
 	// it and has not sent unexpected data.
 	Alive() bool
+	// Close closes the connection. A request that has not reached the endpoint, because a
+	// network partition holds it up, is lost: it does not arrive later.
 	Close() error
 }
 
--- a/internal/gateway/endpoint_exclusion.go
+++ b/internal/gateway/endpoint_exclusion.go
@@ -25,6 +25,7 @@
 	excludedBackoff         exclusion = "backoff after a failure"
 	excludedNotPrimary      exclusion = "not the primary"
 	excludedDraining        exclusion = "draining"
+	excludedRevoked         exclusion = "the connection was closed as the primary may be replaced"
 	excludedAvoided         exclusion = "could not serve the statement before"
 	excludedUnknownPosition exclusion = "the position that a replica must have is not known"
 	excludedLag             exclusion = "the lag does not cover the position"
@@ -114,7 +115,7 @@
 func (g *group) able(now time.Time, req requirement) (able []choice, primaryOnly bool) {
 	n := g.need(req)
 	if primary := g.targets[g.primary]; primary != nil && g.exclusion(now, primary, req, n) == notExcluded {
-		able = append(able, choice{target: primary})
+		able = append(able, choice{target: primary, primary: true})
 	}
 	if n.primaryOnly {
 		return able, true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,8 +134,8 @@
 		gw.quota = newTeamQuota(cfg)
 	}
 	gw.pool = &pool{
-		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, log: gw.events.log, requestLog: gw.events.request, zone: cfg.AvailabilityZone,
-		zoneDistance: cfg.ZoneDistance, parseStatus: cfg.ParseStatus, onFailure: gw.controller.requestProbe, primaryPermitted: gw.primaryPermitted, drainBound: cfg.DrainBound,
+		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, guard: guard, log: gw.events.log, requestLog: gw.events.request, zone: cfg.AvailabilityZone,
+		zoneDistance: cfg.ZoneDistance, parseStatus: cfg.ParseStatus, onFailure: gw.controller.requestProbe, primaryPermitted: gw.primaryPermitted, permittedUntil: gw.primaryPermittedUntil, drainBound: cfg.DrainBound,
 		adaptiveConcurrency: cfg.AdaptiveConcurrency,
 	}
 	return gw
@@ -217,6 +217,9 @@
 	return now.UnixNano() < gw.permittedUntil.Load()
 }
 
+// primaryPermittedUntil returns when this host's permission to use primaries ends.
+func (gw *Gateway) primaryPermittedUntil() time.Time { return time.Unix(0, gw.permittedUntil.Load()) }
+
 // tryRetry takes one retry from the retry budget. It returns false if the budget is
 // spent.
 func (gw *Gateway) tryRetry() bool {
@@ -245,6 +248,9 @@
 
 // connectionLost records that a connection failed while it was in use.
 func (gw *Gateway) connectionLost(c *conn, err error) {
+	if errors.Is(err, errPrimaryReplaced) {
+		return
+	}
 	t := c.target
 	now := boottime.Now()
 	t.recordLostConnection(now, c, err)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -12,6 +12,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
+	"github.com/beryltrestle/beryltrestle/internal/recovery"
 )
 
 const (
@@ -33,6 +34,11 @@
 	errEndpointDown = errors.New("the endpoint cannot be reached")
 	// errRequeue means that the calling function should choose an endpoint again.
 	errRequeue = errors.New("no connection became free yet")
+	// errNotStarted means that the endpoint may not get the statement any more, so that it was
+	// not sent.
+	errNotStarted = errors.New("the endpoint may not be used any more")
+	// errLate means that the authorization of the statement has ended, so that it was not sent.
+	errLate = errors.New("the statement has waited longer than its authorization lasts")
 )
 
 // pool opens connections to endpoints and lends them to sessions.
@@ -40,6 +46,7 @@
 	dialer  Dialer
 	peers   PeerClient
 	metrics *metrics.Registry
+	guard   recovery.Guard
 	// log and requestLog are those of the event log.
 	log, requestLog zerolog.Logger
 	// zone is this host's availability zone. zoneDistance is added to the expected
@@ -49,8 +56,10 @@
 	parseStatus  StatusParser
 	// adaptiveConcurrency is Config.AdaptiveConcurrency.
 	adaptiveConcurrency bool
-	// primaryPermitted reports whether this host may use primaries at the given time.
+	// primaryPermitted reports whether this host may use primaries at the given time, and
+	// permittedUntil returns until when.
 	primaryPermitted func(time.Time) bool
+	permittedUntil   func() time.Time
 	// drainBound is the time after which an endpoint that drains must get no new work.
 	drainBound time.Duration
 	// onFailure is called after failed dials and lost connections, and if an endpoint
@@ -308,7 +317,7 @@
 	defer g.mu.Unlock()
 	c.sentAt, c.usesPrimary = time.Time{}, false
 	c.busy = false
-	if c.broken || t.removed || len(t.conns) > t.limit || !t.mayReuse(c) {
+	if c.broken || c.revoked || t.removed || len(t.conns) > t.limit || !t.mayReuse(c) {
 		t.drop(c)
 		t.grantWaiters()
 		return
@@ -361,48 +370,92 @@
 
 // run runs the request on the connection for a session and updates the endpoint's state
 // from the answer. primary marks work that needs the primary; the mark stays on the
-// connection until release. The returned duration is the time waited for the answer.
+// connection until release. The returned duration is the time waited for the answer. The error
+// is errNotStarted or errLate if the request must not be sent any more, and errPrimaryReplaced if
+// this host has given the request up for that reason.
 func (p *pool) run(c *conn, primary bool, deadline time.Time, s *session.State, inTransaction bool, r Request) (Reply, time.Duration, error) {
-	if primary {
-		p.checkBeforeSend(c, r.ID)
-	}
 	c.requestID = r.ID
-	began := p.statementStarted(c, primary)
+	began, err := p.startStatement(c, primary, !inTransaction && !r.isCommand(), r.StartBy)
+	if err != nil {
+		return Reply{}, 0, err
+	}
 	reply, err := c.run(deadline, s, inTransaction, r)
+	if err != nil && c.isRevoked() {
+		// The endpoint has not failed.
+		err = errors.WithSecondaryError(errPrimaryReplaced, err)
+	}
 	p.statementEnded(c, began, &reply, err, r.After)
 	p.observeLimit(c, began, r, &reply, err)
 	return reply, boottime.Now().Sub(began), err
 }
 
-// checkBeforeSend counts and logs a statement for the primary that waited after the choice of
-// its endpoint until the endpoint may not be used any more.
-func (p *pool) checkBeforeSend(c *conn, id string) {
+// isRevoked reports whether this host has closed the connection because its primary may be
+// replaced.
+func (c *conn) isRevoked() bool {
+	c.target.group.mu.Lock()
+	defer c.target.group.mu.Unlock()
+	return c.revoked
+}
+
+// startStatement records that a statement is sent on the connection, and returns the time. It
+// returns errNotStarted if the endpoint may not get the statement any more, although it was chosen,
+// and errLate after startBy.
+//
+// The check and the record are one step under the group's mutex. A fence, or the end of the
+// permission, comes either before, so that nothing is sent, or after it, and then closes the
+// connection; see closePrimaryWork.
+func (p *pool) startStatement(c *conn, primary, newWork bool, startBy time.Time) (time.Time, error) {
 	g := c.target.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	if g.usablePrimary(now) == c.target {
-		return
-	}
-	p.metrics.Inc(metrics.PrimarySentUnpermitted)
-	p.requestLog.Info().Str("request", id).Str("group", g.name).Str("endpoint", c.target.ID).Str("primary", g.primary).
-		Uint64("term", g.term).Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
-		Bool("permitted", p.primaryPermitted(now)).Msg("statement sent to a primary that may not be used")
+	why := c.target.startExclusion(now, primary, newWork)
+	if c.revoked {
+		why = excludedRevoked
+	}
+	if !startBy.IsZero() && now.After(startBy) {
+		return now, errLate
+	}
+	if why != notExcluded {
+		p.metrics.Inc(metrics.StatementsNotStarted)
+		p.requestLog.Info().Str("request", c.requestID).Str("group", g.name).Str("endpoint", c.target.ID).Str("primary", g.primary).
+			Uint64("term", g.term).Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
+			Str("reason", string(why)).Msg("statement not sent, as its endpoint may not be used any more")
+		return now, errNotStarted
+	}
+	c.recordStart(now, primary)
+	return now, nil
 }
 
-// statementStarted records that a statement is sent on the connection, and returns the
-// time.
-func (p *pool) statementStarted(c *conn, primary bool) time.Time {
-	now := boottime.Now()
-	g := c.target.group
-	g.mu.Lock()
+// recordStart records that a statement is sent on the connection. The group's mutex must be held.
+func (c *conn) recordStart(now time.Time, primary bool) {
 	c.sentAt = now
-	c.usesPrimary = primary
+	c.usesPrimary, c.primaryTerm = primary, c.target.group.term
 	c.busy = true
 	c.target.inFlight++
 	c.inFlightAtSend = c.target.inFlight
-	g.mu.Unlock()
-	return now
+}
+
+// startExclusion returns why a statement for which the target was chosen must not be sent to it
+// now. newWork is false for the statements of an open transaction and for the proxy's own, which an
+// endpoint that is leaving still gets. The group's mutex must be held.
+func (t *target) startExclusion(now time.Time, primary, newWork bool) exclusion {
+	g := t.group
+	if primary {
+		if why := g.primaryExclusion(now); why != notExcluded {
+			return why
+		}
+		if g.targets[g.primary] != t {
+			return excludedNotPrimary
+		}
+	}
+	switch {
+	case newWork && t.removed:
+		return excludedRemoved
+	case newWork && t.drained(now):
+		return excludedDrained
+	}
+	return notExcluded
 }
 
 // statementEnded records the answer to the statement that was sent at began, or that no
@@ -413,8 +466,14 @@
 	g := t.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c.sentAt = time.Time{}
+	if err == nil {
+		// Otherwise the request may still be on its way until the connection is closed.
+		c.sentAt = time.Time{}
+	}
 	t.inFlight--
+	if errors.Is(err, errPrimaryReplaced) {
+		return
+	}
 	if err != nil || !reply.FromRelay {
 		took := now.Sub(began)
 		g.health.Observe(t.ID, took, 0, err != nil || reply.Code == CodeFailed)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -52,6 +52,9 @@
 	// Timeout is how long the sender waits for the answer, not counting network
 	// transfer.
 	Timeout time.Duration
+	// StartWithin is the time within which the request must be sent to the endpoint; zero means
+	// that there is no limit.
+	StartWithin time.Duration
 	// InTransaction means that the transaction has begun on the relay host. If the
 	// relay host no longer has it, the request must not run.
 	InTransaction bool
@@ -66,6 +69,15 @@
 	return db.queuedRequest(arrived)
 }
 
+// startBy returns the time by which a request that arrived at the given time must be sent to the
+// endpoint; zero if there is no limit.
+func (r RelayRequest) startBy(arrived time.Time) time.Time {
+	if r.StartWithin == 0 {
+		return time.Time{}
+	}
+	return arrived.Add(r.StartWithin)
+}
+
 // ErrNotSent means that the request certainly did not reach the endpoint.
 var ErrNotSent = errors.New("the request was not sent")
 
@@ -115,6 +127,7 @@
 func (gw *Gateway) Relay(ctx context.Context, r RelayRequest) (Reply, error) {
 	gw.metrics.Inc(metrics.RelayedRequests)
 	defer gw.relayedTransactions.begin()()
+	arrived := boottime.Now()
 	held := gw.takeRelayedTransaction(r.TransactionID)
 	if r.Rollback {
 		if held != nil {
@@ -137,8 +150,13 @@
 		state.Prepare(r.Request.Name, r.Prepared.Definition, r.Prepared.Writes)
 	}
 	deadline, _ := ctx.Deadline()
-	r.Request.Account = budget.FromContext(ctx)
+	r.Request.Account, r.Request.StartBy = budget.FromContext(ctx), r.startBy(arrived)
 	reply, _, err := gw.pool.run(c, r.PrimaryOnly, deadline, state, held != nil, r.Request)
+	if notStarted(err) {
+		c.broken = c.broken || held != nil
+		gw.pool.release(c)
+		return refuseRelayed(held != nil, r.PrimaryOnly && !errors.Is(err, errLate)), nil
+	}
 	if err != nil {
 		gw.connectionLost(c, err)
 		gw.pool.release(c)
@@ -162,15 +180,22 @@
 	return reply, nil
 }
 
+// refuseRelayed answers a request that was not sent, as this host may not use its endpoint any
+// more.
+func refuseRelayed(inTransaction, primaryOnly bool) Reply {
+	switch {
+	case inTransaction:
+		return Reply{Code: CodeAborted, Detail: "the transaction cannot go on at its endpoint", State: TxFailed, FromRelay: true}
+	case primaryOnly:
+		return Reply{Code: CodeReadOnly, Detail: "the endpoint is not known to lead", FromRelay: true}
+	}
+	return Reply{Code: CodeBusy, Detail: "the request is late or the endpoint is leaving", FromRelay: true}
+}
+
 // relayConn returns a connection for the request, or the reply if the request cannot
 // run here. held is the connection of the request's transaction, or nil.
 func (gw *Gateway) relayConn(ctx context.Context, held *conn, r RelayRequest) (*conn, *Reply) {
 	if held != nil {
-		if r.PrimaryOnly && !held.target.group.mayUseAsPrimary(boottime.Now(), held.target) {
-			held.broken = true
-			gw.pool.release(held)
-			return nil, &Reply{Code: CodeAborted, Detail: "the endpoint may have been replaced as primary", State: TxFailed}
-		}
 		return held, nil
 	}
 	if r.InTransaction {
@@ -190,7 +215,8 @@
 		return nil, &Reply{Code: CodeMisrouted, Detail: "the host does not hold connections to the endpoint"}
 	}
 	if r.PrimaryOnly && !isPrimary {
-		return nil, &Reply{Code: CodeReadOnly, Detail: "the endpoint is not known to lead"}
+		refusal := refuseRelayed(false, true)
+		return nil, &refusal
 	}
 	request := connRequest{QueuedRequest: r.queuedRequest(boottime.Now()), team: r.Team, database: r.Database}
 	c, err := gw.pool.checkout(ctx, t, nil, request)
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -45,6 +43,9 @@
 		if !ok {
 			return s.giveUpFirst(last)
 		}
+		if refusal := s.renewAuthorization(ctx); refusal != nil {
+			return *refusal
+		}
 		a := s.openTransaction(ctx, chosen, req.primary, arrived)
 		if s.repeatsAttempt(a, &relayChanges) {
 			continue
@@ -91,7 +92,7 @@
 		op = session.OpBeginRead
 	}
 	end, _ := ctx.Deadline()
-	reply, err := s.send(c, primary, end, false, Request{Statement: session.Statement{Op: op}, After: chosen.after})
+	reply, err := s.send(c, chosen.primary, end, false, Request{Statement: session.Statement{Op: op}, After: chosen.after})
 	if err != nil || !reply.OK() {
 		s.gateway.pool.release(c)
 		// sent stays false, because no statement of the caller has been sent.
@@ -114,11 +115,11 @@
 func (s *sessionServer) runPinned(ctx context.Context, st session.Statement) Reply {
 	c := s.pinned
 	tx := s.state.Transaction()
-	if !tx.ReadOnly && !c.target.group.mayUseAsPrimary(boottime.Now(), c.target) {
-		return s.abortOnReplacedPrimary()
-	}
 	end, _ := ctx.Deadline()
 	reply, err := s.send(c, !tx.ReadOnly, end, true, Request{Statement: st})
+	if notStarted(err) {
+		return s.abortOnReplacedPrimary()
+	}
 	if err != nil {
 		s.pinned = nil
 		s.gateway.pool.release(c)
@@ -186,12 +187,15 @@
 		if !ok {
 			break
 		}
+		if refusal := s.renewAuthorization(ctx); refusal != nil {
+			return s.endRefusedCommit(st, *refusal)
+		}
 		a := s.openTransaction(ctx, chosen, req.primary, arrived)
 		if a.err == nil && a.reply.OK() {
 			s.token = operationToken{}
 			return s.commitPinned(ctx, st)
 		}
-		if !errors.Is(a.err, errRequeue) {
+		if !a.choosesAgain() {
 			break
 		}
 	}
@@ -205,16 +209,13 @@
 	c := s.pinned
 	tx := s.state.Transaction()
 	wrote := tx.Wrote
-	if !tx.ReadOnly && !c.target.group.mayUseAsPrimary(boottime.Now(), c.target) {
-		reply := s.abortOnReplacedPrimary()
-		s.state.End()
-		reply.State = TxIdle
-		return reply
-	}
-	s.pinned = nil
 	s.state.End()
 	end, _ := ctx.Deadline()
 	reply, err := s.send(c, !tx.ReadOnly, end, true, Request{Statement: st})
+	if notStarted(err) {
+		return s.abortOnReplacedPrimary()
+	}
+	s.pinned = nil
 	if err != nil {
 		s.gateway.pool.release(c)
 		if !wrote {
