--- a/deploy/soak/check_test.go
+++ b/deploy/soak/check_test.go
@@ -44,3 +44,33 @@
 		}
 	}
 }
+
+// Guards against a judge that misses a statement which reached a replaced primary late, takes a
+// later commit for an earlier one, or counts commits that a replaced primary made.
+func TestExecutionsAreJudgedByBothFirstBytes(t *testing.T) {
+	start := time.Now()
+	at := func(second int) time.Time { return start.Add(time.Duration(second) * time.Second) }
+	for name, test := range map[string]struct {
+		sent, began int
+		// byOldPrimary marks the commit as one that a replaced primary made.
+		byOldPrimary bool
+		violations   int
+	}{
+		"before the commit":                   {1, 2, false, 0},
+		"sent before and received after":      {1, 4, false, 1},
+		"sent after the commit":               {4, 5, false, 2},
+		"commit of a replaced primary":        {4, 5, true, 0},
+		"received as the commit was answered": {1, 3, false, 0},
+	} {
+		database := newGroup("g", 1)
+		database.endpoints[0].log = []commit{
+			{position: logpos.Position{Term: 1, Offset: 1}, ids: []string{"w1"}, committedAt: at(0)},
+			{position: logpos.Position{Term: 2, Offset: 2}, committedAt: at(1)},
+			{position: logpos.Position{Term: 2, Offset: 3}, ids: []string{"w2"}, committedAt: at(3)},
+		}
+		database.committedByOldPrimary["w2"] = test.byOldPrimary
+		database.executions = []execution{{id: "x", logEnd: logpos.Position{Term: 1, Offset: 1}, receivedAt: at(9), beganAt: at(test.began)}}
+		r := &recorder{sent: map[string]time.Time{"x": at(test.sent)}}
+		NewWithT(t).Expect(r.checkExecutions(database)).To(HaveLen(test.violations), name)
+	}
+}
