--- a/internal/gateway/failover_simulation_test.go
+++ b/internal/gateway/failover_simulation_test.go
@@ -409,6 +409,13 @@
 	s.group.endpoints[endpoint].dialTime, s.group.endpoints[endpoint].runTime = dialTime, runTime
 }
 
+// withoutStore keeps the store out of a host's reach for some time.
+func (s *simulation) withoutStore(host string, d time.Duration) {
+	s.store.setUnavailable(host, true)
+	s.event("%s does not reach the store", host)
+	time.AfterFunc(d, func() { s.store.setUnavailable(host, false) })
+}
+
 // rejectStatus makes an endpoint reject status requests for some time, as if its queue were full.
 func (s *simulation) rejectStatus(endpoint string, d time.Duration) {
 	s.event("%s is busy", endpoint)
@@ -472,7 +479,7 @@
 	if s.intN(2) == 0 {
 		host = s.holder()
 	}
-	switch s.intN(15) {
+	switch s.intN(18) {
 	case 0, 1, 2:
 		s.isolateFor(ms(300, 5000), s.group.primaryID())
 	case 3:
@@ -482,9 +489,7 @@
 	case 5:
 		s.isolateFor(ms(300, 4000), host)
 	case 6:
-		s.store.setUnavailable(host, true)
-		s.event("%s does not reach the store", host)
-		time.AfterFunc(ms(500, 4000), func() { s.store.setUnavailable(host, false) })
+		s.withoutStore(host, ms(500, 4000))
 	case 7:
 		id := s.group.primaryID()
 		if id == noPrimary {
@@ -512,6 +517,17 @@
 			id = primary
 		}
 		s.slowDown(id, ms(500, 4000))
+	case 15, 16, 17:
+		// A host and the primary are cut off together, then from each other.
+		id := s.group.primaryID()
+		s.isolateFor(ms(1000, 4000), id, host)
+		time.AfterFunc(ms(300, 1500), func() { s.isolateFor(ms(200, 1500), id) })
+		if s.intN(3) > 0 {
+			s.withoutStore(host, ms(1000, 4000))
+		}
+		if s.intN(2) == 0 {
+			go s.replaceInSeries(1, func() time.Duration { return ms(500, 2000) })
+		}
 	}
 }
 
