--- a/internal/gateway/failover_simulation_test.go
+++ b/internal/gateway/failover_simulation_test.go
@@ -739,6 +739,31 @@
 	})
 }
 
+// Guards against a statement that a network partition holds up while its host learns of a claim from
+// another host than its holder, and that reaches the replaced primary afterwards (issue 39).
+func TestStatementHeldUpDuringGossipedFenceDoesNotArriveInSimulation(t *testing.T) {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, 1, manyConnections, 5)
+		s.setTimeout(3 * time.Second)
+		s.promptPromotions = true
+		_, host := s.startReplacement()
+		s.store.setUnavailable(host, true)
+		restoreBoth := s.isolate(host, firstPrimary)
+		time.Sleep(700 * time.Millisecond)
+		restorePrimary := s.isolate(firstPrimary)
+		restoreBoth()
+		time.Sleep(300 * time.Millisecond)
+		restoreHost := s.isolate(host)
+		s.awaitCommitOfTerm(2)
+		restoreHost()
+		restorePrimary()
+		s.store.setUnavailable(host, false)
+		time.Sleep(3 * time.Second)
+		NewWithT(t).Expect(s.finish("gossip")).To(BeEmpty())
+	})
+}
+
 // Guards against two hosts that use primaries of different terms, one of which has
 // acknowledged commits (issue 31): disruptions in series that overlap, holders of claims that
 // end or are cut off, and promotions that take effect late.
