--- a/coord/permission/permission.go
+++ b/coord/permission/permission.go
@@ -16,9 +16,10 @@
 // In the first case it knows every claim that was written more than Duration ago. In the
 // second case one of the hosts that answered had acknowledged the claim and reported it.
 // In the third case the other host knew the claim by one of the first two and passed it
-// on. In all cases the host starts nothing more on the primary before the promotion takes
-// effect, if it takes back at the end of its permission what is unanswered then. Relayed evidence lets a few hosts ask the majority for all others, so that the
-// number of calls grows with the number of hosts and not with its square.
+// on. In all cases the host starts nothing more on the primary once the promotion can take
+// effect; what it has started and is unanswered at the end of its permission, it must take
+// back. Relayed evidence lets a few hosts ask the majority for all others, so that the number
+// of calls grows with the number of hosts and not with its square.
 //
 // The second case needs a majority of the same hosts on both sides: those of the electorate
 // (package electorate). While the electorate changes, a majority of both its sets must
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -60,7 +60,8 @@
 }
 
 // closeFencedWork closes the connections that are used for work on primaries of fenced terms.
-// Statements that wait for an answer there fail.
+// Statements that wait for an answer there fail. It follows every fence: before a fence request is
+// acknowledged, and through closeFencedWorkLater in any case.
 func (g *group) closeFencedWork() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
