Soak: give the hosts of each process an address of their own

A host that had been killed could not bind its port again ("address already in use" at port 23239): the other run had reserved it meanwhile, so that its host served the callers and answered the hosts of both runs.

Reserved ports are now on a loopback address that depends on the process.

--- a/deploy/soak/host.go
+++ b/deploy/soak/host.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -42,14 +42,22 @@
 	maxPortTries = 1000
 )
 
-// reservePorts returns n loopback addresses whose ports were free when it checked.
+// hostIP is the loopback address of the hosts of this process's runs. If all runs shared one
+// address, the host of another run could take the port of a host that is being restarted, and
+// would then serve the callers and answer the hosts of both (seed 5002).
+func hostIP() string {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(1+pid>>16&0x7f), byte(pid>>8), byte(pid)).String()
+}
+
+// reservePorts returns n addresses of hostIP whose ports were free when it checked.
 func reservePorts(n int) ([]string, error) {
 	var out []string
 	for tries := 0; len(out) < n; tries++ {
 		if tries == maxPortTries {
 			return nil, errors.Newf("found only %d of %d free ports after %d tries", len(out), n, tries)
 		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(portLimit-minPort)))
+		l, err := net.Listen("tcp", net.JoinHostPort(hostIP(), strconv.Itoa(minPort+rand.IntN(portLimit-minPort))))
 		if err != nil {
 			// The port is in use.
 			continue
--- a/deploy/soak/ports_test.go
+++ b/deploy/soak/ports_test.go
@@ -32,3 +32,16 @@
 		g.Expect(seen[l.Addr().String()]).To(BeFalse())
 	}
 }
+
+// Guards against hosts of two runs at once that take each other's ports: statements of the callers
+// of one run were committed by the endpoints of the other (seed 5002 beside another run).
+func TestRunsShareNoAddress(t *testing.T) {
+	g := NewWithT(t)
+	addresses, err := reservePorts(3)
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, address := range addresses {
+		g.Expect(address).To(HavePrefix(hostIP() + ":"))
+	}
+	g.Expect(hostIP()).NotTo(Equal("127.0.0.1"))
+	g.Expect(net.ParseIP(hostIP()).IsLoopback()).To(BeTrue())
+}
