Gateway tests: a replaced primary that is promoted again leads a new term

The fake group did nothing if the endpoint still led an earlier term. The platform does nothing only for the present primary.

--- a/internal/gateway/fake_endpoint_test.go
+++ b/internal/gateway/fake_endpoint_test.go
@@ -98,13 +98,14 @@
 		return gateway.ErrPromotionRefused
 	}
 	g.promotions = append(g.promotions, fmt.Sprintf("%s %d %s", order.Holder, order.Fence, order.Endpoint))
-	if e.primary {
-		return nil
-	}
+	newest := e.term
 	for _, other := range g.endpoints {
-		e.term = max(e.term, other.term)
+		newest = max(newest, other.term)
+	}
+	if e.primary && e.term == newest {
+		return nil
 	}
-	e.term++
+	e.term = newest + 1
 	e.primary = true
 	for _, other := range g.endpoints {
 		if other != e && !other.primary && !other.notReplicating && g.side[other.id] == g.side[e.id] {
