--- a/deploy/soak/check.go
+++ b/deploy/soak/check.go
@@ -70,7 +70,7 @@
 	//	         fencing token than the one before, or the same from another host
 	//	PINNED   a statement ran with the session values of another caller
 	//	QUOTA    too many operations of a team ran within the window of its limit
-	//	RECOVER  a host did not serve after the last fault
+	//	RECOVER  a host did not serve after the last fault, or there was not one primary
 	//	REFUSED  a write that was refused, or whose transaction was not committed, is stored
 	//	REVOKED  a statement ran whose key had been withdrawn
 	//	STALE    a read returned older data than its consistency permits, or a statement that
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -152,6 +152,9 @@
 	}
 	stopCallers()
 	callers.Wait()
+	if !r.endsWithOnePrimary(ctx, recoveryTimeout) {
+		r.recorder.addViolation("RECOVER: there was not one primary within %s after the last caller", recoveryTimeout)
+	}
 	violations := append(r.recorder.check(r.group), r.checkTeams()...)
 	return Report{
 		Seed: cfg.Seed, Done: r.recorder.done, Refused: r.recorder.refusals, Other: r.recorder.others,
@@ -383,6 +386,32 @@
 	return true
 }
 
+// endsWithOnePrimary waits until there is exactly one primary, and lets the replicas follow it. Hosts
+// demote a primary before they order its replacement, and a starved machine can cause one after
+// the last fault; a primary that was cut off is demoted within oldPrimaryDemotionDelay. In
+// between, commits whose rollback is still to come would count as lost. It returns false if the
+// time has passed.
+func (r *runner) endsWithOnePrimary(ctx context.Context, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	for ctx.Err() == nil {
+		primaries := 0
+		r.group.mu.Lock()
+		for _, e := range r.group.endpoints {
+			if e.primary {
+				primaries++
+			}
+		}
+		r.group.mu.Unlock()
+		if primaries == 1 {
+			r.group.replicate()
+			return true
+		}
+		wait.Sleep(ctx, replicateInterval)
+	}
+	return false
+}
+
 // servesStrictRead reports whether the host at the address answers a strict read.
 func servesStrictRead(address string) bool {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
