--- a/internal/gateway/failover_simulation_test.go
+++ b/internal/gateway/failover_simulation_test.go
@@ -645,8 +645,8 @@
 }
 
 // startReplacement drains the first primary and returns when a host has written the claim, with
-// that host and another one.
-func (s *simulation) startReplacement() (holder, other string) {
+// another host.
+func (s *simulation) startReplacement() (other string) {
 	// Hosts that have just started wait for all permissions.
 	time.Sleep(2 * time.Second)
 	claimed := make(chan struct{})
@@ -660,13 +660,13 @@
 	s.store.mu.Unlock()
 	s.listEndpoint(firstPrimary, func(e *gateway.Endpoint) { e.Draining = true })
 	<-claimed
-	holder = s.holder()
+	holder := s.holder()
 	for _, host := range s.names {
 		if host != holder {
 			other = host
 		}
 	}
-	return holder, other
+	return other
 }
 
 // awaitCommitOfTerm returns when a primary of the term has acknowledged a commit.
@@ -689,7 +689,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSimulation(t, 1, manyConnections, 3)
 		s.promptPromotions = true
-		_, host := s.startReplacement()
+		host := s.startReplacement()
 		// The primary is not demoted, as its queue is full.
 		s.rejectStatus(firstPrimary, time.Minute)
 		var first sync.Once
@@ -728,7 +728,7 @@
 		s := newSimulation(t, 1, manyConnections, 5)
 		s.setTimeout(3 * time.Second)
 		s.promptPromotions = true
-		_, host := s.startReplacement()
+		host := s.startReplacement()
 		s.store.setUnavailable(host, true)
 		restore := s.isolate(host, firstPrimary)
 		time.Sleep(time.Second)
@@ -751,7 +751,7 @@
 		s := newSimulation(t, 1, manyConnections, 5)
 		s.setTimeout(3 * time.Second)
 		s.promptPromotions = true
-		_, host := s.startReplacement()
+		host := s.startReplacement()
 		s.store.setUnavailable(host, true)
 		restoreBoth := s.isolate(host, firstPrimary)
 		time.Sleep(700 * time.Millisecond)
