--- a/internal/gateway/failover_simulation_test.go
+++ b/internal/gateway/failover_simulation_test.go
@@ -450,8 +450,8 @@
 			return
 		}
 		s.event("%s drains", id)
-		if s.intN(2) == 0 {
-			s.slowDown(id, pause())
+		if s.intN(3) > 0 {
+			s.slowDown(id, 500*time.Millisecond+pause())
 		}
 		s.listEndpoint(id, func(e *gateway.Endpoint) { e.Draining = true })
 		for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -479,7 +479,7 @@
 	if s.intN(2) == 0 {
 		host = s.holder()
 	}
-	switch s.intN(18) {
+	switch s.intN(21) {
 	case 0, 1, 2:
 		s.isolateFor(ms(300, 5000), s.group.primaryID())
 	case 3:
@@ -508,7 +508,7 @@
 		s.rejectStatus(fmt.Sprintf("e%d", 1+s.intN(3)), ms(200, 2000))
 	case 10, 11:
 		s.isolateFor(ms(300, 2500), s.group.primaryID())
-	case 12:
+	case 12, 18, 19, 20:
 		go s.replaceInSeries(3, func() time.Duration { return ms(500, 2000) })
 	case 13, 14:
 		// Statements wait for connections, in queues of hosts, and at the endpoint.
@@ -785,7 +785,7 @@
 			s := newSimulation(t, seed, maxConnections, 3+int(seed%3)*2)
 			// Hosts that have just started wait for all permissions.
 			time.Sleep(2 * time.Second)
-			if seed%4 < 2 {
+			if seed%4 != 1 {
 				s.addLoad()
 			}
 			for range 8 {
