--- a/internal/gateway/primary_work_test.go
+++ b/internal/gateway/primary_work_test.go
@@ -142,3 +142,14 @@
 		})
 	}
 }
+
+// Guards against a fence that is acknowledged while a statement for its primary is still on its way:
+// the holder of the claim does not wait for this host any more.
+func TestFenceIsAcknowledgedAfterUnansweredWorkIsClosed(t *testing.T) {
+	g := NewWithT(t)
+	w := newPrimaryWork(time.Minute)
+	w.start()
+	_, err := w.gw.Fence(FenceRequest{Group: "g", Fence: FenceState{Term: 1, Version: 1}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.raw.closed).To(BeClosed())
+}
