Gateway: derive whether primaries may be used from the end of the permission

The pool had two functions for one fact: until when this host may use primaries, and whether it may at a given time. The second now follows from the first, in the pool as in the gateway. No behaviour changes; go test ./internal/gateway passes.

--- a/internal/gateway/endpoint_choice_test.go
+++ b/internal/gateway/endpoint_choice_test.go
@@ -14,7 +14,7 @@
 func TestReadsPreferReplicas(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
-	gr := newGroup("g", &pool{primaryPermitted: func(time.Time) bool { return true }})
+	gr := newGroup("g", &pool{permittedUntil: farFuture})
 	position := logpos.Position{Term: 1, Offset: 1}
 	gr.setPrimary(1, "e1", position)
 	gr.recordPrimaryPosition(now, position)
@@ -39,7 +39,7 @@
 	g := NewWithT(t)
 	const lag, bound, spacing = 2440 * time.Millisecond, 2500 * time.Millisecond, 20 * time.Millisecond
 	now := time.Now()
-	gr := newGroup("g", &pool{primaryPermitted: func(time.Time) bool { return true }})
+	gr := newGroup("g", &pool{permittedUntil: farFuture})
 	at := func(n int) logpos.Position { return logpos.Position{Term: 1, Offset: uint64(n)} }
 	gr.setPrimary(1, "e1", at(0))
 	applied := logpos.Position{}
@@ -68,7 +68,7 @@
 	g := NewWithT(t)
 	now := time.Now()
 	permittedUntil := now.Add(-time.Second)
-	gr := newGroup("g", &pool{primaryPermitted: func(at time.Time) bool { return at.Before(permittedUntil) }})
+	gr := newGroup("g", &pool{permittedUntil: func() time.Time { return permittedUntil }})
 	position := logpos.Position{Term: 1, Offset: 1}
 	gr.setPrimary(1, "e1", position)
 	for _, id := range []string{"e1", "e2"} {
--- a/internal/gateway/endpoint_reports_test.go
+++ b/internal/gateway/endpoint_reports_test.go
@@ -142,7 +142,7 @@
 func TestReadsFollowReports(t *testing.T) {
 	g := NewWithT(t)
 	now := boottime.Now()
-	gr := newGroup("g", &pool{metrics: metrics.NewRegistry(), adaptiveConcurrency: true, primaryPermitted: func(time.Time) bool { return true }})
+	gr := newGroup("g", &pool{metrics: metrics.NewRegistry(), adaptiveConcurrency: true, permittedUntil: farFuture})
 	position := logpos.Position{Term: 1, Offset: 1}
 	gr.setPrimary(1, "e1", position)
 	gr.recordPrimaryPosition(now, position)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,7 +135,7 @@
 	}
 	gw.pool = &pool{
 		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, guard: guard, log: gw.events.log, requestLog: gw.events.request, zone: cfg.AvailabilityZone,
-		zoneDistance: cfg.ZoneDistance, parseStatus: cfg.ParseStatus, onFailure: gw.controller.requestProbe, primaryPermitted: gw.primaryPermitted, permittedUntil: gw.primaryPermittedUntil, drainBound: cfg.DrainBound,
+		zoneDistance: cfg.ZoneDistance, parseStatus: cfg.ParseStatus, onFailure: gw.controller.requestProbe, permittedUntil: gw.primaryPermittedUntil, drainBound: cfg.DrainBound,
 		adaptiveConcurrency: cfg.AdaptiveConcurrency,
 	}
 	return gw
@@ -214,7 +214,7 @@
 
 // primaryPermitted reports whether this host may use primaries at time now.
 func (gw *Gateway) primaryPermitted(now time.Time) bool {
-	return now.UnixNano() < gw.permittedUntil.Load()
+	return now.Before(gw.primaryPermittedUntil())
 }
 
 // primaryPermittedUntil returns when this host's permission to use primaries ends.
--- a/internal/gateway/health_test.go
+++ b/internal/gateway/health_test.go
@@ -19,7 +19,7 @@
 	g := NewWithT(t)
 	p := &pool{
 		metrics: metrics.NewRegistry(), onFailure: func(*target) {},
-		primaryPermitted: func(time.Time) bool { return true },
+		permittedUntil: farFuture,
 	}
 	gr := newGroup("g", p)
 	position := logpos.Position{Term: 1, Offset: 1}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -56,10 +56,8 @@
 	parseStatus  StatusParser
 	// adaptiveConcurrency is Config.AdaptiveConcurrency.
 	adaptiveConcurrency bool
-	// primaryPermitted reports whether this host may use primaries at the given time, and
-	// permittedUntil returns until when.
-	primaryPermitted func(time.Time) bool
-	permittedUntil   func() time.Time
+	// permittedUntil returns when this host's permission to use primaries ends.
+	permittedUntil func() time.Time
 	// drainBound is the time after which an endpoint that drains must get no new work.
 	drainBound time.Duration
 	// onFailure is called after failed dials and lost connections, and if an endpoint
@@ -67,6 +65,9 @@
 	onFailure func(t *target)
 }
 
+// primaryPermitted reports whether this host may use primaries at the given time.
+func (p *pool) primaryPermitted(at time.Time) bool { return at.Before(p.permittedUntil()) }
+
 // StatusParser parses the rows of the answer to a status request.
 type StatusParser func(rows []string) (Status, error)
 
--- a/internal/gateway/pool_test.go
+++ b/internal/gateway/pool_test.go
@@ -11,6 +11,9 @@
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
+// farFuture is the end of a permission that outlasts a test, by whichever clock.
+func farFuture() time.Time { return time.Unix(1<<40, 0) }
+
 // queuedAt returns a request with a deadline of 500 ms and no latency objective.
 func queuedAt(priority int, arrived time.Time) connRequest {
 	return connRequest{QueuedRequest: Database{Timeout: 500 * time.Millisecond, Priority: priority}.queuedRequest(arrived)}
