Gateway: one check of a primary for relayed statements; comments

A relay host checked by a copy of three conditions whether an endpoint may be used as the primary; it now calls the check of the send. A statement that is late is told before the exclusions are looked up, and the end of the permission is handled where it is found instead of by the timer's function. The comments on errPrimaryReplaced and the abort of a transaction name all of their uses.

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -144,7 +144,7 @@
 		if wasPermitted {
 			c.gw.metrics.Inc(metrics.PrimaryPermissionLost)
 			// The timer does not count the time in which the host was suspended.
-			c.permissionEnded()
+			c.closeUnansweredPrimaryWork()
 		}
 		c.gw.events.log.Info().Bool("permitted", isPermitted).Bool("listed", c.isListed()).Dur("claims_age_ms", now.Sub(c.completeAsOf[TableState])).
 			Dur("relayed_age_ms", now.Sub(c.relayedEvidence)).Dur("left_ms", until.Sub(now)).Uint64("electorate", c.electorate.version).Msg("permission to use primaries changed")
@@ -154,8 +154,8 @@
 	}
 }
 
-// permissionEnded closes the connections on which statements for primaries wait for their answer,
-// unless the permission has been renewed. It may be called from any goroutine.
+// permissionEnded is called by the timer. It closes the connections on which statements for
+// primaries wait for their answer, unless the permission has been renewed.
 func (c *controller) permissionEnded() {
 	if left := c.gw.primaryPermittedUntil().Sub(boottime.Now()); left > 0 {
 		c.permissionTimer.Reset(left)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -410,13 +410,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
+	if !startBy.IsZero() && now.After(startBy) {
+		return now, errLate
+	}
 	why := c.target.startExclusion(now, primary, newWork)
 	if c.revoked {
 		why = excludedRevoked
 	}
-	if !startBy.IsZero() && now.After(startBy) {
-		return now, errLate
-	}
 	if why != notExcluded {
 		p.metrics.Inc(metrics.StatementsNotStarted)
 		p.requestLog.Info().Str("request", c.requestID).Str("group", g.name).Str("endpoint", c.target.ID).Str("primary", g.primary).
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -208,7 +208,7 @@
 	g.mu.Lock()
 	t := g.targets[r.Endpoint]
 	now := boottime.Now()
-	isPrimary := t != nil && g.usablePrimary(now) == t && !t.drained(now)
+	isPrimary := t != nil && t.startExclusion(now, true, true) == notExcluded
 	noDirectPath := t == nil || t.usesRelay()
 	g.mu.Unlock()
 	if noDirectPath {
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -35,8 +35,9 @@
 	recheckInterval = 50 * time.Millisecond
 )
 
-// errPrimaryReplaced means that a write was answered by an endpoint that may no longer be
-// primary, so the write may be lost.
+// errPrimaryReplaced means that the endpoint of a statement may no longer be primary. Either this
+// host has given the statement up for that reason, or the endpoint has answered a write, which may
+// be lost.
 var errPrimaryReplaced = errors.New("the endpoint may have been replaced as primary")
 
 // attempt is the result of sending a statement once.
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -118,7 +118,7 @@
 	end, _ := ctx.Deadline()
 	reply, err := s.send(c, !tx.ReadOnly, end, true, Request{Statement: st})
 	if notStarted(err) {
-		return s.abortOnReplacedPrimary()
+		return s.abortPinned()
 	}
 	if err != nil {
 		s.pinned = nil
@@ -143,9 +143,8 @@
 	return reply
 }
 
-// abortOnReplacedPrimary rolls back a transaction whose endpoint may no longer be
-// primary.
-func (s *sessionServer) abortOnReplacedPrimary() Reply {
+// abortPinned rolls back a transaction that must not go on at its endpoint.
+func (s *sessionServer) abortPinned() Reply {
 	s.pinned.broken = true
 	s.gateway.pool.release(s.pinned)
 	s.pinned = nil
@@ -213,7 +212,7 @@
 	end, _ := ctx.Deadline()
 	reply, err := s.send(c, !tx.ReadOnly, end, true, Request{Statement: st})
 	if notStarted(err) {
-		return s.abortOnReplacedPrimary()
+		return s.abortPinned()
 	}
 	s.pinned = nil
 	if err != nil {
