Gateway: one condition for hosts that reach the primary

The search for relay hosts and the demotion through other hosts each wrote out when a host's answer shows that it reaches the primary. FenceReply.reachesPrimary serves both. No behaviour changes.

--- a/internal/gateway/demote.go
+++ b/internal/gateway/demote.go
@@ -29,7 +29,7 @@
 func (p *hostPoll) hostsReachingPrimary() []string {
 	var out []string
 	for address, r := range p.replies {
-		if len(out) < maxDemotingHosts && r.Direct && r.primaryAnsweredWithin(succession.UnreachableTimeout) {
+		if len(out) < maxDemotingHosts && r.reachesPrimary() {
 			out = append(out, address)
 		}
 	}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -7,6 +7,7 @@
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/quota"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
+	"github.com/beryltrestle/beryltrestle/coord/succession"
 )
 
 // GroupState is what a host knows about a group.
@@ -89,6 +90,11 @@
 	Direct bool
 }
 
+// reachesPrimary reports whether the primary has just answered the host on a direct connection.
+func (r FenceReply) reachesPrimary() bool {
+	return r.Direct && r.primaryAnsweredWithin(succession.UnreachableTimeout)
+}
+
 // primaryAnsweredWithin reports whether the primary answered the host within the given
 // time.
 func (r FenceReply) primaryAnsweredWithin(within time.Duration) bool {
--- a/internal/gateway/relay_route.go
+++ b/internal/gateway/relay_route.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/beryltrestle/beryltrestle/coord/succession"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
@@ -52,7 +51,7 @@
 	}
 	var relays []string
 	for address, r := range poll.replies {
-		if r.Term == g.term && r.Direct && r.primaryAnsweredWithin(succession.UnreachableTimeout) {
+		if r.Term == g.term && r.reachesPrimary() {
 			relays = append(relays, address)
 		}
 	}
