Soak and fakes: take the hosts' user timeout from the permission

The hosts' kernel limit for unacknowledged data is the duration of a permission. The soak's proxies and the fake network had copies of the number, which would have gone on modelling the old limit after a change. The value is the same.

--- a/deploy/soak/proxy.go
+++ b/deploy/soak/proxy.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/coord/permission"
 )
 
 // pathFault is a network fault between hosts and an endpoint.
@@ -29,7 +31,7 @@
 	// slowPathDelay is the delay of a slow path, in each direction.
 	slowPathDelay = 30 * time.Millisecond
 	// hostUserTimeout is the TCP_USER_TIMEOUT of the hosts' connections to endpoints.
-	hostUserTimeout = 1500 * time.Millisecond
+	hostUserTimeout = permission.Duration
 )
 
 // errUnacknowledged means that a cut has held bytes for longer than the sender waits for their
--- a/internal/gateway/fake_endpoint_test.go
+++ b/internal/gateway/fake_endpoint_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/coord/permission"
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
 )
@@ -265,7 +266,7 @@
 }
 
 // unacknowledgedTimeout is how long the network goes on trying to deliver what was sent.
-const unacknowledgedTimeout = 1500 * time.Millisecond
+const unacknowledgedTimeout = permission.Duration
 
 // awaitPath waits until the host and the endpoint can reach each other. It returns an error if
 // the connection ends before, or is given up because what was sent at the given time has not
