--- a/internal/gateway/failover_simulation_test.go
+++ b/internal/gateway/failover_simulation_test.go
@@ -650,14 +650,10 @@
 	// Hosts that have just started wait for all permissions.
 	time.Sleep(2 * time.Second)
 	claimed := make(chan struct{})
-	s.store.mu.Lock()
-	s.store.beforeWrite = func(key string) {
-		if key == "claim/g" {
-			s.store.beforeWrite = nil
-			close(claimed)
-		}
-	}
-	s.store.mu.Unlock()
+	s.store.onClaim(func() {
+		s.store.beforeWrite = nil
+		close(claimed)
+	})
 	s.listEndpoint(firstPrimary, func(e *gateway.Endpoint) { e.Draining = true })
 	<-claimed
 	holder := s.holder()
@@ -720,16 +716,23 @@
 	})
 }
 
+// startReplacementWithoutStore starts the replacement of the first primary, with a host that does
+// not reach the store from then on and whose statements have time to be held up.
+func startReplacementWithoutStore(t *testing.T) (*simulation, string) {
+	s := newSimulation(t, 1, manyConnections, 5)
+	s.setTimeout(3 * time.Second)
+	s.promptPromotions = true
+	host := s.startReplacement()
+	s.store.setUnavailable(host, true)
+	return s, host
+}
+
 // Guards against a statement that a network partition holds up until the permission of its host
 // has ended, and that reaches the replaced primary afterwards (issue 39).
 func TestStatementHeldUpUntilPermissionEndsDoesNotArriveInSimulation(t *testing.T) {
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	synctest.Test(t, func(t *testing.T) {
-		s := newSimulation(t, 1, manyConnections, 5)
-		s.setTimeout(3 * time.Second)
-		s.promptPromotions = true
-		host := s.startReplacement()
-		s.store.setUnavailable(host, true)
+		s, host := startReplacementWithoutStore(t)
 		restore := s.isolate(host, firstPrimary)
 		time.Sleep(time.Second)
 		s.group.setCut(host, firstPrimary, true)
@@ -748,11 +751,7 @@
 func TestStatementHeldUpDuringGossipedFenceDoesNotArriveInSimulation(t *testing.T) {
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	synctest.Test(t, func(t *testing.T) {
-		s := newSimulation(t, 1, manyConnections, 5)
-		s.setTimeout(3 * time.Second)
-		s.promptPromotions = true
-		host := s.startReplacement()
-		s.store.setUnavailable(host, true)
+		s, host := startReplacementWithoutStore(t)
 		restoreBoth := s.isolate(host, firstPrimary)
 		time.Sleep(700 * time.Millisecond)
 		restorePrimary := s.isolate(firstPrimary)
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -182,6 +182,17 @@
 	return c.writeIf(table, key, expected, value, also)
 }
 
+// onClaim calls f before each accepted write of the group's claim.
+func (s *fakeStore) onClaim(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beforeWrite = func(key string) {
+		if key == "claim/g" {
+			f()
+		}
+	}
+}
+
 // writeIf writes the row if it and the other rows have the expected versions. The mutex must
 // be held.
 func (s *fakeStore) writeIf(table gateway.TableName, key string, expected uint64, value []byte, also []gateway.RowVersion) (uint64, error) {
--- a/internal/gateway/withdrawal_test.go
+++ b/internal/gateway/withdrawal_test.go
@@ -60,10 +60,7 @@
 		f.store.setUnavailable(order.Holder, true)
 		orders <- order
 	}}
-	f.store.beforeWrite = func(key string) {
-		if key != "claim/g" {
-			return
-		}
+	f.store.onClaim(func() {
 		for _, host := range []string{"h1", "h2"} {
 			f.group.setCut(host, "e1", true)
 		}
@@ -73,7 +70,7 @@
 			_ = f.group.Promote(context.Background(), order)
 		default:
 		}
-	}
+	})
 	// The drain bound is longer than the test, so that only the claim keeps hosts from e1.
 	const drainBound = time.Minute
 	f.configure = func(cfg *gateway.Config) { cfg.Promoter, cfg.DrainBound = promoter, drainBound }
