Gateway: log when a host last used a primary that is replaced

"claim known" now has the source of the claim, the end of the permission and the last statement that was sent to a primary; "fence acknowledged" the time at which the host told the holder; "old primary fenced" when and how each host was counted; "promotion ordered" the time of the order. All times are of the boot clock, so that the hosts of one machine can be compared.

Lines about requests whose primary is replaced have a limit of their own: retries in an overload used up the 50 lines a second that all request lines shared. log.omitted counts what is left out.

No logic changes.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -6,23 +6,43 @@
 	"github.com/rs/zerolog"
 
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
+	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
 
 // maxRequestLinesPerSecond limits the log lines about single requests. Requests beyond
 // the limit only appear in the metrics.
 const maxRequestLinesPerSecond = 50
 
+// maxReplacedLinesPerSecond limits the log lines about requests whose primary is being replaced. It
+// covers what a host has in flight to the primaries of several groups at once.
+const maxReplacedLinesPerSecond = 200
+
 // eventLog writes the gateway's log. Lines about single requests are sampled, so that
 // an overload does not add the load of logging.
 type eventLog struct {
 	log     zerolog.Logger
 	request zerolog.Logger
+	// replaced is for requests whose primary is being replaced. They have a limit of their own:
+	// retries in an overload used up that of the other lines, and the lines that tell what became of
+	// a statement at a replaced primary were missing.
+	replaced zerolog.Logger
 }
 
-// newEventLog returns an eventLog that writes to log.
-func newEventLog(log zerolog.Logger) *eventLog {
-	limited := log.Sample(&zerolog.BurstSampler{Burst: maxRequestLinesPerSecond, Period: time.Second})
-	return &eventLog{log: log, request: limited}
+// newEventLog returns an eventLog that writes to log, and counts the lines that it leaves out.
+func newEventLog(log zerolog.Logger, m *metrics.Registry) *eventLog {
+	limited := func(burst uint32) zerolog.Logger {
+		return log.Sample(&zerolog.BurstSampler{Burst: burst, Period: time.Second, NextSampler: omittedLines{m}})
+	}
+	return &eventLog{log: log, request: limited(maxRequestLinesPerSecond), replaced: limited(maxReplacedLinesPerSecond)}
+}
+
+// omittedLines is a sampler that omits and counts every line.
+type omittedLines struct{ metrics *metrics.Registry }
+
+// Sample implements zerolog.Sampler.
+func (o omittedLines) Sample(zerolog.Level) bool {
+	o.metrics.Inc(metrics.LogLinesOmitted)
+	return false
 }
 
 // requestRefused logs a statement that was answered with an error.
@@ -50,7 +70,7 @@
 // answerNotCounted logs a write that an endpoint answered with success after this host had
 // stopped using it as the primary.
 func (e *eventLog) answerNotCounted(id, database string, t *target, position logpos.Position) {
-	e.request.Info().Str("request", id).Str("database", database).Str("group", t.group.name).Str("endpoint", t.ID).
+	e.replaced.Info().Str("request", id).Str("database", database).Str("group", t.group.name).Str("endpoint", t.ID).
 		Stringer("position", position).Msg("write answered by an endpoint that may have been replaced as primary")
 }
 
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -266,8 +266,9 @@
 	}))
 	poll, users := f.pollHosts(ctx, f.electorate, request, fenceTimeout+grace)
 	wg.Wait()
-	f.controller.gw.events.log.Info().Str("group", f.group.name).Int("hosts", len(poll.asked)).Int("answered", len(poll.replies)).
-		Int("stopped", len(poll.notRunning)).Dur("took_ms", boottime.Now().Sub(began)).Msg("old primary fenced")
+	f.controller.gw.events.log.Info().Str("group", f.group.name).Uint64("claim", f.claimVersion).Uint64("claim_term", f.term).
+		Int("hosts", len(poll.asked)).Int("answered", len(poll.replies)).Int("stopped", len(poll.notRunning)).Dict("counted", poll.accounts()).
+		Dur("took_ms", boottime.Now().Sub(began)).Msg("old primary fenced")
 	if !poll.quorum(f.electorate, left) {
 		return errNoQuorum
 	}
--- a/internal/gateway/failover_claim.go
+++ b/internal/gateway/failover_claim.go
@@ -191,7 +191,7 @@
 	f.termEnded = true
 	request := FenceRequest{Group: f.group.name, Fence: f.fenceState()}
 	f.group.mu.Lock()
-	f.group.setFence(request.Fence, boottime.Now())
+	f.group.learnFence(request.Fence, boottime.Now(), fenceFromSelf)
 	f.group.mu.Unlock()
 	// The other hosts can then use the next primary as soon as they see it, even if this host
 	// ends or the store fails.
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -28,15 +28,18 @@
 		return reply, nil
 	}
 	g.mu.Lock()
-	g.setFence(r.Fence, boottime.Now())
+	g.learnFence(r.Fence, boottime.Now(), fenceFromHolder)
 	fenced := g.fenced()
 	g.mu.Unlock()
 	gw.events.log.Info().Str("group", r.Group).Uint64("term", r.Fence.Term).Uint64("claim", r.Fence.Version).
-		Bool("withdrawn", r.Fence.Withdrawn).Dur("grace_ms", r.Grace).Bool("fenced", fenced).Msg("fence request received from the claim holder")
+		Bool("withdrawn", r.Fence.Withdrawn).Dur("grace_ms", r.Grace).Bool("fenced", fenced).
+		Int64("boot_ms", boottime.Milliseconds(boottime.Now())).Msg("fence request received from the claim holder")
 	deadline := time.Now().Add(r.Grace)
 	for g.countFencedWork() > 0 && time.Now().Before(deadline) && wait.Sleep(gw.ctx, 5*time.Millisecond) {
 	}
 	g.closeFencedWork()
+	gw.events.log.Info().Str("group", r.Group).Uint64("claim", r.Fence.Version).Int64("boot_ms", boottime.Milliseconds(boottime.Now())).
+		Msg("fence acknowledged")
 	return reply, nil
 }
 
@@ -138,7 +141,7 @@
 func (p *pool) logUnanswered(c *conn, now time.Time) {
 	g := c.target.group
 	p.metrics.Inc(metrics.PrimaryUnanswered)
-	p.requestLog.Info().Str("request", c.requestID).Str("group", g.name).Str("endpoint", c.target.ID).Str("relay", c.relayAddress).
+	p.replacedLog.Info().Str("request", c.requestID).Str("group", g.name).Str("endpoint", c.target.ID).Str("relay", c.relayAddress).
 		Uint64("term", g.term).Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
 		Dur("sent_ago_ms", now.Sub(c.sentAt)).Msg("unanswered statement given up, as its primary may be replaced")
 }
--- a/internal/gateway/fence_state.go
+++ b/internal/gateway/fence_state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/rows"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
 // FenceState defines which primaries must not be used because they are being replaced.
@@ -35,12 +36,37 @@
 	return f.Version == 0 || term <= f.EndedTerm+1
 }
 
-// setFence applies the claim if it is newer than the known one. That a term has ended counts
-// whatever the version. The mutex must be held.
-func (g *group) setFence(f FenceState, now time.Time) {
+// fenceSource says how a host learned of a claim.
+type fenceSource string
+
+const (
+	fenceFromHolder fenceSource = "claim holder"
+	fenceFromRow    fenceSource = "row of the store"
+	fenceFromGossip fenceSource = "gossip"
+	fenceFromSelf   fenceSource = "own claim"
+)
+
+// learnFence applies the claim like setFence and logs it if it is news. The line tells when this
+// host last sent a statement to the primary, and until when it was permitted to, in milliseconds
+// of the boot clock, which the processes of one machine share. The mutex must be held.
+func (g *group) learnFence(f FenceState, now time.Time, source fenceSource) {
+	if !g.setFence(f, now) {
+		return
+	}
+	f = g.fence
+	g.pool.log.Info().Str("group", g.name).Uint64("claim", f.Version).Uint64("claim_term", f.Term).Uint64("ended_term", f.EndedTerm).
+		Bool("withdrawn", f.Withdrawn).Str("source", string(source)).Str("primary", g.primary).Uint64("term", g.term).Bool("fenced", g.fenced()).
+		Int64("boot_ms", boottime.Milliseconds(now)).Int64("permitted_until_boot_ms", boottime.Milliseconds(g.pool.permittedUntil())).
+		Int64("last_sent_boot_ms", boottime.Milliseconds(g.lastPrimarySend.at)).Str("last_sent_to", g.lastPrimarySend.endpoint).
+		Uint64("last_sent_term", g.lastPrimarySend.term).Msg("claim known")
+}
+
+// setFence applies the claim if it is newer than the known one, and reports whether it is. That a
+// term has ended counts whatever the version. The mutex must be held.
+func (g *group) setFence(f FenceState, now time.Time) bool {
 	if f.Version <= g.fence.Version {
 		if f.EndedTerm <= g.fence.EndedTerm {
-			return
+			return false
 		}
 		ended := f.EndedTerm
 		f = g.fence
@@ -55,10 +81,9 @@
 	f.EndedTerm = max(f.EndedTerm, g.fence.EndedTerm)
 	f.Term = max(f.Term, f.EndedTerm)
 	g.fence, g.fencedAt = f, now
-	g.pool.log.Info().Str("group", g.name).Uint64("claim", f.Version).Uint64("claim_term", f.Term).Uint64("ended_term", f.EndedTerm).
-		Bool("withdrawn", f.Withdrawn).Str("primary", g.primary).Uint64("term", g.term).Bool("fenced", g.fenced()).Msg("claim known")
 	g.closeFencedWorkLater(now)
 	g.notify()
+	return true
 }
 
 // fenced reports whether the newest known primary must not be used because it is being
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,7 @@
 	gw := &Gateway{
 		cfg: cfg, ctx: ctx, cancel: cancel, metrics: cfg.Metrics, guard: guard,
 		budget: admission.NewRetryBudget(retryShare, retryBurst),
-		events: newEventLog(cfg.Log),
+		events: newEventLog(cfg.Log, cfg.Metrics),
 	}
 	gw.sessions.open = make(map[*sessionServer]openSession)
 	gw.relayedTransactions.open = make(map[uint64]*relayedTransaction)
@@ -134,7 +134,7 @@
 		gw.quota = newTeamQuota(cfg)
 	}
 	gw.pool = &pool{
-		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, guard: guard, log: gw.events.log, requestLog: gw.events.request, zone: cfg.AvailabilityZone,
+		dialer: cfg.Dialer, peers: cfg.Peers, metrics: cfg.Metrics, guard: guard, log: gw.events.log, replacedLog: gw.events.replaced, zone: cfg.AvailabilityZone,
 		zoneDistance: cfg.ZoneDistance, parseStatus: cfg.ParseStatus, onFailure: gw.controller.requestProbe, permittedUntil: gw.primaryPermittedUntil, drainBound: cfg.DrainBound,
 		adaptiveConcurrency: cfg.AdaptiveConcurrency,
 	}
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -232,7 +232,7 @@
 func (c *controller) applyGroupState(g *group, state GroupState, began time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.setFence(state.Fence, boottime.Now())
+	g.learnFence(state.Fence, boottime.Now(), fenceFromGossip)
 	if state.Term == 0 {
 		return
 	}
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -6,6 +6,7 @@
 
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
 	"github.com/beryltrestle/beryltrestle/coord/routing"
+	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
 // group is the state of one database group as this host knows it. The mutex guards all
@@ -35,7 +36,9 @@
 	fencedAt time.Time
 	// cutOffUntil is until when this host counts as cut off from the primary.
 	cutOffUntil time.Time
-	staleness   *routing.Staleness
+	// lastPrimarySend is the last statement that this host sent to a primary of the group.
+	lastPrimarySend primarySend
+	staleness       *routing.Staleness
 	// health weights the endpoints by the results of the statements on them, regardless
 	// of the state that they report. It detects endpoints that fail or drop part of
 	// their requests.
@@ -45,6 +48,14 @@
 	changed chan struct{}
 }
 
+// primarySend is a statement that was sent to the primary of a term. It is kept for the log: after
+// a change of primary it tells whether a host has sent one too late.
+type primarySend struct {
+	at       time.Time
+	endpoint string
+	term     uint64
+}
+
 // newGroup returns a group without a known primary.
 func newGroup(name string, p *pool) *group {
 	return &group{
@@ -88,7 +99,8 @@
 	g.term, g.primary = term, id
 	g.pool.log.Info().Str("group", g.name).Str("primary", id).Uint64("term", term).Stringer("position", position).
 		Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
-		Uint64("ended_term", g.fence.EndedTerm).Bool("fenced", g.fenced()).Bool("unclaimed", g.unclaimed()).Msg("primary known")
+		Uint64("ended_term", g.fence.EndedTerm).Bool("fenced", g.fenced()).Bool("unclaimed", g.unclaimed()).
+		Int64("boot_ms", boottime.Milliseconds(boottime.Now())).Msg("primary known")
 	g.notify()
 	return true
 }
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -227,7 +227,7 @@
 	m.claim, m.claimVersion = claim, r.Version
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.setFence(claim.fenceState(r.Version), boottime.Now())
+	g.learnFence(claim.fenceState(r.Version), boottime.Now(), fenceFromRow)
 }
 
 // failoverRank returns the number of live hosts that may start a failover before this
--- a/internal/gateway/host_poll.go
+++ b/internal/gateway/host_poll.go
@@ -4,9 +4,12 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/beryltrestle/beryltrestle/coord/electorate"
 	"github.com/beryltrestle/beryltrestle/coord/permission"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
@@ -68,6 +71,20 @@
 	return boottime.Now()
 }
 
+// accounts returns for the log how each host that agrees was found to, and when, in milliseconds of
+// the boot clock.
+func (p *hostPoll) accounts() *zerolog.Event {
+	out := zerolog.Dict()
+	for address, at := range p.agreedAt {
+		how := "answered"
+		if p.notRunning[address] {
+			how = "refused the connection"
+		}
+		out.Str(address, how+" at "+strconv.FormatInt(boottime.Milliseconds(at), 10))
+	}
+	return out
+}
+
 // askedAll reports whether all of the addresses were polled.
 func (p *hostPoll) askedAll(addresses map[string]string) bool {
 	for _, address := range addresses {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -47,8 +47,8 @@
 	peers   PeerClient
 	metrics *metrics.Registry
 	guard   recovery.Guard
-	// log and requestLog are those of the event log.
-	log, requestLog zerolog.Logger
+	// log and replacedLog are those of the event log.
+	log, replacedLog zerolog.Logger
 	// zone is this host's availability zone. zoneDistance is added to the expected
 	// response time of endpoints in other zones.
 	zone         string
@@ -419,7 +419,7 @@
 	}
 	if why != notExcluded {
 		p.metrics.Inc(metrics.StatementsNotStarted)
-		p.requestLog.Info().Str("request", c.requestID).Str("group", g.name).Str("endpoint", c.target.ID).Str("primary", g.primary).
+		p.replacedLog.Info().Str("request", c.requestID).Str("group", g.name).Str("endpoint", c.target.ID).Str("primary", g.primary).
 			Uint64("term", g.term).Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
 			Str("reason", string(why)).Msg("statement not sent, as its endpoint may not be used any more")
 		return now, errNotStarted
@@ -431,7 +431,11 @@
 // recordStart records that a statement is sent on the connection. The group's mutex must be held.
 func (c *conn) recordStart(now time.Time, primary bool) {
 	c.sentAt = now
-	c.usesPrimary, c.primaryTerm = primary, c.target.group.term
+	g := c.target.group
+	c.usesPrimary, c.primaryTerm = primary, g.term
+	if primary {
+		g.lastPrimarySend = primarySend{at: now, endpoint: c.target.ID, term: g.term}
+	}
 	c.busy = true
 	c.target.inFlight++
 	c.inFlightAtSend = c.target.inFlight
--- a/internal/gateway/promote.go
+++ b/internal/gateway/promote.go
@@ -32,7 +32,7 @@
 	})
 	cancel()
 	f.controller.gw.events.log.Info().Str("group", g.name).Str("endpoint", target.ID).Uint64("fence", f.claim.Fence).
-		Dur("took_ms", boottime.Now().Sub(began)).AnErr("error", err).Msg("promotion ordered")
+		Uint64("claim", f.claimVersion).Uint64("claim_term", f.term).Int64("boot_ms", boottime.Milliseconds(began)).Dur("took_ms", boottime.Now().Sub(began)).AnErr("error", err).Msg("promotion ordered")
 	if errors.Is(err, ErrPromotionRefused) {
 		return err
 	}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -117,6 +117,8 @@
 	// PrimaryUnanswered counts statements that were not answered when this host stopped using
 	// their endpoint as the primary.
 	PrimaryUnanswered Name = "primary.unanswered"
+	// LogLinesOmitted counts log lines about requests that were left out, as there were too many.
+	LogLinesOmitted Name = "log.omitted"
 	// StoreRestorations counts how often this host has written the rows that the store had
 	// lost when it was restored from an older copy.
 	StoreRestorations Name = "store.restorations"
