Soak: primaries that stand still and read waiting statements later

TestStatementWaitingAtStalledEndpointDoesNotRunLate stops the primary from reading until its successor has committed a write. It then reads what waits in its connections, also in those that hosts have reset, before it is demoted.

--- a/deploy/soak/endpoint_conn.go
+++ b/deploy/soak/endpoint_conn.go
@@ -30,6 +30,8 @@
 	inTx, failed, readOnly bool
 	// beganAt is when the current statement, or the BEGIN of its transaction, was received.
 	beganAt time.Time
+	// waited is how long the current statement waited because the endpoint stood still.
+	waited time.Duration
 	// txStarted is true once a statement with an ID has run in the open transaction.
 	txStarted bool
 	txIDs     []string
@@ -43,6 +45,7 @@
 		if err != nil {
 			return
 		}
+		g.awaitBacklog(e)
 		c := &endpointConn{group: g, endpoint: e, conn: conn}
 		c.reset()
 		go c.serve()
@@ -64,8 +67,10 @@
 // serve answers statements until the connection ends or the endpoint crashes.
 func (c *endpointConn) serve() {
 	defer c.conn.Close()
-	r := bufio.NewReader(c.conn)
+	from := &arrivals{Conn: c.conn}
+	r := bufio.NewReader(from)
 	line, err := r.ReadString('\n')
+	c.group.awaitBacklog(c.endpoint)
 	f := strings.Fields(line)
 	if err != nil || len(f) < 3 || f[0] != "STARTUP" || c.isDown() {
 		return
@@ -78,21 +83,27 @@
 	defer c.addOpenConns(-1)
 	answer := c.readyLine()
 	for {
-		if _, err := io.WriteString(c.conn, answer); err != nil {
-			return
-		}
+		// The endpoint learns that the other end has closed the connection when it has read
+		// all that was sent before.
+		_, _ = io.WriteString(c.conn, answer)
 		line, err := r.ReadString('\n')
 		verb, rest, _ := strings.Cut(strings.TrimSpace(line), " ")
 		id, text, _ := strings.Cut(rest, " ")
 		if err != nil || verb != "QUERY" || c.isDown() {
 			return
 		}
+		if strings.HasPrefix(text, "DEMOTE ") {
+			c.group.awaitBacklog(c.endpoint)
+		}
+		c.group.awaitRunning(c.endpoint)
 		receivedAt := time.Now()
+		c.waited = receivedAt.Sub(from.last)
 		time.Sleep(rand.N(maxStatementTime))
-		answer = c.execute(id, text, receivedAt)
+		c.group.awaitRunning(c.endpoint)
 		if c.isDown() {
 			return
 		}
+		answer = c.execute(id, text, receivedAt)
 	}
 }
 
@@ -139,7 +150,7 @@
 	if !c.inTx {
 		c.beganAt = receivedAt
 	}
-	x := execution{id: id, endpoint: c.endpoint.id, receivedAt: receivedAt, beganAt: c.beganAt, logEnd: c.endpoint.logEnd(), user: c.user, first: !c.inTx || !c.txStarted}
+	x := execution{id: id, endpoint: c.endpoint.id, receivedAt: receivedAt, beganAt: c.beganAt, waited: c.waited, logEnd: c.endpoint.logEnd(), user: c.user, first: !c.inTx || !c.txStarted}
 	row, code := c.runStatement(id, text)
 	if code == "" && id != "-" {
 		c.group.executions = append(c.group.executions, x)
--- a/deploy/soak/group.go
+++ b/deploy/soak/group.go
@@ -38,7 +38,11 @@
 	// replicationStopped keeps a replica from receiving log entries.
 	replicationStopped bool
 	// isolated keeps the endpoint from reaching the other endpoints.
-	isolated  bool
+	isolated bool
+	// resumed is closed when the endpoint runs again; nil unless it stands still. resumedAt is
+	// when it last began to run again.
+	resumed   chan struct{}
+	resumedAt time.Time
 	term      uint64
 	log       []commit
 	startedAt int64
@@ -84,6 +88,8 @@
 	logEnd       logpos.Position
 	// beganAt is when the endpoint received the statement, or the BEGIN of its transaction.
 	beganAt time.Time
+	// waited is how long the statement waited in the connection because the endpoint stood still.
+	waited time.Duration
 	// user is the name under which the connection was opened.
 	user string
 	// first is true for a single statement and for the first statement of a transaction.
@@ -148,11 +154,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	primary := g.currentPrimary()
-	if primary == nil || primary.down || primary.isolated {
+	if primary == nil || primary.down || primary.isolated || primary.stalled() {
 		return
 	}
 	for _, e := range g.endpoints {
-		if e == primary || e.primary || e.down || e.replicationStopped || e.isolated {
+		if e == primary || e.primary || e.down || e.replicationStopped || e.isolated || e.stalled() {
 			continue
 		}
 		g.syncReplica(e, primary)
@@ -222,11 +228,11 @@
 }
 
 // demote makes the endpoint a replica if it is the primary of a term below the given one,
-// once it can reach the other endpoints.
+// once it can reach the other endpoints and has run for oldPrimaryDemotionDelay.
 func (g *group) demote(e *endpoint, term uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if e.isolated {
+	if e.isolated || e.stalled() || time.Since(e.resumedAt) < oldPrimaryDemotionDelay {
 		time.AfterFunc(oldPrimaryDemotionDelay, func() { g.demote(e, term) })
 		return
 	}
@@ -248,6 +254,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e.down, e.replicationStopped, e.isolated, e.startedAt = false, false, false, time.Now().UnixMilli()
+	g.resumeLocked(e)
 	if current := g.currentPrimary(); current != e {
 		e.primary = false
 	}
--- a/deploy/soak/placed_test.go
+++ b/deploy/soak/placed_test.go
@@ -177,3 +177,19 @@
 		wait.Sleep(ctx, time.Second)
 	})
 }
+
+// Guards against statements that wait in the connections of a primary that stands still as a
+// stopped process does, and run when it does so again after its successor has committed a write,
+// also on connections that were reset meanwhile (issue 42, STALE).
+func TestStatementWaitingAtStalledEndpointDoesNotRunLate(t *testing.T) {
+	const changes = 5
+	runPlacedOn(t, true, func(ctx context.Context, r *runner, random *rand.Rand) {
+		for range changes {
+			wait.Sleep(ctx, time.Second+upTo(random, time.Second))
+			if !r.stallPrimary(ctx, true, changeTimeout) {
+				t.Errorf("no successor committed a write within %s", changeTimeout)
+			}
+		}
+		wait.Sleep(ctx, time.Second)
+	})
+}
