--- a/deploy/soak/check.go
+++ b/deploy/soak/check.go
@@ -140,8 +140,8 @@
 		}
 		for reading, firstByte := range map[string]time.Time{"the caller's first byte": sentAt, "the first byte at the endpoint": x.beganAt} {
 			if log[at].committedAt.Before(firstByte) {
-				violations = append(violations, fmt.Sprintf("STALE by %s: %s was executed at %s on a log up to %s, which lacks %s, answered %s before; it had waited for the endpoint for %s",
-					reading, x.id, x.endpoint, formatPosition(x.logEnd), log[at].ids[0], firstByte.Sub(log[at].committedAt), x.waited))
+				violations = append(violations, fmt.Sprintf("STALE by %s: %s was executed at %s on a log up to %s, which lacks %s, answered %s before%s",
+					reading, x.id, x.endpoint, formatPosition(x.logEnd), log[at].ids[0], firstByte.Sub(log[at].committedAt), x.delay()))
 			}
 		}
 	}
--- a/deploy/soak/endpoint_conn.go
+++ b/deploy/soak/endpoint_conn.go
@@ -30,7 +30,7 @@
 	inTx, failed, readOnly bool
 	// beganAt is when the current statement, or the BEGIN of its transaction, was received.
 	beganAt time.Time
-	// waited is how long the current statement waited because the endpoint stood still.
+	// waited is how long the current statement waited until the endpoint read it.
 	waited time.Duration
 	// txStarted is true once a statement with an ID has run in the open transaction.
 	txStarted bool
@@ -150,7 +150,7 @@
 	if !c.inTx {
 		c.beganAt = receivedAt
 	}
-	x := execution{id: id, endpoint: c.endpoint.id, receivedAt: receivedAt, beganAt: c.beganAt, waited: c.waited, logEnd: c.endpoint.logEnd(), user: c.user, first: !c.inTx || !c.txStarted}
+	x := execution{id: id, endpoint: c.endpoint.id, receivedAt: receivedAt, beganAt: c.beganAt, waited: c.waited, stalledAt: c.endpoint.stalledAt, logEnd: c.endpoint.logEnd(), user: c.user, first: !c.inTx || !c.txStarted}
 	row, code := c.runStatement(id, text)
 	if code == "" && id != "-" {
 		c.group.executions = append(c.group.executions, x)
--- a/deploy/soak/group.go
+++ b/deploy/soak/group.go
@@ -39,14 +39,14 @@
 	replicationStopped bool
 	// isolated keeps the endpoint from reaching the other endpoints.
 	isolated bool
-	// resumed is closed when the endpoint runs again; nil unless it stands still. resumedAt is
-	// when it last began to run again.
-	resumed   chan struct{}
-	resumedAt time.Time
-	term      uint64
-	log       []commit
-	startedAt int64
-	openConns int
+	// resumed is closed when the endpoint runs again; nil unless it stands still. stalledAt is
+	// when it last began to stand still, and resumedAt when it last began to run again.
+	resumed              chan struct{}
+	stalledAt, resumedAt time.Time
+	term                 uint64
+	log                  []commit
+	startedAt            int64
+	openConns            int
 }
 
 // logEnd returns the position of the last entry in the endpoint's log.
@@ -88,8 +88,10 @@
 	logEnd       logpos.Position
 	// beganAt is when the endpoint received the statement, or the BEGIN of its transaction.
 	beganAt time.Time
-	// waited is how long the statement waited in the connection because the endpoint stood still.
-	waited time.Duration
+	// waited is how long the statement waited in the connection until the endpoint read it.
+	// stalledAt is when the endpoint last began to stand still; zero if it never did.
+	waited    time.Duration
+	stalledAt time.Time
 	// user is the name under which the connection was opened.
 	user string
 	// first is true for a single statement and for the first statement of a transaction.
--- a/deploy/soak/placed_test.go
+++ b/deploy/soak/placed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -53,6 +54,7 @@
 			t.Errorf("seed %d: %v", seed, err)
 			continue
 		}
+		NewWithT(t).Expect(os.WriteFile(filepath.Join(dir, fmt.Sprintf("report-%d.txt", seed)), []byte(report.String()), 0o600)).To(Succeed())
 		counts, examples := make(map[string]int), make(map[string]string)
 		for _, v := range report.Violations {
 			rule, _, _ := strings.Cut(v, ":")
--- a/deploy/soak/stall.go
+++ b/deploy/soak/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"time"
 
@@ -19,7 +20,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if e.resumed == nil {
-		e.resumed = make(chan struct{})
+		e.resumed, e.stalledAt = make(chan struct{}), time.Now()
 	}
 }
 
@@ -103,3 +104,13 @@
 	r.group.resume(e)
 	return replaced
 }
+
+// delay describes how long the statement waited at an endpoint that stood still; empty if it did
+// not.
+func (x execution) delay() string {
+	stoodStillFor := x.receivedAt.Add(-x.waited).Sub(x.stalledAt)
+	if x.stalledAt.IsZero() || x.waited < backlogTime || stoodStillFor < 0 {
+		return ""
+	}
+	return fmt.Sprintf("; the endpoint had stood still for %s when it arrived, and read it %s later", stoodStillFor, x.waited)
+}
