--- a/deploy/soak/placed_test.go
+++ b/deploy/soak/placed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -53,6 +54,7 @@
 			t.Errorf("seed %d: %v", seed, err)
 			continue
 		}
+		NewWithT(t).Expect(os.WriteFile(filepath.Join(dir, fmt.Sprintf("report-%d.txt", seed)), []byte(report.String()), 0o600)).To(Succeed())
 		counts, examples := make(map[string]int), make(map[string]string)
 		for _, v := range report.Violations {
 			rule, _, _ := strings.Cut(v, ":")
@@ -177,3 +179,19 @@
 		wait.Sleep(ctx, time.Second)
 	})
 }
+
+// Guards against statements that wait in the connections of a primary that stands still as a
+// stopped process does, and run when it does so again after its successor has committed a write,
+// also on connections that were reset meanwhile (issue 42, STALE).
+func TestStatementWaitingAtStalledEndpointDoesNotRunLate(t *testing.T) {
+	const changes = 5
+	runPlacedOn(t, true, func(ctx context.Context, r *runner, random *rand.Rand) {
+		for range changes {
+			wait.Sleep(ctx, time.Second+upTo(random, time.Second))
+			if !r.stallPrimary(ctx, true, changeTimeout) {
+				t.Errorf("no successor committed a write within %s", changeTimeout)
+			}
+		}
+		wait.Sleep(ctx, time.Second)
+	})
+}
