Soak: planned changes, new IDs, series of faults; late commits are reported

Every fourth caller keeps its sessions for longer.

The report also has the commits that a replaced primary made after a commit of its successor, and the statements elsewhere that lack them. They are no violations: no host can keep an endpoint from running what it has read.

--- a/deploy/soak/caller.go
+++ b/deploy/soak/caller.go
@@ -32,8 +32,11 @@
 	meanOperationPause = 30 * time.Millisecond
 	// preparedWrite is the name of the write that each session prepares.
 	preparedWrite = "save"
-	// maxSessionOperations bounds the number of operations of a session.
+	// maxSessionOperations bounds the number of operations of a session. Every fourth caller keeps
+	// its sessions longer by longSessionFactor, so that it uses open connections of a host until
+	// the host's process is gone.
 	maxSessionOperations = 60
+	longSessionFactor    = 20
 )
 
 // notAppliedCodes are the error codes which guarantee that the statement had no effect.
@@ -93,7 +96,7 @@
 // session could not be opened.
 func (c *caller) runSession(ctx context.Context) bool {
 	databases := []string{strictDatabase, boundedDatabase, readYourWritesDatabase}
-	h := c.runner.hosts[c.random.IntN(len(c.runner.hosts))]
+	h := c.runner.randomHost(c.random)
 	if c.runner.cfg.script != nil {
 		h = c.runner.hosts[c.index%len(c.runner.hosts)]
 		if !c.runner.cfg.allDatabases {
@@ -125,7 +128,11 @@
 	if r, err := c.send(s, "PREPARE "+preparedWrite+" WRITE shape"); err != nil || r.code != "" {
 		return false
 	}
-	for range c.random.IntN(maxSessionOperations) {
+	operations := c.random.IntN(maxSessionOperations)
+	if c.index%4 == 0 {
+		operations *= longSessionFactor
+	}
+	for range operations {
 		if ctx.Err() != nil || !c.runOperation(s) {
 			return true
 		}
--- a/deploy/soak/check.go
+++ b/deploy/soak/check.go
@@ -170,6 +170,7 @@
 	defer r.mu.Unlock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordLeftBehind()
 	violations := r.violations
 	// kept holds the place of each statement in the primary's log.
 	kept := make(map[string]int)
--- a/deploy/soak/endpoint_conn.go
+++ b/deploy/soak/endpoint_conn.go
@@ -100,10 +100,9 @@
 		c.waited = receivedAt.Sub(from.last)
 		time.Sleep(rand.N(maxStatementTime))
 		c.group.awaitRunning(c.endpoint)
-		if c.isDown() {
+		if answer = c.execute(id, text, receivedAt); answer == "" {
 			return
 		}
-		answer = c.execute(id, text, receivedAt)
 	}
 }
 
@@ -143,10 +142,14 @@
 	return fmt.Sprintf("READY %s %s\r\n", state, formatPosition(c.endpoint.logEnd()))
 }
 
-// execute runs a statement and renders its complete answer.
+// execute runs a statement and renders its complete answer. It returns no answer if the endpoint
+// has crashed.
 func (c *endpointConn) execute(id, text string, receivedAt time.Time) string {
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
+	if c.endpoint.down {
+		return ""
+	}
 	if !c.inTx {
 		c.beganAt = receivedAt
 	}
--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -42,9 +42,7 @@
 var faults = []fault{
 	{name: "stop a host gracefully", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, _ time.Duration) {
 		h := r.randomHost(random)
-		if h.stop(ctx) && ctx.Err() == nil {
-			r.recorder.addViolation("DRAIN: %s did not exit within its grace period", h.name)
-		}
+		r.end(ctx, h, false)
 		wait.Sleep(ctx, restartDelay)
 		r.restart(h)
 	}},
@@ -55,28 +53,25 @@
 		r.restart(h)
 	}},
 	{name: "kill most hosts at once", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
-		for _, h := range r.hosts {
+		for _, h := range r.hostList() {
 			if random.IntN(4) > 0 {
 				h.signal(syscall.SIGKILL)
 			}
 		}
 		wait.Sleep(ctx, duration/4)
-		for _, h := range r.hosts {
+		for _, h := range r.hostList() {
 			r.restart(h)
 		}
 	}},
 	{name: "pause a host", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
-		h := r.randomHost(random)
-		h.signal(syscall.SIGSTOP)
-		wait.Sleep(ctx, duration)
-		h.signal(syscall.SIGCONT)
+		r.randomHost(random).pause(ctx, duration)
 	}},
 	{name: "make a host reload its settings", inject: func(_ context.Context, r *runner, random *rand.Rand, _ time.Duration) {
 		r.randomHost(random).signal(syscall.SIGHUP)
 	}},
 	{name: "store fails for some hosts", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
 		f := storeFault(1 + random.IntN(int(storeFaultCount)-1))
-		for _, h := range r.hosts {
+		for _, h := range r.hostList() {
 			if random.IntN(2) == 0 {
 				r.store.setFault(h.name, f)
 				defer r.store.setFault(h.name, storeHealthy)
@@ -86,25 +81,23 @@
 	}},
 	{name: "store fails for all hosts", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
 		f := storeFault(1 + random.IntN(int(storeFaultCount)-1))
-		for _, h := range r.hosts {
+		for _, h := range r.hostList() {
 			r.store.setFault(h.name, f)
 			defer r.store.setFault(h.name, storeHealthy)
 		}
 		wait.Sleep(ctx, duration)
 	}},
 	{name: "impair the path to an endpoint", inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
-		p := r.proxies[random.IntN(len(r.proxies))]
+		p := r.randomEndpoint(random).proxy
 		p.setFault(pathFault(1 + random.IntN(int(pathFaultCount)-1)))
 		wait.Sleep(ctx, duration)
 		p.setFault(pathHealthy)
 	}},
 	{name: "reset connections to an endpoint", inject: func(_ context.Context, r *runner, random *rand.Rand, _ time.Duration) {
-		r.proxies[random.IntN(len(r.proxies))].reset()
+		r.randomEndpoint(random).proxy.reset()
 	}},
 	{name: "crash the primary", inject: func(ctx context.Context, r *runner, _ *rand.Rand, duration time.Duration) {
-		r.group.mu.Lock()
-		e := r.group.currentPrimary()
-		r.group.mu.Unlock()
+		e := r.group.primary()
 		if e == nil {
 			return
 		}
@@ -119,7 +112,7 @@
 		}
 	}},
 	{name: "stop replication to an endpoint", inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
-		e := r.group.endpoints[random.IntN(len(r.group.endpoints))]
+		e := r.randomEndpoint(random)
 		setStopped := func(stopped bool) {
 			r.group.mu.Lock()
 			defer r.group.mu.Unlock()
@@ -160,13 +153,27 @@
 	return replaced
 }
 
+// allFaults returns the kinds of faults of the run. Changes of primary are more likely than others,
+// as each of them is a chance to use two primaries at once.
+func (r *runner) allFaults() []fault {
+	series := fault{name: "change the primary in series", inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
+		r.changeInSeries(ctx, random, duration)
+	}}
+	out := slices.Concat(faults, hostFaults, changes, []fault{series, series, series})
+	if r.teams != nil {
+		out = slices.Concat(out, withdrawals, loweredLimits)
+	}
+	return out
+}
+
 // injectFaults starts random faults, which may overlap, until ctx ends. It returns when
 // the last fault is over.
 func (r *runner) injectFaults(ctx context.Context, random *rand.Rand) {
-	list, next := faults, faults
+	list := r.allFaults()
+	next := list
 	if r.teams != nil {
 		// Short runs would often withdraw no key.
-		list, next = withdrawals, slices.Concat(faults, withdrawals, loweredLimits)
+		list = withdrawals
 	}
 	for ctx.Err() == nil {
 		f := list[random.IntN(len(list))]
--- a/deploy/soak/group.go
+++ b/deploy/soak/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,8 +34,16 @@
 type endpoint struct {
 	id      string
 	address string
+	// proxy carries the connections to the endpoint. An endpoint that takes over the address of
+	// another one takes over its proxy.
+	proxy   *proxy
 	primary bool
 	down    bool
+	// leaving is true once the endpoint is being replaced as planned, and draining once it has
+	// announced that.
+	leaving, draining bool
+	// removedRow is true if the endpoint has left and removed its row itself.
+	removedRow bool
 	// replicationStopped keeps a replica from receiving log entries.
 	replicationStopped bool
 	// isolated keeps the endpoint from reaching the other endpoints.
@@ -61,8 +70,12 @@
 type group struct {
 	name string
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// endpoints holds the endpoints that have not left, and created counts all that ever were.
 	endpoints []*endpoint
+	created   int
+	// former holds the endpoints that have left.
+	former []*endpoint
 	// commitCounts counts how often each statement ID was committed on any endpoint,
 	// including commits that were rolled back later.
 	commitCounts map[string]int
@@ -71,6 +84,8 @@
 	rolledBack map[string]bool
 	// committedByOldPrimary holds the statement IDs that a replaced primary committed.
 	committedByOldPrimary map[string]bool
+	// lateCommits lists the commits of replaced primaries.
+	lateCommits []lateCommit
 	// promotions lists the promotions in their order.
 	promotions []promotion
 	// onPromotion, if set, is called with mu held when a promotion takes effect.
@@ -109,13 +124,32 @@
 func newGroup(name string, endpoints int) *group {
 	g := &group{name: name, commitCounts: make(map[string]int), users: make(map[string]bool), rolledBack: make(map[string]bool), committedByOldPrimary: make(map[string]bool)}
 	for n := range endpoints {
-		g.endpoints = append(g.endpoints, &endpoint{
-			id: fmt.Sprintf("i-%d", n), term: 1, primary: n == 0, startedAt: time.Now().UnixMilli(),
-		})
+		g.add(&endpoint{term: 1, primary: n == 0})
 	}
 	return g
 }
 
+// add adds an endpoint and gives it a new ID. g.mu must be held, unless the group is not yet in use.
+func (g *group) add(e *endpoint) {
+	e.id, e.startedAt = fmt.Sprintf("i-%d", g.created), time.Now().UnixMilli()
+	g.created++
+	g.endpoints = append(g.endpoints, e)
+}
+
+// list returns the endpoints that have not left.
+func (g *group) list() []*endpoint {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.endpoints)
+}
+
+// primary returns the primary of the highest term, or nil.
+func (g *group) primary() *endpoint {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.currentPrimary()
+}
+
 // currentPrimary returns the primary of the highest term, or nil. g.mu must be held.
 func (g *group) currentPrimary() *endpoint {
 	var best *endpoint
@@ -147,7 +181,11 @@
 		}
 	}
 	at := logpos.Position{Term: e.term, Offset: e.logEnd().Offset + 1}
-	e.log = append(e.log, commit{position: at, ids: ids, data: data, committedAt: time.Now()})
+	c := commit{position: at, ids: ids, data: data, committedAt: time.Now()}
+	if current.term > e.term {
+		g.lateCommits = append(g.lateCommits, lateCommit{commit: c, endpoint: e.id, successor: current.id, first: current.firstCommitAfter(e.term)})
+	}
+	e.log = append(e.log, c)
 }
 
 // replicate copies the primary's log entries that are older than the replication delay
--- a/deploy/soak/host.go
+++ b/deploy/soak/host.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/beryltrestle/beryltrestle/internal/wait"
 )
 
 // stopGrace is the time between SIGTERM and SIGKILL, as at the users' sites.
@@ -21,7 +23,7 @@
 
 // host is one host, whose daemon runs as a process.
 type host struct {
-	name          string
+	name, zone    string
 	daemonPath    string
 	settingsFile  string
 	callerAddress string
@@ -30,6 +32,10 @@
 	mu      sync.Mutex
 	process *os.Process
 	exited  chan struct{}
+	// pauses counts how often the process was paused.
+	pauses int
+	// replaced hosts are not started again.
+	replaced bool
 }
 
 const (
@@ -83,11 +89,12 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &host{name: name, daemonPath: daemonPath, settingsFile: filepath.Join(dir, name+".json"), callerAddress: ports[0]}
+	h := &host{name: name, zone: zone, daemonPath: daemonPath, settingsFile: filepath.Join(dir, name+".json"), callerAddress: ports[0]}
 	if err := os.WriteFile(h.settingsFile, body, 0o600); err != nil {
 		return nil, err
 	}
-	h.log, err = os.Create(filepath.Join(dir, name+".log"))
+	// A host at another address may have the name of the one that it replaces.
+	h.log, err = os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	return h, err
 }
 
@@ -95,7 +102,7 @@
 func (h *host) start() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.process != nil {
+	if h.process != nil || h.replaced {
 		return nil
 	}
 	command := exec.Command(h.daemonPath, "platform")
@@ -155,15 +162,42 @@
 }
 
 // stop ends the process by SIGTERM, or by SIGKILL after stopGrace. It reports whether
-// SIGKILL was needed.
+// SIGKILL was needed although the process was not paused in between.
 func (h *host) stop(ctx context.Context) (forced bool) {
 	h.signal(syscall.SIGCONT)
+	before := h.pauseCount()
 	h.signal(syscall.SIGTERM)
 	if h.wait(ctx, stopGrace) {
 		return false
 	}
 	h.kill()
-	return true
+	return h.pauseCount() == before
+}
+
+// pause stops the process for the given time.
+func (h *host) pause(ctx context.Context, duration time.Duration) {
+	h.mu.Lock()
+	h.pauses++
+	h.mu.Unlock()
+	h.signal(syscall.SIGSTOP)
+	wait.Sleep(ctx, duration)
+	h.signal(syscall.SIGCONT)
+}
+
+// pauseCount returns how often the process was paused.
+func (h *host) pauseCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pauses
+}
+
+// replace keeps the host from being started again. It returns false if it was replaced before.
+func (h *host) replace() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	before := h.replaced
+	h.replaced = true
+	return !before
 }
 
 // kill ends the process by SIGKILL.
--- a/deploy/soak/paths.go
+++ b/deploy/soak/paths.go
@@ -92,7 +92,7 @@
 			socket = "socket:[" + f[9] + "]"
 		}
 	}
-	for _, h := range r.hosts {
+	for _, h := range r.hostList() {
 		files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", h.processID()))
 		for _, file := range files {
 			if name, err := os.Readlink(file); err == nil && name == socket {
--- a/deploy/soak/proxy.go
+++ b/deploy/soak/proxy.go
@@ -41,18 +41,31 @@
 // proxy forwards connections to a target address and injects network faults.
 type proxy struct {
 	listener net.Listener
-	target   string
-	// part is the name of the host or endpoint at the target. source returns the name of the
-	// host that opened a connection.
-	part   string
-	paths  *paths
+	paths    *paths
+	// source returns the name of the host that opened a connection.
 	source func(net.Conn) string
 	// userTimeout is the TCP_USER_TIMEOUT of the connections' clients; 0 if they have none.
 	userTimeout time.Duration
 
-	mu    sync.Mutex
-	fault pathFault
-	conns map[net.Conn]bool
+	mu sync.Mutex
+	// part is the name of the host or endpoint at the target.
+	target, part string
+	fault        pathFault
+	conns        map[net.Conn]bool
+}
+
+// retarget makes the proxy carry new connections to another part.
+func (p *proxy) retarget(part, target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.part, p.target = part, target
+}
+
+// destination returns the part at the target and its address.
+func (p *proxy) destination() (part, target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.part, p.target
 }
 
 // startProxy starts a proxy that forwards to the part at the target address.
@@ -118,8 +131,9 @@
 // connect connects a client to the target and forwards both directions.
 func (p *proxy) connect(client net.Conn) {
 	from := p.source(client)
-	p.paths.await(from, p.part)
-	server, err := net.Dial("tcp", p.target)
+	part, target := p.destination()
+	p.paths.await(from, part)
+	server, err := net.Dial("tcp", target)
 	if err != nil {
 		client.Close()
 		return
@@ -127,8 +141,8 @@
 	p.mu.Lock()
 	p.conns[client], p.conns[server] = true, true
 	p.mu.Unlock()
-	go p.forward(server, client, [2]string{from, p.part}, false)
-	go p.forward(client, server, [2]string{p.part, from}, true)
+	go p.forward(server, client, [2]string{from, part}, false)
+	go p.forward(client, server, [2]string{part, from}, true)
 }
 
 // forward copies one direction until it ends, and then closes both connections. path names
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -19,10 +19,6 @@
 )
 
 const (
-	// heartbeatInterval is how often an endpoint writes its row into the store.
-	heartbeatInterval = 1200 * time.Millisecond
-	// rowTimeout is the time without a heartbeat after which an endpoint's row is removed.
-	rowTimeout = 3 * heartbeatInterval
 	// replicateInterval is how often replicas fetch new log entries.
 	replicateInterval = 5 * time.Millisecond
 	// startTimeout bounds the time until every host serves for the first time.
@@ -66,12 +62,14 @@
 	Promotions int `json:"promoted"`
 	// Violations describes the guarantees that were broken; see recorder.
 	Violations []string `json:"found"`
+	// LateCommits describes the commits of replaced primaries; see describeLateCommits.
+	LateCommits []string `json:"late_commits"`
 }
 
 // String renders the report as one line, followed by a line for each violation.
 func (r Report) String() string {
-	out := fmt.Sprintf("seed %d: %d done, %d refused, %d other, %d promotions, %d violations", r.Seed, r.Done, r.Refused, r.Other, r.Promotions, len(r.Violations))
-	for _, f := range r.Violations {
+	out := fmt.Sprintf("seed %d: %d done, %d refused, %d other, %d promotions, %d violations, %d late commits", r.Seed, r.Done, r.Refused, r.Other, r.Promotions, len(r.Violations), len(r.LateCommits))
+	for _, f := range slices.Concat(r.Violations, r.LateCommits) {
 		out += "\n  " + f
 	}
 	return out
@@ -83,12 +81,16 @@
 	log   zerolog.Logger
 	store *store
 	group *group
-	// proxies carry the connections to the endpoints, in the order of the endpoints.
-	proxies  []*proxy
-	hosts    []*host
-	callers  []*caller
-	recorder recorder
-	paths    paths
+	// hostsMu guards hosts, whose elements faults replace.
+	hostsMu sync.Mutex
+	hosts   []*host
+	// replacedHosts counts the hosts that were replaced by one of another name.
+	replacedHosts int
+	cloud         string
+	seeds         []string
+	callers       []*caller
+	recorder      recorder
+	paths         paths
 	// onOrder, if set, is called for each order of a promotion before it is carried out.
 	// If it returns true, the order has already been answered.
 	onOrder func(w http.ResponseWriter, order promotion) (answered bool)
@@ -104,6 +106,7 @@
 	disturbances   []disturbance
 
 	activeFaults sync.WaitGroup
+	closersMu    sync.Mutex
 	closers      []func()
 }
 
@@ -158,26 +161,16 @@
 	violations := append(r.recorder.check(r.group), r.checkTeams()...)
 	return Report{
 		Seed: cfg.Seed, Done: r.recorder.done, Refused: r.recorder.refusals, Other: r.recorder.others,
-		Promotions: len(r.group.promotions), Violations: violations,
+		Promotions: len(r.group.promotions), Violations: violations, LateCommits: r.lateCommits(),
 	}, nil
 }
 
 // start starts the stand-ins and the hosts, and prepares the callers.
 func (r *runner) start(ctx context.Context, random *rand.Rand) error {
-	for _, e := range r.group.endpoints {
-		l, err := listen()
-		if err != nil {
-			return err
-		}
-		r.closers = append(r.closers, func() { l.Close() })
-		go serveEndpoint(r.group, e, l)
-		p, err := r.startProxy(e.id, l.Addr().String(), hostUserTimeout)
-		if err != nil {
+	for _, e := range r.group.list() {
+		if err := r.startEndpoint(ctx, e); err != nil {
 			return err
 		}
-		r.closers = append(r.closers, p.close)
-		r.proxies, e.address = append(r.proxies, p), p.address()
-		go r.heartbeat(ctx, e)
 	}
 	go r.repeat(ctx, replicateInterval, r.group.replicate)
 	cloudAddress, err := r.serve(http.HandlerFunc(r.promote))
@@ -191,43 +184,13 @@
 			team: r.teamOfCaller(n),
 		})
 	}
-	return r.startHosts(cloudAddress)
-}
-
-// startHosts starts the hosts. Each gets its own address of the store, so that the store
-// can fail for single hosts.
-func (r *runner) startHosts(cloudAddress string) error {
-	const portsPerHost = 3
-	ports, err := reservePorts(portsPerHost * r.cfg.Hosts)
-	if err != nil {
-		return err
-	}
-	var seeds []string
+	r.cloud = cloudAddress
 	for n := range r.cfg.Hosts {
-		name := fmt.Sprintf("host-%d", n)
-		address, err := r.serve(r.store.handler(name))
-		if err != nil {
-			return err
-		}
-		admin := ports[portsPerHost*n+2]
-		if r.cfg.script != nil {
-			p, err := r.startProxy(name, admin, 0)
-			if err != nil {
-				return err
-			}
-			r.closers = append(r.closers, p.close)
-			r.store.addresses[admin] = p.address()
-			admin = p.address()
-		}
-		if n == 0 {
-			seeds = []string{admin}
-		}
-		h, err := newHost(r.cfg.Dir, r.cfg.DaemonPath, name, fmt.Sprintf("zone-%d", n%3), address, cloudAddress, seeds, ports[portsPerHost*n:portsPerHost*(n+1)], r.bounds(), r.cfg.limits)
+		h, err := r.newHost(fmt.Sprintf("host-%d", n), fmt.Sprintf("zone-%d", n%3))
 		if err != nil {
 			return err
 		}
 		r.hosts = append(r.hosts, h)
-		r.closers = append(r.closers, func() { h.log.Close() }, h.kill)
 	}
 	for _, h := range r.hosts {
 		if err := h.start(); err != nil {
@@ -237,6 +200,54 @@
 	return nil
 }
 
+// newHost returns a host at a new address. Each host gets its own address of the store, so that
+// the store can fail for single hosts.
+func (r *runner) newHost(name, zone string) (*host, error) {
+	const portsPerHost = 3
+	ports, err := reservePorts(portsPerHost)
+	if err != nil {
+		return nil, err
+	}
+	address, err := r.serve(r.store.handler(name))
+	if err != nil {
+		return nil, err
+	}
+	admin := ports[2]
+	if r.cfg.script != nil {
+		p, err := r.startProxy(name, admin, 0)
+		if err != nil {
+			return nil, err
+		}
+		r.atClose(p.close)
+		r.store.addresses[admin] = p.address()
+		admin = p.address()
+	}
+	if r.seeds == nil {
+		r.seeds = []string{admin}
+	}
+	h, err := newHost(r.cfg.Dir, r.cfg.DaemonPath, name, zone, address, r.cloud, r.seeds, ports, r.bounds(), r.cfg.limits)
+	if err != nil {
+		return nil, err
+	}
+	r.atClose(func() { h.log.Close() })
+	r.atClose(h.kill)
+	return h, nil
+}
+
+// atClose makes close call f.
+func (r *runner) atClose(f func()) {
+	r.closersMu.Lock()
+	defer r.closersMu.Unlock()
+	r.closers = append(r.closers, f)
+}
+
+// hostList returns the hosts.
+func (r *runner) hostList() []*host {
+	r.hostsMu.Lock()
+	defer r.hostsMu.Unlock()
+	return slices.Clone(r.hosts)
+}
+
 // serve serves the handler on a loopback address.
 func (r *runner) serve(handler http.Handler) (string, error) {
 	l, err := listen()
@@ -244,15 +255,17 @@
 		return "", err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
-	r.closers = append(r.closers, func() { server.Close() })
+	r.atClose(func() { server.Close() })
 	go func() { _ = server.Serve(l) }()
 	return l.Addr().String(), nil
 }
 
 // close stops everything in reverse order of its start.
 func (r *runner) close() {
-	for i := len(r.closers) - 1; i >= 0; i-- {
-		r.closers[i]()
+	r.closersMu.Lock()
+	defer r.closersMu.Unlock()
+	for _, f := range slices.Backward(r.closers) {
+		f()
 	}
 }
 
@@ -264,32 +277,6 @@
 	}
 }
 
-// heartbeat writes the endpoint's row into the store while the endpoint runs, and removes
-// the row once the endpoint has been down for rowTimeout.
-func (r *runner) heartbeat(ctx context.Context, e *endpoint) {
-	var lastBeat time.Time
-	r.repeat(ctx, heartbeatInterval, func() {
-		r.group.mu.Lock()
-		down, primary, startedAt := e.down, e.primary, e.startedAt
-		r.group.mu.Unlock()
-		if down {
-			if time.Since(lastBeat) > rowTimeout {
-				r.store.put("servers", e.id, nil)
-			}
-			return
-		}
-		lastBeat = time.Now()
-		role := "replica"
-		if primary {
-			role = "primary"
-		}
-		r.store.put("servers", e.id, map[string]any{
-			"Service": r.group.name, "Address": e.address, "Zone": "zone-0", "Version": "1", "Capacity": 4,
-			"State": "ready", "WarmupLeftMs": 0, "Seq": lastBeat.UnixMilli(), "DbRole": role, "born": startedAt,
-		})
-	})
-}
-
 // promote serves the request to promote an endpoint.
 func (r *runner) promote(w http.ResponseWriter, request *http.Request) {
 	var order struct {
@@ -338,7 +325,10 @@
 }
 
 // randomHost returns a random host.
-func (r *runner) randomHost(random *rand.Rand) *host { return r.hosts[random.IntN(len(r.hosts))] }
+func (r *runner) randomHost(random *rand.Rand) *host {
+	hosts := r.hostList()
+	return hosts[random.IntN(len(hosts))]
+}
 
 // restart starts a host unless it runs. It first gives a process that is ending the time
 // to exit.
@@ -351,19 +341,17 @@
 
 // endFaults ends every fault that may still be active.
 func (r *runner) endFaults() {
-	for _, e := range r.group.endpoints {
+	for _, e := range r.group.list() {
 		r.group.mu.Lock()
-		broken := e.down || e.replicationStopped || e.isolated
+		broken := e.down || e.replicationStopped || e.isolated || e.stalled()
 		r.group.mu.Unlock()
 		if broken {
 			r.group.restart(e)
 		}
+		e.proxy.setFault(pathHealthy)
 	}
 	r.paths.restore()
-	for _, p := range r.proxies {
-		p.setFault(pathHealthy)
-	}
-	for _, h := range r.hosts {
+	for _, h := range r.hostList() {
 		r.store.setFault(h.name, storeHealthy)
 		r.restart(h)
 	}
@@ -374,7 +362,7 @@
 func (r *runner) allHostsServe(ctx context.Context, within time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	for _, h := range r.hosts {
+	for _, h := range r.hostList() {
 		for !servesStrictRead(h.callerAddress) {
 			if ctx.Err() != nil {
 				r.log.Warn().Str("host", h.name).Msg("host does not serve")
--- a/deploy/soak/teams.go
+++ b/deploy/soak/teams.go
@@ -72,7 +72,7 @@
 
 // bounds returns the Bounds of the hosts' settings.
 func (r *runner) bounds() map[string]any {
-	out := map[string]any{"GraceS": stopGrace.Seconds()}
+	out := map[string]any{"GraceS": stopGrace.Seconds(), "DrainMs": drainBound.Milliseconds()}
 	if r.teams != nil {
 		out["StrictRevoke"], out["RevokeMs"] = true, revokeBound.Milliseconds()
 		out["ConfigApplyMs"], out["QuotaWindowS"] = configBound.Milliseconds(), quotaWindow.Seconds()
@@ -143,7 +143,7 @@
 	// Random faults of the store seldom last for longer than revokeBound while a key is withdrawn.
 	{name: "withdraw all keys of a team while the store fails", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
 		f := storeFault(1 + random.IntN(int(storeFaultCount)-1))
-		for _, h := range r.hosts {
+		for _, h := range r.hostList() {
 			r.store.setFault(h.name, f)
 			defer r.store.setFault(h.name, storeHealthy)
 		}
