--- a/deploy/soak/group.go
+++ b/deploy/soak/group.go
@@ -74,6 +74,8 @@
 	// endpoints holds the endpoints that have not left, and created counts all that ever were.
 	endpoints []*endpoint
 	created   int
+	// term is the newest term.
+	term uint64
 	// former holds the endpoints that have left.
 	former []*endpoint
 	// commitCounts counts how often each statement ID was committed on any endpoint,
@@ -122,7 +124,7 @@
 }
 
 func newGroup(name string, endpoints int) *group {
-	g := &group{name: name, commitCounts: make(map[string]int), users: make(map[string]bool), rolledBack: make(map[string]bool), committedByOldPrimary: make(map[string]bool)}
+	g := &group{name: name, term: 1, commitCounts: make(map[string]int), users: make(map[string]bool), rolledBack: make(map[string]bool), committedByOldPrimary: make(map[string]bool)}
 	for n := range endpoints {
 		g.add(&endpoint{term: 1, primary: n == 0})
 	}
@@ -143,22 +145,22 @@
 	return slices.Clone(g.endpoints)
 }
 
-// primary returns the primary of the highest term, or nil.
+// primary returns the primary of the newest term, or nil.
 func (g *group) primary() *endpoint {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.currentPrimary()
 }
 
-// currentPrimary returns the primary of the highest term, or nil. g.mu must be held.
+// currentPrimary returns the primary of the newest term, or nil. A primary of an earlier term has
+// been replaced, also if its successor has left. g.mu must be held.
 func (g *group) currentPrimary() *endpoint {
-	var best *endpoint
 	for _, e := range g.endpoints {
-		if e.primary && (best == nil || e.term > best.term) {
-			best = e
+		if e.primary && e.term == g.term {
+			return e
 		}
 	}
-	return best
+	return nil
 }
 
 // hasSuccessor reports whether a primary of a newer term than the endpoint's has committed a
@@ -167,22 +169,21 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	current := g.currentPrimary()
-	return current != nil && current.term > e.term && len(current.log[len(current.log)-1].ids) > 0
+	return current != nil && current.term > e.term && current.firstCommitAfter(e.term) != nil
 }
 
 // commit appends the writes to the endpoint's log. The endpoint acts as primary, but may
 // have been replaced. g.mu must be held.
 func (g *group) commit(e *endpoint, ids []string, data map[string]string) {
-	current := g.currentPrimary()
 	for _, id := range ids {
 		g.commitCounts[id]++
-		if current.term > e.term {
+		if g.term > e.term {
 			g.committedByOldPrimary[id] = true
 		}
 	}
 	at := logpos.Position{Term: e.term, Offset: e.logEnd().Offset + 1}
 	c := commit{position: at, ids: ids, data: data, committedAt: time.Now()}
-	if current.term > e.term {
+	if current := g.currentPrimary(); current != nil && current != e {
 		g.lateCommits = append(g.lateCommits, lateCommit{commit: c, endpoint: e.id, successor: current.id, first: current.firstCommitAfter(e.term)})
 	}
 	e.log = append(e.log, c)
@@ -239,9 +240,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var next *endpoint
-	term := uint64(0)
 	for _, e := range g.endpoints {
-		term = max(term, e.term)
 		if e.id == id && !e.down {
 			next = e
 		}
@@ -253,13 +252,15 @@
 		return true
 	}
 	g.promotions = append(g.promotions, promotion{holder: holder, fence: fence, endpoint: id})
+	g.term++
+	term := g.term
 	for _, old := range g.endpoints {
 		if old != next && old.primary {
-			time.AfterFunc(oldPrimaryDemotionDelay, func() { g.demote(old, term+1) })
+			time.AfterFunc(oldPrimaryDemotionDelay, func() { g.demote(old, term) })
 		}
 	}
 	// A term starts with an entry without data, which marks the end of the earlier terms.
-	next.primary, next.term = true, term+1
+	next.primary, next.term = true, term
 	next.log = append(next.log, commit{position: logpos.Position{Term: next.term, Offset: next.logEnd().Offset + 1}, committedAt: time.Now()})
 	if g.onPromotion != nil {
 		g.onPromotion(next, g.promotions[len(g.promotions)-1])
@@ -289,10 +290,13 @@
 }
 
 // restart starts the endpoint again, as a replica if another endpoint is the primary, and
-// ends its faults.
+// ends its faults. An endpoint that has left does not start again.
 func (g *group) restart(e *endpoint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if slices.Contains(g.former, e) {
+		return
+	}
 	e.down, e.replicationStopped, e.isolated, e.startedAt = false, false, false, time.Now().UnixMilli()
 	g.resumeLocked(e)
 	if current := g.currentPrimary(); current != e {
--- a/deploy/soak/late_commit_test.go
+++ b/deploy/soak/late_commit_test.go
@@ -27,6 +27,7 @@
 		g := NewWithT(t)
 		database := newGroup("g", 2)
 		old, successor := database.endpoints[0], database.endpoints[1]
+		database.term = 2
 		successor.primary, successor.term = true, 2
 		successor.log = []commit{{position: logpos.Position{Term: 2, Offset: 1}, committedAt: at(2)}}
 		if test.successorCommits {
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -390,8 +390,9 @@
 				primaries++
 			}
 		}
+		led := r.group.currentPrimary() != nil
 		r.group.mu.Unlock()
-		if primaries == 1 {
+		if led && primaries == 1 {
 			r.group.replicate()
 			return true
 		}
