--- a/deploy/soak/changes.go
+++ b/deploy/soak/changes.go
@@ -52,6 +52,12 @@
 		wait.Sleep(ctx, between(random, shortestStall, longestStall))
 		r.group.resume(e)
 	}},
+	{name: "cut off the primary from most hosts", inject: func(ctx context.Context, r *runner, random *rand.Rand, _ time.Duration) {
+		r.cutOffFromMost(ctx, random, between(random, shortestStall, longestStall), nil)
+	}},
+	{name: "cut off the primary from most hosts and restart the others", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, _ time.Duration) {
+		r.cutOffFromMost(ctx, random, longestStall, func(ctx context.Context, hosts []*host) { r.restartRepeatedly(ctx, random, hosts) })
+	}},
 	{name: "crash the primary, which comes back under another ID", inject: func(ctx context.Context, r *runner, _ *rand.Rand, duration time.Duration) {
 		e := r.group.primary()
 		if e == nil {
@@ -66,6 +72,43 @@
 	}},
 }
 
+// cutOffFromMost cuts the primary off from the other endpoints and from all hosts but one or two,
+// for the given time or until a successor has committed a write if that is earlier.
+// meanwhile, if set, is called with the hosts that still reach it.
+func (r *runner) cutOffFromMost(ctx context.Context, random *rand.Rand, duration time.Duration, meanwhile func(context.Context, []*host)) (replaced bool) {
+	ctx, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	r.group.mu.Lock()
+	e := r.group.currentPrimary()
+	if e == nil || e.isolated {
+		r.group.mu.Unlock()
+		return false
+	}
+	e.isolated = true
+	r.group.mu.Unlock()
+	hosts := r.hostList()
+	random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	reaching := 1 + random.IntN(2)
+	var others []string
+	for _, h := range hosts[reaching:] {
+		others = append(others, h.name)
+	}
+	r.paths.cut(others, []string{e.id})
+	if meanwhile != nil {
+		meanwhile(ctx, hosts[:reaching])
+	}
+	for ctx.Err() == nil && !r.group.hasSuccessor(e) {
+		wait.Sleep(ctx, time.Millisecond)
+	}
+	replaced = r.group.hasSuccessor(e)
+	wait.Sleep(ctx, upTo(random, longestChangeGap))
+	r.paths.mend(others, []string{e.id})
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	e.isolated = false
+	return replaced
+}
+
 // replaceAsPlanned starts a new replica, lets the endpoint announce that it drains, and ends it
 // some time after drainBound.
 func (r *runner) replaceAsPlanned(ctx context.Context, random *rand.Rand, e *endpoint) {
--- a/deploy/soak/host_faults.go
+++ b/deploy/soak/host_faults.go
@@ -14,6 +14,10 @@
 // end, so that several may be down at once.
 const longestHostGap = 600 * time.Millisecond
 
+// longestUptime bounds the time between the start of a host and its end while it is restarted
+// repeatedly: from less than it needs to get a permission to use primaries to more.
+const longestUptime = 800 * time.Millisecond
+
 // hostFaults lists the faults of several hosts, and of hosts that are replaced.
 var hostFaults = []fault{
 	{name: "stop and kill hosts in series", disturbs: true, inject: func(ctx context.Context, r *runner, random *rand.Rand, _ time.Duration) {
@@ -87,3 +91,26 @@
 	ending.Wait()
 	return err
 }
+
+// restartRepeatedly stops or kills each of the hosts several times until ctx ends, and starts it
+// again at once. In some of the cases the store fails for it at the same time.
+func (r *runner) restartRepeatedly(ctx context.Context, random *rand.Rand, hosts []*host) {
+	for _, h := range hosts {
+		own := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+		r.activeFaults.Go(func() {
+			for ctx.Err() == nil {
+				wait.Sleep(ctx, upTo(own, longestUptime))
+				failing := own.IntN(3) == 0
+				if failing {
+					r.store.setFault(h.name, storeFault(1+own.IntN(int(storeFaultCount)-1)))
+				}
+				r.end(ctx, h, own.IntN(2) == 0)
+				r.restart(h)
+				if failing {
+					wait.Sleep(ctx, upTo(own, 2*longestHostGap))
+					r.store.setFault(h.name, storeHealthy)
+				}
+			}
+		})
+	}
+}
--- a/deploy/soak/paths.go
+++ b/deploy/soak/paths.go
@@ -44,8 +44,20 @@
 	}
 }
 
+// mend restores the paths between every part in a and every part in b, in both directions.
+func (p *paths) mend(a, b []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, x := range a {
+		for _, y := range b {
+			delete(p.cuts, [2]string{x, y})
+			delete(p.cuts, [2]string{y, x})
+		}
+	}
+}
+
 // setUnreachable cuts all paths from and to a part, or ends this cut. Unlike cut it needs no
-// names of hosts, which are only known in scripted runs.
+// names of hosts.
 func (p *paths) setUnreachable(part string, unreachable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -75,11 +87,8 @@
 }
 
 // source returns the name of the host whose process opened the accepted connection; empty
-// if there is none.
+// if there is none, as the process has ended since.
 func (r *runner) source(conn net.Conn) string {
-	if r.cfg.script == nil {
-		return ""
-	}
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return ""
--- a/deploy/soak/placed_test.go
+++ b/deploy/soak/placed_test.go
@@ -23,6 +23,8 @@
 )
 
 // runPlaced runs placed disruptions with SOAK_SEEDS seeds (by default one) from SOAK_SEED on.
+// SOAK_DAEMON is the daemon's program, by default one of this code, and SOAK_DIR the directory of
+// the hosts' logs.
 func runPlaced(t *testing.T, script func(ctx context.Context, r *runner, random *rand.Rand)) {
 	t.Helper()
 	runPlacedOn(t, false, script)
@@ -30,6 +32,12 @@
 
 // runPlacedOn is runPlaced with callers of the strict database or of all databases.
 func runPlacedOn(t *testing.T, allDatabases bool, script func(ctx context.Context, r *runner, random *rand.Rand)) {
+	t.Helper()
+	runPlacedWith(t, Config{allDatabases: allDatabases, script: script})
+}
+
+// runPlacedWith is runPlaced with the given fields of the configuration.
+func runPlacedWith(t *testing.T, cfg Config) {
 	t.Helper()
 	number := func(name string) uint64 {
 		n, err := strconv.ParseUint(os.Getenv(name), 10, 64)
@@ -38,18 +46,21 @@
 		}
 		return n
 	}
-	daemon := filepath.Join(t.TempDir(), "beryltrestled")
-	build := exec.Command("go", "build", "-o", daemon, "../../cmd/beryltrestled")
-	build.Stderr = os.Stderr
-	NewWithT(t).Expect(build.Run()).To(Succeed())
+	daemon := os.Getenv("SOAK_DAEMON")
+	if daemon == "" {
+		daemon = filepath.Join(t.TempDir(), "beryltrestled")
+		build := exec.Command("go", "build", "-o", daemon, "../../cmd/beryltrestled")
+		build.Stderr = os.Stderr
+		NewWithT(t).Expect(build.Run()).To(Succeed())
+	}
 	for seed := number("SOAK_SEED"); seed < number("SOAK_SEED")+number("SOAK_SEEDS"); seed++ {
 		dir := os.Getenv("SOAK_DIR")
 		if dir == "" {
 			dir = t.TempDir()
 		}
-		report, err := Run(t.Context(), Config{
-			DaemonPath: daemon, Dir: dir, Hosts: 5, Callers: 15, Seed: seed, FaultDuration: 30 * time.Second, Log: zerolog.Nop(), script: script, allDatabases: allDatabases,
-		})
+		cfg.DaemonPath, cfg.Dir, cfg.Hosts, cfg.Callers, cfg.Seed = daemon, dir, 5, 15, seed
+		cfg.FaultDuration, cfg.Log = 30*time.Second, zerolog.Nop()
+		report, err := Run(t.Context(), cfg)
 		if err != nil {
 			t.Errorf("seed %d: %v", seed, err)
 			continue
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -49,6 +49,9 @@
 	// allDatabases is set, the strict database, and the connections between hosts can be cut.
 	script       func(ctx context.Context, r *runner, random *rand.Rand)
 	allDatabases bool
+	// directHosts leaves out the proxies between hosts in scripted runs, so that the paths between
+	// hosts cannot be cut, and calls to a host whose process does not run are refused.
+	directHosts bool
 }
 
 // Report is the result of Run.
@@ -213,7 +216,7 @@
 		return nil, err
 	}
 	admin := ports[2]
-	if r.cfg.script != nil {
+	if r.cfg.script != nil && !r.cfg.directHosts {
 		p, err := r.startProxy(name, admin, 0)
 		if err != nil {
 			return nil, err
