Soak: commits that a promoted endpoint lacks count as rolled back

An endpoint that still has such a commit may be promoted next and bring it back. Descriptions of stale reads name the endpoint, the log and the commit.

--- a/deploy/soak/check.go
+++ b/deploy/soak/check.go
@@ -128,7 +128,7 @@
 	// The commits of the log are in the order of their positions and of their times.
 	var log []commit
 	for _, c := range g.currentPrimary().log {
-		if len(c.ids) > 0 && !g.committedByOldPrimary[c.ids[0]] {
+		if len(c.ids) > 0 && !g.committedByOldPrimary[c.ids[0]] && !g.rolledBack[c.ids[0]] {
 			log = append(log, c)
 		}
 	}
@@ -217,7 +217,8 @@
 		for _, w := range byItem[rd.item] {
 			required := w.acknowledged.Before(rd.freshAt) || w.value <= rd.own
 			if w.value > rd.value && required && !committedAfter(kept, unknown[rd.item][rd.value], w.id) {
-				violations = append(violations, fmt.Sprintf("STALE: %s of %s saw %d after %d (%s)", rd.id, rd.session, rd.value, w.value, w.id))
+				violations = append(violations, fmt.Sprintf("STALE: %s of %s%s saw %d after %d (%s), which was acknowledged %s before it had to be fresh%s",
+					rd.id, rd.session, g.describeExecution(rd.id), rd.value, w.value, w.id, rd.freshAt.Sub(w.acknowledged), g.describeCommit(w.id)))
 				break
 			}
 		}
--- a/deploy/soak/group.go
+++ b/deploy/soak/group.go
@@ -81,8 +81,8 @@
 	// commitCounts counts how often each statement ID was committed on any endpoint,
 	// including commits that were rolled back later.
 	commitCounts map[string]int
-	// rolledBack holds the statement IDs whose commits were removed from a log after a
-	// promotion.
+	// rolledBack holds the statement IDs whose commits a promoted endpoint lacked, or that were
+	// removed from a log later.
 	rolledBack map[string]bool
 	// committedByOldPrimary holds the statement IDs that a replaced primary committed.
 	committedByOldPrimary map[string]bool
@@ -210,10 +210,7 @@
 // primary does not have and appends those older than the replication delay.
 func (g *group) syncReplica(replica, primary *endpoint) {
 	replica.term = primary.term
-	same := 0
-	for same < len(replica.log) && same < len(primary.log) && replica.log[same].position == primary.log[same].position {
-		same++
-	}
+	same := sharedEntries(replica.log, primary.log)
 	g.recordRollback(replica.log[same:])
 	replica.log = replica.log[:same]
 	for _, c := range primary.log[same:] {
@@ -224,6 +221,15 @@
 	}
 }
 
+// sharedEntries returns the number of entries at the start that both logs have.
+func sharedEntries(a, b []commit) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n].position == b[n].position {
+		n++
+	}
+	return n
+}
+
 // recordRollback records the statement IDs of commits that are removed from a log.
 func (g *group) recordRollback(rolledBack []commit) {
 	for _, c := range rolledBack {
@@ -259,6 +265,11 @@
 			time.AfterFunc(oldPrimaryDemotionDelay, func() { g.demote(old, term) })
 		}
 	}
+	// An endpoint whose log has them may be promoted later and bring them back. In between they
+	// are gone.
+	for _, e := range slices.Concat(g.endpoints, g.former) {
+		g.recordRollback(e.log[sharedEntries(e.log, next.log):])
+	}
 	// A term starts with an entry without data, which marks the end of the earlier terms.
 	next.primary, next.term = true, term
 	next.log = append(next.log, commit{position: logpos.Position{Term: next.term, Offset: next.logEnd().Offset + 1}, committedAt: time.Now()})
--- a/deploy/soak/membership.go
+++ b/deploy/soak/membership.go
@@ -84,10 +84,6 @@
 		return
 	}
 	for _, e := range g.former {
-		same := 0
-		for same < len(e.log) && same < len(primary.log) && e.log[same].position == primary.log[same].position {
-			same++
-		}
-		g.recordRollback(e.log[same:])
+		g.recordRollback(e.log[sharedEntries(e.log, primary.log):])
 	}
 }
