--- a/deploy/soak/group.go
+++ b/deploy/soak/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,8 +34,16 @@
 type endpoint struct {
 	id      string
 	address string
+	// proxy carries the connections to the endpoint. An endpoint that takes over the address of
+	// another one takes over its proxy.
+	proxy   *proxy
 	primary bool
 	down    bool
+	// leaving is true once the endpoint is being replaced as planned, and draining once it has
+	// announced that.
+	leaving, draining bool
+	// removedRow is true if the endpoint has left and removed its row itself.
+	removedRow bool
 	// replicationStopped keeps a replica from receiving log entries.
 	replicationStopped bool
 	// isolated keeps the endpoint from reaching the other endpoints.
@@ -61,16 +70,24 @@
 type group struct {
 	name string
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// endpoints holds the endpoints that have not left, and created counts all that ever were.
 	endpoints []*endpoint
+	created   int
+	// term is the newest term.
+	term uint64
+	// former holds the endpoints that have left.
+	former []*endpoint
 	// commitCounts counts how often each statement ID was committed on any endpoint,
 	// including commits that were rolled back later.
 	commitCounts map[string]int
-	// rolledBack holds the statement IDs whose commits were removed from a log after a
-	// promotion.
+	// rolledBack holds the statement IDs whose commits a promoted endpoint lacked, or that were
+	// removed from a log later.
 	rolledBack map[string]bool
 	// committedByOldPrimary holds the statement IDs that a replaced primary committed.
 	committedByOldPrimary map[string]bool
+	// lateCommits lists the commits of replaced primaries.
+	lateCommits []lateCommit
 	// promotions lists the promotions in their order.
 	promotions []promotion
 	// onPromotion, if set, is called with mu held when a promotion takes effect.
@@ -107,24 +124,43 @@
 }
 
 func newGroup(name string, endpoints int) *group {
-	g := &group{name: name, commitCounts: make(map[string]int), users: make(map[string]bool), rolledBack: make(map[string]bool), committedByOldPrimary: make(map[string]bool)}
+	g := &group{name: name, term: 1, commitCounts: make(map[string]int), users: make(map[string]bool), rolledBack: make(map[string]bool), committedByOldPrimary: make(map[string]bool)}
 	for n := range endpoints {
-		g.endpoints = append(g.endpoints, &endpoint{
-			id: fmt.Sprintf("i-%d", n), term: 1, primary: n == 0, startedAt: time.Now().UnixMilli(),
-		})
+		g.add(&endpoint{term: 1, primary: n == 0})
 	}
 	return g
 }
 
-// currentPrimary returns the primary of the highest term, or nil. g.mu must be held.
+// add adds an endpoint and gives it a new ID. g.mu must be held, unless the group is not yet in use.
+func (g *group) add(e *endpoint) {
+	e.id, e.startedAt = fmt.Sprintf("i-%d", g.created), time.Now().UnixMilli()
+	g.created++
+	g.endpoints = append(g.endpoints, e)
+}
+
+// list returns the endpoints that have not left.
+func (g *group) list() []*endpoint {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.endpoints)
+}
+
+// primary returns the primary of the newest term, or nil.
+func (g *group) primary() *endpoint {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.currentPrimary()
+}
+
+// currentPrimary returns the primary of the newest term, or nil. A primary of an earlier term has
+// been replaced, also if its successor has left. g.mu must be held.
 func (g *group) currentPrimary() *endpoint {
-	var best *endpoint
 	for _, e := range g.endpoints {
-		if e.primary && (best == nil || e.term > best.term) {
-			best = e
+		if e.primary && e.term == g.term {
+			return e
 		}
 	}
-	return best
+	return nil
 }
 
 // hasSuccessor reports whether a primary of a newer term than the endpoint's has committed a
@@ -133,21 +169,24 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	current := g.currentPrimary()
-	return current != nil && current.term > e.term && len(current.log[len(current.log)-1].ids) > 0
+	return current != nil && current.term > e.term && current.firstCommitAfter(e.term) != nil
 }
 
 // commit appends the writes to the endpoint's log. The endpoint acts as primary, but may
 // have been replaced. g.mu must be held.
 func (g *group) commit(e *endpoint, ids []string, data map[string]string) {
-	current := g.currentPrimary()
 	for _, id := range ids {
 		g.commitCounts[id]++
-		if current.term > e.term {
+		if g.term > e.term {
 			g.committedByOldPrimary[id] = true
 		}
 	}
 	at := logpos.Position{Term: e.term, Offset: e.logEnd().Offset + 1}
-	e.log = append(e.log, commit{position: at, ids: ids, data: data, committedAt: time.Now()})
+	c := commit{position: at, ids: ids, data: data, committedAt: time.Now()}
+	if current := g.currentPrimary(); current != nil && current != e {
+		g.lateCommits = append(g.lateCommits, lateCommit{commit: c, endpoint: e.id, successor: current.id, first: current.firstCommitAfter(e.term)})
+	}
+	e.log = append(e.log, c)
 }
 
 // replicate copies the primary's log entries that are older than the replication delay
@@ -171,10 +210,7 @@
 // primary does not have and appends those older than the replication delay.
 func (g *group) syncReplica(replica, primary *endpoint) {
 	replica.term = primary.term
-	same := 0
-	for same < len(replica.log) && same < len(primary.log) && replica.log[same].position == primary.log[same].position {
-		same++
-	}
+	same := sharedEntries(replica.log, primary.log)
 	g.recordRollback(replica.log[same:])
 	replica.log = replica.log[:same]
 	for _, c := range primary.log[same:] {
@@ -185,6 +221,15 @@
 	}
 }
 
+// sharedEntries returns the number of entries at the start that both logs have.
+func sharedEntries(a, b []commit) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n].position == b[n].position {
+		n++
+	}
+	return n
+}
+
 // recordRollback records the statement IDs of commits that are removed from a log.
 func (g *group) recordRollback(rolledBack []commit) {
 	for _, c := range rolledBack {
@@ -201,9 +246,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var next *endpoint
-	term := uint64(0)
 	for _, e := range g.endpoints {
-		term = max(term, e.term)
 		if e.id == id && !e.down {
 			next = e
 		}
@@ -215,13 +258,20 @@
 		return true
 	}
 	g.promotions = append(g.promotions, promotion{holder: holder, fence: fence, endpoint: id})
+	g.term++
+	term := g.term
 	for _, old := range g.endpoints {
 		if old != next && old.primary {
-			time.AfterFunc(oldPrimaryDemotionDelay, func() { g.demote(old, term+1) })
+			time.AfterFunc(oldPrimaryDemotionDelay, func() { g.demote(old, term) })
 		}
 	}
+	// An endpoint whose log has them may be promoted later and bring them back. In between they
+	// are gone.
+	for _, e := range slices.Concat(g.endpoints, g.former) {
+		g.recordRollback(e.log[sharedEntries(e.log, next.log):])
+	}
 	// A term starts with an entry without data, which marks the end of the earlier terms.
-	next.primary, next.term = true, term+1
+	next.primary, next.term = true, term
 	next.log = append(next.log, commit{position: logpos.Position{Term: next.term, Offset: next.logEnd().Offset + 1}, committedAt: time.Now()})
 	if g.onPromotion != nil {
 		g.onPromotion(next, g.promotions[len(g.promotions)-1])
@@ -251,10 +301,13 @@
 }
 
 // restart starts the endpoint again, as a replica if another endpoint is the primary, and
-// ends its faults.
+// ends its faults. An endpoint that has left does not start again.
 func (g *group) restart(e *endpoint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if slices.Contains(g.former, e) {
+		return
+	}
 	e.down, e.replicationStopped, e.isolated, e.startedAt = false, false, false, time.Now().UnixMilli()
 	g.resumeLocked(e)
 	if current := g.currentPrimary(); current != e {
