Soak: a host that refuses connections while its primary is replaced

What callers saw: reads on primary routes without commits that were acknowledged before they were sent (STALE by the caller's first byte), and writes that a replaced primary acknowledged (ONE).

The test leaves one host with the old primary only: a partition that rejects packets separates it from the other hosts, the store and the other endpoints as the claim is written, and the others from the primary, which is replaced as planned. The host has a permission for up to 1.5 s and goes on sending new requests.

--- a/deploy/soak/endpoint_row.go
+++ b/deploy/soak/endpoint_row.go
@@ -32,7 +32,7 @@
 	} else {
 		e.proxy.retarget(e.id, l.Addr().String())
 	}
-	e.address = e.proxy.address()
+	e.address = e.proxy.address
 	go r.heartbeat(ctx, e)
 	return nil
 }
--- a/deploy/soak/host.go
+++ b/deploy/soak/host.go
@@ -28,6 +28,8 @@
 	settingsFile  string
 	callerAddress string
 	log           *os.File
+	// proxy carries the calls of other hosts in scripted runs; nil in others.
+	proxy *proxy
 
 	mu      sync.Mutex
 	process *os.Process
--- a/deploy/soak/paths.go
+++ b/deploy/soak/paths.go
@@ -18,13 +18,15 @@
 type paths struct {
 	mu   sync.Mutex
 	cuts map[[2]string]bool
+	// rejecting holds the directions in which the proxies close the connections instead.
+	rejecting map[[2]string]bool
 	// unreachable holds the parts that no bytes reach or leave.
 	unreachable map[string]bool
 }
 
 // newPaths returns paths that let all bytes pass.
 func newPaths() paths {
-	return paths{cuts: make(map[[2]string]bool), unreachable: make(map[string]bool)}
+	return paths{cuts: make(map[[2]string]bool), rejecting: make(map[[2]string]bool), unreachable: make(map[string]bool)}
 }
 
 // cut cuts the paths between every part in a and every part in b, in both directions.
@@ -44,6 +46,25 @@
 	}
 }
 
+// reject closes the connections from every part in from to every part in to as soon as they are
+// used, as a network partition does that rejects packets.
+func (p *paths) reject(from, to []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range from {
+		for _, b := range to {
+			p.rejecting[[2]string{a, b}] = true
+		}
+	}
+}
+
+// rejects reports whether connections from one part to the other are closed.
+func (p *paths) rejects(from, to string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rejecting[[2]string{from, to}]
+}
+
 // mend restores the paths between every part in a and every part in b, in both directions.
 func (p *paths) mend(a, b []string) {
 	p.mu.Lock()
@@ -69,6 +90,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.cuts)
+	clear(p.rejecting)
 	clear(p.unreachable)
 }
 
--- a/deploy/soak/proxy.go
+++ b/deploy/soak/proxy.go
@@ -40,14 +40,19 @@
 
 // proxy forwards connections to a target address and injects network faults.
 type proxy struct {
-	listener net.Listener
-	paths    *paths
+	// address is the address that the proxy listens on.
+	address string
+	paths   *paths
 	// source returns the name of the host that opened a connection.
 	source func(net.Conn) string
 	// userTimeout is the TCP_USER_TIMEOUT of the connections' clients; 0 if they have none.
 	userTimeout time.Duration
 
 	mu sync.Mutex
+	// listener is replaced when the proxy accepts connections again after it has refused them.
+	listener net.Listener
+	// refusing is true from refuse to admit.
+	refusing bool
 	// part is the name of the host or endpoint at the target.
 	target, part string
 	fault        pathFault
@@ -74,17 +79,42 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, part: part, paths: &r.paths, source: r.source, userTimeout: userTimeout, conns: make(map[net.Conn]bool)}
-	go p.accept()
+	p := &proxy{listener: l, address: l.Addr().String(), target: target, part: part, paths: &r.paths, source: r.source, userTimeout: userTimeout, conns: make(map[net.Conn]bool)}
+	go p.accept(l)
 	return p, nil
 }
 
+// refuse makes the proxy refuse connections and resets the open ones, as a network partition that
+// rejects packets does, until admit.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	p.refusing = true
+	p.mu.Unlock()
+	p.close()
+}
+
+// admit ends refuse: the proxy accepts connections again, at the same address.
+func (p *proxy) admit() error {
+	p.mu.Lock()
+	refusing := p.refusing
+	p.mu.Unlock()
+	if !refusing {
+		return nil
+	}
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener, p.refusing = l, false
+	p.mu.Unlock()
+	go p.accept(l)
+	return nil
+}
+
 // listen listens on a free port of the loopback interface.
 func listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
 
-// address returns the address that the proxy listens on.
-func (p *proxy) address() string { return p.listener.Addr().String() }
-
 // setFault sets the fault of the path.
 func (p *proxy) setFault(f pathFault) {
 	p.mu.Lock()
@@ -104,23 +134,30 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for conn := range p.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		conn.Close()
+		abort(conn)
+	}
+}
+
+// abort closes a connection with a TCP reset.
+func abort(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
+	conn.Close()
 }
 
 // close stops the proxy and resets its connections.
 func (p *proxy) close() {
+	p.mu.Lock()
 	p.listener.Close()
+	p.mu.Unlock()
 	p.reset()
 }
 
 // accept forwards connections until the listener is closed.
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -132,6 +169,10 @@
 func (p *proxy) connect(client net.Conn) {
 	from := p.source(client)
 	part, target := p.destination()
+	if p.paths.rejects(from, part) {
+		abort(client)
+		return
+	}
 	p.paths.await(from, part)
 	server, err := net.Dial("tcp", target)
 	if err != nil {
@@ -162,6 +203,9 @@
 		if err != nil {
 			return
 		}
+		if p.paths.rejects(path[0], path[1]) {
+			return
+		}
 		switch f := p.currentFault(); {
 		case f == pathDropsAll || f == pathDropsAnswers && answers:
 			// After a gap, the rest of the stream would be garbage, so it is dropped
--- a/deploy/soak/proxy_test.go
+++ b/deploy/soak/proxy_test.go
@@ -29,7 +29,7 @@
 		p, err := r.startProxy("endpoint", l.Addr().String(), hostUserTimeout)
 		g.Expect(err).NotTo(HaveOccurred())
 		defer p.close()
-		client, err := net.Dial("tcp", p.address())
+		client, err := net.Dial("tcp", p.address)
 		g.Expect(err).NotTo(HaveOccurred())
 		server, err := l.Accept()
 		g.Expect(err).NotTo(HaveOccurred())
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -216,14 +216,14 @@
 		return nil, err
 	}
 	admin := ports[2]
+	var p *proxy
 	if r.cfg.script != nil && !r.cfg.directHosts {
-		p, err := r.startProxy(name, admin, 0)
-		if err != nil {
+		if p, err = r.startProxy(name, admin, 0); err != nil {
 			return nil, err
 		}
 		r.atClose(p.close)
-		r.store.addresses[admin] = p.address()
-		admin = p.address()
+		r.store.addresses[admin] = p.address
+		admin = p.address
 	}
 	if r.seeds == nil {
 		r.seeds = []string{admin}
@@ -232,6 +232,7 @@
 	if err != nil {
 		return nil, err
 	}
+	h.proxy = p
 	r.atClose(func() { h.log.Close() })
 	r.atClose(h.kill)
 	return h, nil
--- a/deploy/soak/store.go
+++ b/deploy/soak/store.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -45,6 +46,8 @@
 	faults  map[string]storeFault
 	// addresses translates the addresses of hosts to those of the proxies in front of them.
 	addresses map[string]string
+	// onClaim, if set, is called when a host has written a claim, before the write is answered.
+	onClaim func(host string)
 }
 
 func newStore() *store {
@@ -184,7 +187,11 @@
 	}
 	s.version++
 	version := s.version
+	var onClaim func(host string)
 	for _, row := range tx.SetKeys {
+		if strings.Contains(row.Key, "claim/") {
+			onClaim = s.onClaim
+		}
 		for address, proxied := range s.addresses {
 			row.Value = bytes.ReplaceAll(row.Value, []byte(`"`+address+`"`), []byte(`"`+proxied+`"`))
 		}
@@ -194,6 +201,9 @@
 		s.set(row.Table, row.Key, nil)
 	}
 	s.mu.Unlock()
+	if onClaim != nil {
+		onClaim(host)
+	}
 	if s.fault(host) == storeLosesAnswers {
 		<-r.Context().Done()
 		return
