Wait for the log line of a panic in the test

The session closes the caller's connection while the panic unwinds, and the guard writes the line after that, so that the test could read the log in between. It now waits up to 2 s for the line.

--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -221,7 +221,8 @@
 	g.Eventually(c.closed, 2*time.Second).Should(BeClosed())
 	g.Eventually(func() bool { return f.group.openTransactions() == 0 }, 2*time.Second).Should(BeTrue())
 	writeUntilConfirmed(t, f, "h1", time.Second)
-	g.Expect(f.logs["h1"].String()).To(ContainSubstring("work ended by a panic"))
+	// The session closes the caller's connection before the guard writes the line.
+	g.Eventually(f.logs["h1"].String, 2*time.Second).Should(ContainSubstring("work ended by a panic"))
 }
 
 // openTransactions returns the number of connections with an open transaction.
