Count a refused connection as no acknowledgement of a claim

Cause: the holder of a claim took ECONNREFUSED for the end of the process, counted that host in the quorum and did not wait for its permission. A network partition that rejects packets refuses connections to a host that runs, has a permission for up to 1.5 s and reaches the old primary; it sends new requests there after the successor has acknowledged commits. The class: a failure to reach something is taken for a proof about it.

Change: only an answer is an acknowledgement. A host that refuses counts like one that does not answer: it is no vote, and the holder waits until its permission has ended. No vote, as such a host and a third one that has not acknowledged may answer each other and renew their permissions by that. The order "claim, refused connection to a running host, promotion within its permission" is excluded by the wait. PeerClient.NotRunning is now Refused. findRelays still counts refusals as a sign that the network path works.

The price: a failover waits up to 1.5 s for a host that was killed or has just ended, until its row is gone or it answers again.

--- a/coord/permission/permission.go
+++ b/coord/permission/permission.go
@@ -4,8 +4,7 @@
 //
 // A host that replaces a primary first writes a claim record to the store. Then a
 // majority of the hosts must acknowledge the claim. Before the promotion, the host waits
-// for Duration, unless every other host has acknowledged the claim or is known not to
-// run. A host may therefore use a primary as long as it has, within Duration,
+// for Duration, unless every other host has acknowledged the claim. A host may therefore use a primary as long as it has, within Duration,
 //
 //   - read the claim records from the store, or received them from a host that had read
 //     them, or
@@ -23,8 +22,8 @@
 //
 // The second case needs a majority of the same hosts on both sides: those of the electorate
 // (package electorate). While the electorate changes, a majority of both its sets must
-// answer. Only answers of running hosts count. A refused connection shows to the host that
-// replaces the primary that the process does not use it, and tells nothing about claims.
+// answer. A refused connection counts on neither side: a network partition may refuse
+// connections to a host that still uses the primary.
 //
 // A call counts from its start, by a clock that also runs while the host is paused, so
 // that late answers and pauses only shorten a permission.
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -57,6 +57,5 @@
 	return decodeFenceReply(response.Msg), nil
 }
 
-// NotRunning implements gateway.PeerClient. A running host refuses connections to a
-// port on which no process listens.
-func (c *Client) NotRunning(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+// Refused implements gateway.PeerClient.
+func (c *Client) Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -15,10 +15,9 @@
 	"github.com/beryltrestle/beryltrestle/internal/gateway"
 )
 
-// Guards against a stopped host that counts as unreachable, which would delay every
-// failover, and against an unreachable host that counts as stopped, which would be
-// unsafe.
-func TestNotRunningOnlyIfConnectionRefused(t *testing.T) {
+// Guards against a request that counts as not sent although only its answer is missing, so that it
+// is sent a second time, and against one that counts as in doubt although its connection was refused.
+func TestOnlyARefusedConnectionCountsAsRefused(t *testing.T) {
 	g := NewWithT(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -27,7 +26,7 @@
 	c := fleet.NewClient()
 	_, err = c.Exchange(t.Context(), address, gateway.GossipMessage{})
 	g.Expect(err).To(HaveOccurred())
-	g.Expect(c.NotRunning(err)).To(BeTrue())
+	g.Expect(c.Refused(err)).To(BeTrue())
 
 	unresponsive := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) }))
 	unresponsive.Config.Protocols = fleet.Protocols()
@@ -36,7 +35,7 @@
 	relay := c.Relay(strings.TrimPrefix(unresponsive.URL, "http://"), gateway.Endpoint{ID: "e"})
 	_, err = relay.Run(time.Now().Add(50*time.Millisecond), gateway.RelayRequest{})
 	g.Expect(err).To(HaveOccurred())
-	g.Expect(c.NotRunning(err)).To(BeFalse())
+	g.Expect(c.Refused(err)).To(BeFalse())
 	g.Expect(err).NotTo(MatchError(gateway.ErrNotSent))
 }
 
@@ -48,7 +47,7 @@
 	c := fleet.NewClient()
 	_, err := c.Fence(t.Context(), address, gateway.FenceRequest{Group: "g", Fence: gateway.FenceState{Term: 3, Version: 9}})
 	g.Expect(err).To(HaveOccurred())
-	g.Expect(c.NotRunning(err)).To(BeFalse())
+	g.Expect(c.Refused(err)).To(BeFalse())
 	relay := c.Relay(address, gateway.Endpoint{ID: "e", Group: "g"})
 	reply, err := relay.Run(time.Now().Add(time.Second), gateway.RelayRequest{
 		Request: gateway.Request{Statement: session.Statement{ID: "q", Op: session.OpRead, Text: "READ x"}},
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -39,7 +39,7 @@
 	closed        sync.Once
 	ctx           context.Context
 	cancel        context.CancelFunc
-	notRunning    func(error) bool
+	refused       func(error) bool
 }
 
 // Relay implements gateway.PeerClient.
@@ -47,7 +47,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &relayConn{
 		client: c, address: address, group: e.Group, endpoint: e.ID, transactionID: rand.Uint64(),
-		ctx: ctx, cancel: cancel, notRunning: c.NotRunning,
+		ctx: ctx, cancel: cancel, refused: c.Refused,
 	}
 }
 
@@ -73,7 +73,7 @@
 	case answerDropped(err):
 		return gateway.Reply{State: r.refusedForMemory().State, FromRelay: true, Dropped: true}, nil
 	case err != nil:
-		if r.notRunning(err) {
+		if r.refused(err) {
 			return gateway.Reply{}, errors.WithSecondaryError(gateway.ErrNotSent, err)
 		}
 		return gateway.Reply{}, err
--- a/internal/gateway/electorate_test.go
+++ b/internal/gateway/electorate_test.go
@@ -27,8 +27,8 @@
 	return GossipMessage{}, errNoQuorum
 }
 
-// NotRunning implements PeerClient.
-func (countingPeers) NotRunning(error) bool { return false }
+// Refused implements PeerClient.
+func (countingPeers) Refused(error) bool { return false }
 
 // Guards against a change of the electorate that cannot be completed during a network
 // partition and makes hosts call all others again and again.
--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -134,5 +134,5 @@
 // refusingPeers is a PeerClient whose calls find that no process listens.
 type refusingPeers struct{ PeerClient }
 
-// NotRunning implements PeerClient.
-func (refusingPeers) NotRunning(error) bool { return true }
+// Refused implements PeerClient.
+func (refusingPeers) Refused(error) bool { return true }
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -242,8 +242,8 @@
 	return f.controller.pollHosts(ctx, own, asked, r, timeout), users
 }
 
-// fenceAll makes every host stop using the old primary. If a host does not answer,
-// fenceAll waits until that host's permission to use primaries has ended.
+// fenceAll makes every host stop using the old primary. If a host does not answer, whether or not
+// it refuses the connection, fenceAll waits until that host's permission to use primaries has ended.
 func (f *failover) fenceAll(ctx context.Context) error {
 	grace := time.Duration(0)
 	if f.reason.Planned() {
@@ -267,7 +267,7 @@
 	poll, users := f.pollHosts(ctx, f.electorate, request, fenceTimeout+grace)
 	wg.Wait()
 	f.controller.gw.events.log.Info().Str("group", f.group.name).Uint64("claim", f.claimVersion).Uint64("claim_term", f.term).
-		Int("hosts", len(poll.asked)).Int("answered", len(poll.replies)).Int("stopped", len(poll.notRunning)).Dict("counted", poll.accounts()).
+		Int("hosts", len(poll.asked)).Int("answered", len(poll.replies)).Int("refused", len(poll.refused)).Dict("polled", poll.results()).
 		Dur("took_ms", boottime.Now().Sub(began)).Msg("old primary fenced")
 	if !poll.quorum(f.electorate, left) {
 		return errNoQuorum
@@ -277,11 +277,11 @@
 		defer close(demoted)
 		f.demote(ctx, poll.hostsReachingPrimary())
 	})
-	if !poll.accountsFor(users) || !refreshed || f.unaskedHostMayUsePrimary(&poll) {
+	if !poll.answeredBy(users) || !refreshed || f.unaskedHostMayUsePrimary(&poll) {
 		quorumAt := poll.quorumAt(f.electorate, left, leftAt)
 		remaining := permission.Duration - boottime.Now().Sub(quorumAt)
 		f.controller.gw.events.log.Info().Str("group", f.group.name).Strs("answered", slices.Sorted(maps.Keys(poll.replies))).
-			Strs("stopped", slices.Sorted(maps.Keys(poll.notRunning))).Bool("refreshed", refreshed).Dur("wait_ms", remaining).Msg("waiting until other permissions have ended")
+			Strs("refused", slices.Sorted(maps.Keys(poll.refused))).Bool("refreshed", refreshed).Dur("wait_ms", remaining).Msg("waiting until other permissions have ended")
 		wait.Sleep(ctx, remaining)
 	}
 	<-demoted
--- a/internal/gateway/fake_fleet_test.go
+++ b/internal/gateway/fake_fleet_test.go
@@ -305,8 +305,8 @@
 }
 
 var (
-	errUnreachable = errors.New("unreachable")
-	errNotRunning  = errors.New("not running")
+	errUnreachable       = errors.New("unreachable")
+	errConnectionRefused = errors.New("connection refused")
 )
 
 // startFleet starts the hosts and a group, and waits until the hosts serve reads.
@@ -405,7 +405,7 @@
 	defer p.fleet.mu.Unlock()
 	gw := p.fleet.hosts[address]
 	if gw == nil {
-		return nil, errNotRunning
+		return nil, errConnectionRefused
 	}
 	if p.fleet.partition[p.host] != p.fleet.partition[address] {
 		return nil, errUnreachable
@@ -455,8 +455,8 @@
 	return gw.Lend(r), nil
 }
 
-// NotRunning implements gateway.PeerClient.
-func (p *fakePeerClient) NotRunning(err error) bool { return errors.Is(err, errNotRunning) }
+// Refused implements gateway.PeerClient.
+func (p *fakePeerClient) Refused(err error) bool { return errors.Is(err, errConnectionRefused) }
 
 // Relay implements gateway.PeerClient.
 func (p *fakePeerClient) Relay(address string, e gateway.Endpoint) gateway.RelayConn {
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// recordFailedCall records a failed call to a host. A refused connection shows that the
-// host's process is not running.
+// recordFailedCall records a failed call to a host. After a refused connection the host counts as
+// unresponsive at once, as its process has probably ended.
 func (c *controller) recordFailedCall(name string, began time.Time, err error) {
 	m := c.members[name]
 	if m == nil {
@@ -83,9 +83,9 @@
 	}
 	m.failedAt = boottime.Now()
 	m.failures++
-	if c.gw.cfg.Peers.NotRunning(err) {
+	if c.gw.cfg.Peers.Refused(err) {
 		m.failures = max(m.failures, failuresUntilUnresponsive)
-		m.notRunningAt = began
+		m.refusedAt = began
 	}
 }
 
--- a/internal/gateway/host_poll.go
+++ b/internal/gateway/host_poll.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/beryltrestle/beryltrestle/coord/electorate"
+	"github.com/beryltrestle/beryltrestle/coord/lease"
 	"github.com/beryltrestle/beryltrestle/coord/permission"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
@@ -22,17 +23,18 @@
 	// asked holds the addresses of the polled hosts.
 	asked   map[string]bool
 	replies map[string]FenceReply
-	// notRunning holds the addresses of the hosts whose process does not run. These agree,
-	// as does this host.
-	notRunning map[string]bool
-	// agreedAt holds when each host answered or was found not to run.
-	agreedAt map[string]time.Time
+	// refused holds the addresses of the hosts that refused the connection. These do not agree: a
+	// network partition may refuse connections to a running host, and a host that starts or stops
+	// refuses them while it is about to use, or still uses, primaries.
+	refused map[string]bool
+	// endedAt holds when each host answered or refused the connection.
+	endedAt map[string]time.Time
 }
 
-// agrees reports whether the host at the address agrees.
+// agrees reports whether the host at the address agrees: it is this host or has answered.
 func (p *hostPoll) agrees(address string) bool {
 	_, answered := p.replies[address]
-	return address == p.own || answered || p.notRunning[address]
+	return address == p.own || answered
 }
 
 // quorum reports whether a quorum of the electorate agrees. left reports whether a voter has
@@ -49,21 +51,21 @@
 	})
 }
 
-// quorumOfAsked reports whether a quorum of the polled hosts and this one agrees.
-func (p *hostPoll) quorumOfAsked() bool {
-	return p.quorum(electorate.New(append(slices.Collect(maps.Keys(p.asked)), p.own), nil), noneLeft)
+// reachesMost reports whether most of the polled hosts and this one answered or refused the
+// connection, so that this host is not cut off from them by a network partition that drops packets.
+func (p *hostPoll) reachesMost() bool {
+	reached := len(p.replies) + len(p.refused) + 1
+	return reached >= lease.Majority(len(p.asked)+1)
 }
 
 // quorumAt returns the earliest time at which a quorum of the electorate had agreed. Voters
 // that have left count from leftAt.
 func (p *hostPoll) quorumAt(e electorate.Electorate, left func(address string) bool, leftAt time.Time) time.Time {
-	times := append(slices.Collect(maps.Values(p.agreedAt)), leftAt)
+	times := append(slices.Collect(maps.Values(p.endedAt)), leftAt)
 	slices.SortFunc(times, time.Time.Compare)
 	for _, at := range times {
-		until := hostPoll{own: p.own, notRunning: make(map[string]bool)}
-		for address, agreedAt := range p.agreedAt {
-			until.notRunning[address] = !agreedAt.After(at)
-		}
+		until := hostPoll{own: p.own, replies: maps.Clone(p.replies)}
+		maps.DeleteFunc(until.replies, func(address string, _ FenceReply) bool { return p.endedAt[address].After(at) })
 		if until.quorum(e, func(address string) bool { return left(address) && !leftAt.After(at) }) {
 			return at
 		}
@@ -71,13 +73,13 @@
 	return boottime.Now()
 }
 
-// accounts returns for the log how each host that agrees was found to, and when, in milliseconds of
-// the boot clock.
-func (p *hostPoll) accounts() *zerolog.Event {
+// results returns for the log which hosts answered or refused the connection, and when, in
+// milliseconds of the boot clock.
+func (p *hostPoll) results() *zerolog.Event {
 	out := zerolog.Dict()
-	for address, at := range p.agreedAt {
+	for address, at := range p.endedAt {
 		how := "answered"
-		if p.notRunning[address] {
+		if p.refused[address] {
 			how = "refused the connection"
 		}
 		out.Str(address, how+" at "+strconv.FormatInt(boottime.Milliseconds(at), 10))
@@ -95,9 +97,8 @@
 	return true
 }
 
-// accountsFor reports whether every one of the hosts either answered or does not run, so
-// that none of them still uses the primary.
-func (p *hostPoll) accountsFor(addresses map[string]string) bool {
+// answeredBy reports whether all of the hosts answered.
+func (p *hostPoll) answeredBy(addresses map[string]string) bool {
 	for _, address := range addresses {
 		if !p.agrees(address) {
 			return false
@@ -135,7 +136,7 @@
 	var wg sync.WaitGroup
 	out := hostPoll{
 		own: own, asked: make(map[string]bool), replies: make(map[string]FenceReply),
-		notRunning: make(map[string]bool), agreedAt: make(map[string]time.Time),
+		refused: make(map[string]bool), endedAt: make(map[string]time.Time),
 	}
 	for _, address := range addresses {
 		out.asked[address] = true
@@ -148,12 +149,12 @@
 			switch {
 			case err == nil:
 				out.replies[address] = reply
-			case c.gw.cfg.Peers.NotRunning(err):
-				out.notRunning[address] = true
+			case c.gw.cfg.Peers.Refused(err):
+				out.refused[address] = true
 			default:
 				return
 			}
-			out.agreedAt[address] = boottime.Now()
+			out.endedAt[address] = boottime.Now()
 		}))
 	}
 	wg.Wait()
--- a/internal/gateway/host_poll_test.go
+++ b/internal/gateway/host_poll_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/coord/electorate"
 )
 
 // Guards against a host that is polled twice, so that its answers count twice towards a
@@ -17,3 +19,22 @@
 	c.departedHosts["a2"], c.departedHosts["a3"] = now, now
 	g.Expect(c.primaryUsers(now)).To(Equal(map[string]string{"h2": "a2", "former a3": "a3"}))
 }
+
+// Guards against a refused connection that counts as an acknowledgement, in the quorum or instead of
+// the wait for the permission of that host: a network partition may refuse connections to a host
+// that still uses the primary (issue 42).
+func TestRefusedConnectionIsNoAcknowledgement(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	poll := hostPoll{
+		own: "a1", asked: map[string]bool{"a2": true, "a3": true}, replies: map[string]FenceReply{},
+		refused: map[string]bool{"a2": true}, endedAt: map[string]time.Time{"a2": now},
+	}
+	voters := electorate.New([]string{"a1", "a2", "a3"}, nil)
+	g.Expect(poll.quorum(voters, noneLeft)).To(BeFalse())
+	g.Expect(poll.answeredBy(map[string]string{"h2": "a2"})).To(BeFalse())
+	poll.replies["a3"], poll.endedAt["a3"] = FenceReply{}, now.Add(time.Second)
+	g.Expect(poll.quorum(voters, noneLeft)).To(BeTrue())
+	g.Expect(poll.quorumAt(voters, noneLeft, now)).To(Equal(now.Add(time.Second)))
+	g.Expect(poll.answeredBy(map[string]string{"h2": "a2", "h3": "a3"})).To(BeFalse())
+}
--- a/internal/gateway/membership_model_test.go
+++ b/internal/gateway/membership_model_test.go
@@ -186,9 +186,9 @@
 	}
 	m.hosts[name].gw.group("g").setFence(m.claim, m.now)
 	m.agreedAt[name] = m.now
-	poll := hostPoll{agreedAt: m.agreedAt, notRunning: make(map[string]bool)}
+	poll := hostPoll{replies: make(map[string]FenceReply)}
 	for host := range m.agreedAt {
-		poll.notRunning[host] = true
+		poll.replies[host] = FenceReply{}
 	}
 	if !m.reachesStore(m.holder) {
 		return
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -110,7 +110,8 @@
 	Lend(ctx context.Context, address string, r quota.Request) (quota.Grant, error)
 	// Relay returns a connection to the endpoint through the host at the address.
 	Relay(address string, e Endpoint) RelayConn
-	// NotRunning reports whether a call failed because no process listens on the
-	// address, as opposed to a host that is out of reach.
-	NotRunning(err error) bool
+	// Refused reports whether a call failed because its connection was refused, so that
+	// nothing was sent. The host's process may run all the same: a network partition may refuse
+	// connections, and a process that starts or stops has no listener.
+	Refused(err error) bool
 }
--- a/internal/gateway/relay_route.go
+++ b/internal/gateway/relay_route.go
@@ -41,7 +41,7 @@
 	poll := c.pollHosts(ctx, own, addresses, FenceRequest{Group: g.name, QueryOnly: true}, primaryReportTimeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !poll.quorumOfAsked() {
+	if !poll.reachesMost() {
 		c.gw.events.log.Info().Str("group", g.name).Int("asked", len(poll.asked)).Int("answered", len(poll.replies)).Msg("host is cut off")
 		g.cutOffUntil = boottime.Now().Add(cutOffDuration)
 		g.notify()
