Wait for hosts that are listed between the claim and the fence poll

Cause: after the poll, the holder of a claim lists the hosts once more and compares the listed ones with those that it asked, not with those that answered. A voter without a row is asked as a voter; if its process is just starting, it does not answer, writes its row between the write of the claim and the listing, and may use the old primary, as its permission rests on claims as of its start. The holder did not wait for it, since it had asked it and it was not among the hosts that may use primaries when it did.

Evidence: TestHostListedDuringFencePollIsWaitedFor fails with the comparison before.

Change: every host that is listed after the poll must have answered it; otherwise the holder waits for the permissions to end.

--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -230,16 +230,15 @@
 }
 
 // pollHosts sends the request to all other hosts that may use primaries and to all voters.
-// It returns the answers that arrive in time, and the hosts that may use primaries.
-func (f *failover) pollHosts(ctx context.Context, voters electorate.Electorate, r FenceRequest, timeout time.Duration) (poll hostPoll, users map[string]string) {
+// It returns the answers that arrive in time.
+func (f *failover) pollHosts(ctx context.Context, voters electorate.Electorate, r FenceRequest, timeout time.Duration) hostPoll {
 	var own string
 	var asked map[string]string
 	f.controller.submitAndWait(func() {
 		own = f.controller.ownAddress()
-		users = f.controller.primaryUsers(boottime.Now())
-		asked = f.controller.withVoters(maps.Clone(users), voters)
+		asked = f.controller.withVoters(f.controller.primaryUsers(boottime.Now()), voters)
 	})
-	return f.controller.pollHosts(ctx, own, asked, r, timeout), users
+	return f.controller.pollHosts(ctx, own, asked, r, timeout)
 }
 
 // fenceAll makes every host stop using the old primary. If a host does not answer, whether or not
@@ -264,7 +263,7 @@
 			f.controller.submitAndWait(func() { left = f.controller.leftVoters() })
 		}
 	}))
-	poll, users := f.pollHosts(ctx, f.electorate, request, fenceTimeout+grace)
+	poll := f.pollHosts(ctx, f.electorate, request, fenceTimeout+grace)
 	wg.Wait()
 	f.controller.gw.events.log.Info().Str("group", f.group.name).Uint64("claim", f.claimVersion).Uint64("claim_term", f.term).
 		Int("hosts", len(poll.asked)).Int("answered", len(poll.replies)).Int("refused", len(poll.refused)).Dict("polled", poll.results()).
@@ -277,7 +276,9 @@
 		defer close(demoted)
 		f.demote(ctx, poll.hostsReachingPrimary())
 	})
-	if !poll.answeredBy(users) || !refreshed || f.unaskedHostMayUsePrimary(&poll) {
+	accounted := false
+	f.controller.submitAndWait(func() { accounted = f.controller.accountedFor(&poll, boottime.Now()) })
+	if !refreshed || !accounted {
 		quorumAt := poll.quorumAt(f.electorate, left, leftAt)
 		remaining := permission.Duration - boottime.Now().Sub(quorumAt)
 		f.controller.gw.events.log.Info().Str("group", f.group.name).Strs("answered", slices.Sorted(maps.Keys(poll.replies))).
@@ -301,16 +302,12 @@
 	return err == nil
 }
 
-// unaskedHostMayUsePrimary reports whether the poll left out a host that may use
-// primaries. A host that has just started cannot rule this out, because it does not
-// know which hosts were listed before, and neither can any host just after the store was
-// restored, which may have lost the row of a host that had just joined.
-func (f *failover) unaskedHostMayUsePrimary(p *hostPoll) bool {
-	mayUse := false
-	f.controller.submitAndWait(func() {
-		now := boottime.Now()
-		recent := now.Sub(f.controller.startedAt) < permission.Duration || now.Sub(f.controller.restoration.completedAt) < permission.Duration
-		mayUse = recent || !p.askedAll(f.controller.primaryUsers(now))
-	})
-	return mayUse
+// accountedFor reports whether every other host that may use primaries has answered the poll. It is
+// called after the hosts were listed once more, as a host may have written its row between the write
+// of the claim and the poll. A host that has just started cannot tell, because it does not know which
+// hosts were listed before, and neither can any host just after the store was restored, which may
+// have lost the row of a host that had just joined.
+func (c *controller) accountedFor(p *hostPoll, now time.Time) bool {
+	recent := now.Sub(c.startedAt) < permission.Duration || now.Sub(c.restoration.completedAt) < permission.Duration
+	return !recent && p.answeredBy(c.primaryUsers(now))
 }
--- a/internal/gateway/host_poll.go
+++ b/internal/gateway/host_poll.go
@@ -87,16 +87,6 @@
 	return out
 }
 
-// askedAll reports whether all of the addresses were polled.
-func (p *hostPoll) askedAll(addresses map[string]string) bool {
-	for _, address := range addresses {
-		if !p.asked[address] {
-			return false
-		}
-	}
-	return true
-}
-
 // answeredBy reports whether all of the hosts answered.
 func (p *hostPoll) answeredBy(addresses map[string]string) bool {
 	for _, address := range addresses {
--- a/internal/gateway/host_poll_test.go
+++ b/internal/gateway/host_poll_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/beryltrestle/beryltrestle/coord/electorate"
+	"github.com/beryltrestle/beryltrestle/coord/permission"
 )
 
 // Guards against a host that is polled twice, so that its answers count twice towards a
@@ -38,3 +39,21 @@
 	g.Expect(poll.quorumAt(voters, noneLeft, now)).To(Equal(now.Add(time.Second)))
 	g.Expect(poll.answeredBy(map[string]string{"h2": "a2", "h3": "a3"})).To(BeFalse())
 }
+
+// Guards against a holder of a claim that does not wait for a host which has written its row since
+// the claim, and was asked as a voter only: it refused the connection as it was just about to start
+// (issue 42).
+func TestHostListedDuringFencePollIsWaitedFor(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	c := newController(&Gateway{cfg: Config{Host: "h1"}})
+	c.startedAt = now.Add(-time.Minute)
+	poll := hostPoll{own: "a1", asked: map[string]bool{"a2": true, "a3": true}, replies: map[string]FenceReply{"a3": {}}}
+	g.Expect(c.accountedFor(&poll, now)).To(BeTrue())
+	c.members["h2"] = &member{hostRecord: hostRecord{Name: "h2", Address: "a2"}}
+	g.Expect(c.accountedFor(&poll, now)).To(BeFalse())
+	poll.replies["a2"] = FenceReply{}
+	g.Expect(c.accountedFor(&poll, now)).To(BeTrue())
+	c.startedAt = now.Add(-permission.Duration / 2)
+	g.Expect(c.accountedFor(&poll, now)).To(BeFalse())
+}
