Answers of other hosts count for a permission only after the fence poll

The order would be STALE by the caller's first byte.

Cause: a host acknowledges a claim and is restarted. The holder does not wait for it any more. The new process got a permission by answers or evidence that were younger than its start; but the hosts which gave them may acknowledge the claim only later, until the poll of the holder ends, and so do not know it yet.

Evidence: TestRestartedHostNeedsAnswersOfAfterTheFencePoll fails on the code before.

What was read from the store counts from the start as before: the claim was written before anybody acknowledged it. The start is the time at which the host begins to run with open listeners, since the process before may have answered until then.

--- a/coord/permission/permission.go
+++ b/coord/permission/permission.go
@@ -25,6 +25,9 @@
 // answer. A refused connection counts on neither side: a network partition may refuse
 // connections to a host that still uses the primary.
 //
+// A host that has restarted may have acknowledged a claim before, while others had not yet. Calls
+// that it makes until they have done so give it no permission; the caller leaves these out.
+//
 // A call counts from its start, by a clock that also runs while the host is paused, so
 // that late answers and pauses only shorten a permission.
 package permission
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -109,17 +109,26 @@
 	return c.relayedEvidence
 }
 
-// claimsAsOfSinceStart returns knownClaimsAsOf, or zero if that is before this host started.
-// The holder of a claim whose call was refused because this host did not run does not wait for
-// this host's permission, so that older knowledge of other hosts gives it none.
+// claimsAsOfSinceStart returns knownClaimsAsOf without what does not count since this host started.
+// The process before may have acknowledged a claim, so that the holder does not wait for this host.
+// The claim was in the store by then, but other hosts may acknowledge it until the poll ends.
 func (c *controller) claimsAsOfSinceStart() time.Time {
-	asOf := c.knownClaimsAsOf()
-	if asOf.Before(c.startedAt) {
-		return time.Time{}
+	var asOf time.Time
+	if stored := c.claimsAsOf(); !stored.Before(c.startedAt) {
+		asOf = stored
+	}
+	if c.countsSinceStart(c.relayedEvidence) && c.relayedEvidence.After(asOf) {
+		asOf = c.relayedEvidence
 	}
 	return asOf
 }
 
+// countsSinceStart reports whether answers of other hosts to calls that began at the given time
+// cover the claims that the process of this host before may have acknowledged.
+func (c *controller) countsSinceStart(began time.Time) bool {
+	return !began.Before(c.startedAt.Add(longestFencePoll))
+}
+
 // updatePermission recomputes until when this host may use primaries.
 func (c *controller) updatePermission() {
 	until := permission.Until(c.claimsAsOfSinceStart(), c.voterAnswers()...)
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -89,7 +89,8 @@
 	// departedHosts holds, by address, when the row of a host was removed. An address
 	// is kept for as long as the host may still use primaries.
 	departedHosts map[string]time.Time
-	// startedAt is when this host started.
+	// startedAt is when this host began to run. Its listeners are open by then, so that an earlier
+	// process at its address answers no calls any more.
 	startedAt   time.Time
 	electorate  electorateState
 	restoration restorationState
@@ -125,6 +126,7 @@
 // run processes tasks and ticks until ctx ends. It returns an error if the controller or one
 // of its goroutines panics.
 func (c *controller) run(ctx context.Context) error {
+	c.startedAt = boottime.Now()
 	c.spawn("mirror catalog", func() { c.mirrorTable(ctx, TableCatalog) })
 	c.spawn("mirror endpoints", func() { c.mirrorTable(ctx, TableEndpoints) })
 	c.registering = true
--- a/internal/gateway/electorate.go
+++ b/internal/gateway/electorate.go
@@ -113,13 +113,14 @@
 	}
 }
 
-// voterAnswers returns when the voters of each set last answered this host.
+// voterAnswers returns when the voters of each set last answered this host. Answers that do not
+// count since this host started are left out.
 func (c *controller) voterAnswers() []permission.Voters {
 	out := make([]permission.Voters, 0, len(c.electorate.sets))
 	for _, set := range c.electorate.sets {
 		v := permission.Voters{Self: set.self, Answered: make([]time.Time, len(set.others))}
 		for i, m := range set.others {
-			if m != nil {
+			if m != nil && c.countsSinceStart(m.answeredAt) {
 				v.Answered[i] = m.answeredAt
 			}
 		}
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -27,6 +27,10 @@
 	// plannedFailoverGrace is how long transactions on a leaving primary may continue
 	// while new work already waits. It is longer than most transactions.
 	plannedFailoverGrace = 400 * time.Millisecond
+	// longestFencePoll is how long the hosts may take to acknowledge a claim after the first one
+	// has, unless the holder waits for all permissions to end. A host that has restarted since its
+	// acknowledgement relies on it.
+	longestFencePoll = fenceTimeout + plannedFailoverGrace
 	// catchUpTimeout limits the wait for the successor to receive the rest of the log.
 	catchUpTimeout = 1200 * time.Millisecond
 	// claimMaxAge is how long after its write a claim allows a promotion. Other hosts
@@ -265,9 +269,10 @@
 	}))
 	poll := f.pollHosts(ctx, f.electorate, request, fenceTimeout+grace)
 	wg.Wait()
+	took := boottime.Now().Sub(began)
 	f.controller.gw.events.log.Info().Str("group", f.group.name).Uint64("claim", f.claimVersion).Uint64("claim_term", f.term).
 		Int("hosts", len(poll.asked)).Int("answered", len(poll.replies)).Int("refused", len(poll.refused)).Dict("polled", poll.results()).
-		Dur("took_ms", boottime.Now().Sub(began)).Msg("old primary fenced")
+		Dur("took_ms", took).Msg("old primary fenced")
 	if !poll.quorum(f.electorate, left) {
 		return errNoQuorum
 	}
@@ -278,7 +283,7 @@
 	})
 	accounted := false
 	f.controller.submitAndWait(func() { accounted = f.controller.accountedFor(&poll, boottime.Now()) })
-	if !refreshed || !accounted {
+	if took > longestFencePoll || !refreshed || !accounted {
 		quorumAt := poll.quorumAt(f.electorate, left, leftAt)
 		remaining := permission.Duration - boottime.Now().Sub(quorumAt)
 		f.controller.gw.events.log.Info().Str("group", f.group.name).Strs("answered", slices.Sorted(maps.Keys(poll.replies))).
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -13,8 +13,8 @@
 )
 
 // Guards against a restarted host that uses a primary by what another host knew before the
-// start: the holder of a claim whose call was refused meanwhile does not wait for the
-// permission of this host (issue 31).
+// start: the process before may have acknowledged a claim that the other host did not know
+// (issue 31).
 func TestRestartedHostNeedsClaimsAsOfItsStart(t *testing.T) {
 	g := NewWithT(t)
 	start := func(name string) *controller {
@@ -41,3 +41,36 @@
 	g.Expect(permitted(300 * time.Millisecond)).To(BeFalse())
 	g.Expect(permitted(0)).To(BeTrue())
 }
+
+// Guards against a restarted host that uses a primary by answers or evidence of hosts that had not
+// acknowledged a claim yet: the process before had, so that the holder does not wait for this host
+// (issue 42). What was read from the store counts from the start, as the claim was there by then.
+func TestRestartedHostNeedsAnswersOfAfterTheFencePoll(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	permitted := func(sinceStart time.Duration, learn func(*controller)) bool {
+		c := controllersOfFleet(3, now.Add(-time.Minute))[0]
+		c.tables[TableState].Apply(nil, 0, 7)
+		c.listedSinceVersion = 3
+		for _, m := range c.members {
+			m.answeredAt = time.Time{}
+		}
+		c.completeAsOf[TableState], c.relayedEvidence = time.Time{}, time.Time{}
+		c.startedAt = now.Add(-sinceStart)
+		learn(c)
+		c.updatePermission()
+		return c.gw.primaryPermitted(now)
+	}
+	answers := func(c *controller) {
+		for _, m := range c.members {
+			m.answeredAt = now
+		}
+	}
+	evidence := func(c *controller) { c.relayedEvidence = now }
+	claims := func(c *controller) { c.completeAsOf[TableState] = now }
+	for _, learn := range []func(*controller){answers, evidence} {
+		g.Expect(permitted(longestFencePoll-time.Millisecond, learn)).To(BeFalse())
+		g.Expect(permitted(longestFencePoll, learn)).To(BeTrue())
+	}
+	g.Expect(permitted(0, claims)).To(BeTrue())
+}
