Send statements to a primary only after an answer on their connection

What callers saw: STALE by the first byte that the endpoint reads, of single statements, without ONE: they waited in the connections of a primary whose process stood still and ran when it went on, after its successor had acknowledged commits. It is not shown that it made them. By the caller's first byte no rule is broken.

Cause: a statement is sent to an endpoint that is not known to run. Its kernel accepts the bytes and keeps them, also after the reset of the connection; no host can take them back. The class is that of the refused connection: an act rests on a path that has not been shown to work.

Change: single statements for a primary, and COMMIT, are sent once the endpoint has answered on the same connection, and after the permission, the fence and the term have been checked again under the mutex. The statements that set the session's state serve as the question, or a PREPARE, which takes no slot. A COMMIT without that answer is ABORTED, where it was in doubt. The order "endpoint stands still, statement is sent, successor acknowledges, endpoint goes on" is excluded, up to what is on its way when it begins to stand still.

The soak reports such statements as late reads.

--- a/deploy/soak/check.go
+++ b/deploy/soak/check.go
@@ -84,6 +84,9 @@
 	keyed map[string]keyedStatement
 	// denied holds the statements whose keys were refused.
 	denied []deniedStatement
+	// stallGrace is Config.StallGrace, and lateReads describes the statements that it allows.
+	stallGrace time.Duration
+	lateReads  []string
 	// done, refusals and others count the answers; see Report.
 	done, refusals, others int
 }
@@ -123,7 +126,9 @@
 // on a log which lacks a commit that its endpoint had answered before the first byte of the
 // statement, or of its transaction. The first byte is taken twice: when the caller sent it, and
 // when it reached the endpoint. Commits that a promotion rolled back, or that an endpoint made
-// after it was replaced, do not count. Both mutexes must be held.
+// after it was replaced, do not count. A statement that waited at an endpoint which stood still is no
+// violation by the second reading if it had arrived within stallGrace: the endpoint answered until
+// then, so that no host could know. Both mutexes must be held.
 func (r *recorder) checkExecutions(g *group) (violations []string) {
 	// The commits of the log are in the order of their positions and of their times.
 	var log []commit
@@ -139,9 +144,15 @@
 			continue
 		}
 		for reading, firstByte := range map[string]time.Time{"the caller's first byte": sentAt, "the first byte at the endpoint": x.beganAt} {
-			if log[at].committedAt.Before(firstByte) {
-				violations = append(violations, fmt.Sprintf("STALE by %s: %s was executed at %s on a log up to %s, which lacks %s, answered %s before%s",
-					reading, x.id, x.endpoint, formatPosition(x.logEnd), log[at].ids[0], firstByte.Sub(log[at].committedAt), x.delay()))
+			if !log[at].committedAt.Before(firstByte) {
+				continue
+			}
+			found := fmt.Sprintf("STALE by %s: %s was executed at %s on a log up to %s, which lacks %s, answered %s before%s",
+				reading, x.id, x.endpoint, formatPosition(x.logEnd), log[at].ids[0], firstByte.Sub(log[at].committedAt), x.delay())
+			if firstByte.Equal(x.receivedAt) && x.arrivedAtStall(r.stallGrace) {
+				r.lateReads = append(r.lateReads, found)
+			} else {
+				violations = append(violations, found)
 			}
 		}
 	}
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -43,6 +43,9 @@
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	Log           zerolog.Logger
+	// StallGrace is how long after an endpoint began to stand still statements may arrive there.
+	// They run when it goes on, and are reported as LateReads and not as violations.
+	StallGrace time.Duration
 	// limits are the Limits of the hosts' settings.
 	limits map[string]float64
 	// script, if set, replaces the random faults. Each caller then uses one host and, unless
@@ -67,12 +70,14 @@
 	Violations []string `json:"found"`
 	// LateCommits describes the commits of replaced primaries; see describeLateCommits.
 	LateCommits []string `json:"late_commits"`
+	// LateReads describes the statements that StallGrace allows.
+	LateReads []string `json:"late_reads"`
 }
 
 // String renders the report as one line, followed by a line for each violation.
 func (r Report) String() string {
-	out := fmt.Sprintf("seed %d: %d done, %d refused, %d other, %d promotions, %d violations, %d late commits", r.Seed, r.Done, r.Refused, r.Other, r.Promotions, len(r.Violations), len(r.LateCommits))
-	for _, f := range slices.Concat(r.Violations, r.LateCommits) {
+	out := fmt.Sprintf("seed %d: %d done, %d refused, %d other, %d promotions, %d violations, %d late commits, %d late reads", r.Seed, r.Done, r.Refused, r.Other, r.Promotions, len(r.Violations), len(r.LateCommits), len(r.LateReads))
+	for _, f := range slices.Concat(r.Violations, r.LateCommits, r.LateReads) {
 		out += "\n  " + f
 	}
 	return out
@@ -161,10 +166,11 @@
 	if !r.endsWithOnePrimary(ctx, recoveryTimeout) {
 		r.recorder.addViolation("RECOVER: there was not one primary within %s after the last caller", recoveryTimeout)
 	}
+	r.recorder.stallGrace = cfg.StallGrace
 	violations := append(r.recorder.check(r.group), r.checkTeams()...)
 	return Report{
 		Seed: cfg.Seed, Done: r.recorder.done, Refused: r.recorder.refusals, Other: r.recorder.others,
-		Promotions: len(r.group.promotions), Violations: violations, LateCommits: r.lateCommits(),
+		Promotions: len(r.group.promotions), Violations: violations, LateCommits: r.lateCommits(), LateReads: r.recorder.lateReads,
 	}, nil
 }
 
--- a/deploy/soak/soak_test.go
+++ b/deploy/soak/soak_test.go
@@ -25,6 +25,7 @@
 		dir := t.TempDir()
 		report, err := soak.Run(t.Context(), soak.Config{
 			DaemonPath: daemon, Dir: dir, Hosts: 5, Callers: 12, Seed: seed, FaultDuration: 12 * time.Second, Log: zerolog.Nop(),
+			StallGrace: soak.ProofGrace,
 		})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(report.Violations).To(BeEmpty(), "seed %d", seed)
--- a/deploy/soak/stall.go
+++ b/deploy/soak/stall.go
@@ -14,6 +14,10 @@
 // endpoint reads a backlog of a few statements for each connection within some ten milliseconds.
 const backlogTime = 100 * time.Millisecond
 
+// ProofGrace is the StallGrace of an endpoint that has just answered: the time for its answer to reach
+// the host and for the statement to reach the endpoint, on a busy machine.
+const ProofGrace = 20 * time.Millisecond
+
 // stall makes an endpoint stand still as a stopped process does: its kernel goes on accepting
 // connections and bytes, but nothing is read or answered until resume.
 func (g *group) stall(e *endpoint) {
@@ -114,3 +118,12 @@
 	}
 	return fmt.Sprintf("; the endpoint had stood still for %s when it arrived, and read it %s later", stoodStillFor, x.waited)
 }
+
+// arrivedAtStall reports whether the statement arrived at the latest the given time after the endpoint
+// had begun to stand still, and was read when that went on.
+func (x execution) arrivedAtStall(grace time.Duration) bool {
+	if x.stalledAt.IsZero() || grace == 0 || x.receivedAt.Before(x.stalledAt) {
+		return false
+	}
+	return x.receivedAt.Add(-x.waited).Before(x.stalledAt.Add(grace))
+}
--- a/deploy/soak/stall_test.go
+++ b/deploy/soak/stall_test.go
@@ -56,3 +56,21 @@
 	g.Expect(database.executions[0].receivedAt).To(BeTemporally(">=", old.resumedAt))
 	g.Expect(database.executions[0].waited).To(BeNumerically(">", promotionTime-time.Millisecond))
 }
+
+// Guards against a judge that allows statements which were sent to an endpoint that had stood still for
+// longer, or that were stale without a stall.
+func TestOnlyStatementsThatArriveAtTheStallAreAllowed(t *testing.T) {
+	g := NewWithT(t)
+	stalled := time.Now()
+	allowed := func(arrived, read, grace time.Duration) bool {
+		x := execution{stalledAt: stalled, receivedAt: stalled.Add(read), waited: read - arrived}
+		return x.arrivedAtStall(grace)
+	}
+	const grace = 300 * time.Millisecond
+	g.Expect(allowed(grace-1, time.Second, grace)).To(BeTrue())
+	g.Expect(allowed(-time.Second, time.Second, grace)).To(BeTrue())
+	g.Expect(allowed(grace, time.Second, grace)).To(BeFalse())
+	g.Expect(allowed(grace-1, time.Second, 0)).To(BeFalse())
+	g.Expect(allowed(-2*time.Second, -time.Second, grace)).To(BeFalse())
+	g.Expect(execution{receivedAt: stalled}.arrivedAtStall(grace)).To(BeFalse())
+}
--- a/internal/gateway/adaptive_window.go
+++ b/internal/gateway/adaptive_window.go
@@ -37,7 +37,7 @@
 // observeLimit updates the endpoint's concurrency limit with a statement that was sent at
 // began and has ended.
 func (p *pool) observeLimit(c *conn, began time.Time, r Request, reply *Reply, err error) {
-	if !p.adaptiveConcurrency || c.relayAddress != "" || errors.Is(err, errPrimaryReplaced) {
+	if !p.adaptiveConcurrency || c.relayAddress != "" || errors.Is(err, errPrimaryReplaced) || notStarted(err) {
 		return
 	}
 	now := boottime.Now()
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -33,6 +33,9 @@
 	// sentAt is when the statement in flight was sent; zero if there is none. The
 	// group's mutex guards it.
 	sentAt time.Time
+	// proving is true while the statement in flight waits for the proof that the endpoint answers, and
+	// has not been sent itself. The group's mutex guards it.
+	proving bool
 	// requestID is the ID of the statement in flight, for the log. Other goroutines read it only
 	// while sentAt is set.
 	requestID string
@@ -60,8 +63,9 @@
 
 // run runs the request for the session, after it has replayed missing session state on
 // the connection. inTransaction is true if the open transaction on the connection is
-// the session's.
-func (c *conn) run(deadline time.Time, s *session.State, inTransaction bool, r Request) (Reply, error) {
+// the session's. If confirm is not nil, the request is sent only once the endpoint has answered on
+// the connection and confirm, called with the time of the question and the answer, returns no error.
+func (c *conn) run(deadline time.Time, s *session.State, inTransaction bool, r Request, confirm func(asked time.Time, answer Reply) error) (Reply, error) {
 	prepared, execute := s.Prepared(r.Name)
 	execute = execute && r.Op == session.OpExecute
 	if execute {
@@ -74,7 +78,7 @@
 	if execute {
 		replay = append(replay, c.state.PrepareIfMissing(prepared)...)
 	}
-	reply, err := c.replayAndRun(c.Conn.(EndpointConn), deadline, replay, r)
+	reply, err := c.replayAndRun(c.Conn.(EndpointConn), deadline, replay, r, confirm)
 	if c.state.Bytes() > maxConnStateBytes {
 		// The connection is not used for another session.
 		c.broken = true
@@ -102,22 +106,35 @@
 }
 
 // replayAndRun sends the replay statements and the request, and returns the answer to
-// the request. After an error the request may have run.
-func (c *conn) replayAndRun(endpoint EndpointConn, deadline time.Time, replay []session.Statement, r Request) (Reply, error) {
+// the request. After an error that is not of notSent the request may have run.
+func (c *conn) replayAndRun(endpoint EndpointConn, deadline time.Time, replay []session.Statement, r Request, confirm func(asked time.Time, answer Reply) error) (Reply, error) {
 	requests := make([]Request, 0, len(replay)+1)
 	for _, st := range replay {
 		requests = append(requests, Request{Statement: st})
 	}
-	requests = append(requests, r)
-	if err := endpoint.Send(deadline, requests...); err != nil {
+	if confirm != nil {
+		if err := c.prove(endpoint, deadline, requests, confirm); err != nil {
+			return Reply{}, err
+		}
+		requests = requests[:0]
+	}
+	reply, err := c.exchange(endpoint, deadline, append(requests, r))
+	if err != nil {
 		c.broken = true
+	}
+	return reply, err
+}
+
+// exchange sends the requests and returns the answer to the last one. If the endpoint refuses
+// another one, the error is errReplayRefused.
+func (c *conn) exchange(endpoint EndpointConn, deadline time.Time, requests []Request) (Reply, error) {
+	if err := endpoint.Send(deadline, requests...); err != nil {
 		return Reply{}, err
 	}
 	var refused error
-	for range replay {
+	for range requests[1:] {
 		reply, err := endpoint.Receive(deadline)
 		if err != nil {
-			c.broken = true
 			return Reply{}, err
 		}
 		if !reply.OK() {
@@ -128,8 +145,5 @@
 	if err == nil {
 		err = refused
 	}
-	if err != nil {
-		c.broken = true
-	}
 	return reply, err
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -67,6 +67,12 @@
 		Dur("waited_ms", after).Err(err).Msg("answer lost")
 }
 
+// statementNotSent logs a statement that was not sent, as its endpoint did not answer before.
+func (e *eventLog) statementNotSent(id, database string, t *target, err error) {
+	e.replaced.Info().Str("request", id).Str("database", database).Str("group", t.group.name).Str("endpoint", t.ID).
+		Err(err).Msg("statement not sent, as its endpoint does not answer")
+}
+
 // answerNotCounted logs a write that an endpoint answered with success after this host had
 // stopped using it as the primary.
 func (e *eventLog) answerNotCounted(id, database string, t *target, position logpos.Position) {
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -87,7 +87,7 @@
 func (g *group) closePrimaryWork(conns []*conn) {
 	now := boottime.Now()
 	for _, c := range conns {
-		if !c.sentAt.IsZero() {
+		if !c.sentAt.IsZero() && !c.proving {
 			g.pool.logUnanswered(c, now)
 		}
 		c.revoked = true
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -316,7 +316,7 @@
 	g := t.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c.sentAt, c.usesPrimary = time.Time{}, false
+	c.sentAt, c.usesPrimary, c.proving = time.Time{}, false, false
 	c.busy = false
 	if c.broken || c.revoked || t.removed || len(t.conns) > t.limit || !t.mayReuse(c) {
 		t.drop(c)
@@ -376,12 +376,24 @@
 // this host has given the request up for that reason.
 func (p *pool) run(c *conn, primary bool, deadline time.Time, s *session.State, inTransaction bool, r Request) (Reply, time.Duration, error) {
 	c.requestID = r.ID
-	began, err := p.startStatement(c, primary, !inTransaction && !r.isCommand(), r.StartBy)
-	if err != nil {
+	newWork := !inTransaction && !r.isCommand()
+	var confirm func(time.Time, Reply) error
+	var began time.Time
+	var err error
+	if c.relayAddress == "" && r.needsProof(primary, inTransaction) {
+		confirm = func(asked time.Time, answer Reply) error {
+			began, err = p.confirmStart(c, r, newWork, asked, answer)
+			return err
+		}
+	}
+	if began, err = p.startStatement(c, primary, newWork, r.StartBy, confirm != nil); err != nil {
 		return Reply{}, 0, err
 	}
-	reply, err := c.run(deadline, s, inTransaction, r)
-	if err != nil && c.isRevoked() {
+	reply, err := c.run(deadline, s, inTransaction, r, confirm)
+	switch {
+	case errors.Is(err, errUnproven) && c.isRevoked():
+		err = errors.WithSecondaryError(errNotStarted, err)
+	case err != nil && c.isRevoked() && !notStarted(err):
 		// The endpoint has not failed.
 		err = errors.WithSecondaryError(errPrimaryReplaced, err)
 	}
@@ -400,40 +412,57 @@
 
 // startStatement records that a statement is sent on the connection, and returns the time. It
 // returns errNotStarted if the endpoint may not get the statement any more, although it was chosen,
-// and errLate after startBy.
+// and errLate after startBy. If proves is true, only the request for a proof is sent, and
+// confirmStart follows.
 //
 // The check and the record are one step under the group's mutex. A fence, or the end of the
 // permission, comes either before, so that nothing is sent, or after it, and then closes the
 // connection; see closePrimaryWork.
-func (p *pool) startStatement(c *conn, primary, newWork bool, startBy time.Time) (time.Time, error) {
+func (p *pool) startStatement(c *conn, primary, newWork bool, startBy time.Time, proves bool) (time.Time, error) {
 	g := c.target.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
+	if err := p.checkStart(c, now, primary, newWork, startBy); err != nil {
+		return now, err
+	}
+	c.recordStart(now, primary, proves)
+	return now, nil
+}
+
+// checkStart returns an error if the statement must not be sent on the connection. The group's mutex
+// must be held.
+func (p *pool) checkStart(c *conn, now time.Time, primary, newWork bool, startBy time.Time) error {
 	if !startBy.IsZero() && now.After(startBy) {
-		return now, errLate
+		return errLate
 	}
 	why := c.target.startExclusion(now, primary, newWork)
 	if c.revoked {
 		why = excludedRevoked
 	}
 	if why != notExcluded {
-		p.metrics.Inc(metrics.StatementsNotStarted)
-		p.replacedLog.Info().Str("request", c.requestID).Str("group", g.name).Str("endpoint", c.target.ID).Str("primary", g.primary).
-			Uint64("term", g.term).Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
-			Str("reason", string(why)).Msg("statement not sent, as its endpoint may not be used any more")
-		return now, errNotStarted
+		p.logNotStarted(c, why)
+		return errNotStarted
 	}
-	c.recordStart(now, primary)
-	return now, nil
+	return nil
+}
+
+// logNotStarted counts and logs a statement that is not sent. The group's mutex must be held.
+func (p *pool) logNotStarted(c *conn, why exclusion) {
+	g := c.target.group
+	p.metrics.Inc(metrics.StatementsNotStarted)
+	p.replacedLog.Info().Str("request", c.requestID).Str("group", g.name).Str("endpoint", c.target.ID).Str("primary", g.primary).
+		Uint64("term", g.term).Uint64("claim", g.fence.Version).Uint64("claim_term", g.fence.Term).
+		Str("reason", string(why)).Msg("statement not sent, as its endpoint may not be used any more")
 }
 
-// recordStart records that a statement is sent on the connection. The group's mutex must be held.
-func (c *conn) recordStart(now time.Time, primary bool) {
-	c.sentAt = now
+// recordStart records that a statement, or the request for its proof, is sent on the connection. The
+// group's mutex must be held.
+func (c *conn) recordStart(now time.Time, primary, proves bool) {
+	c.sentAt, c.proving = now, proves
 	g := c.target.group
 	c.usesPrimary, c.primaryTerm = primary, g.term
-	if primary {
+	if primary && !proves {
 		g.lastPrimarySend = primarySend{at: now, endpoint: c.target.ID, term: g.term}
 	}
 	c.busy = true
@@ -471,12 +500,13 @@
 	g := t.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err == nil {
+	if err == nil || notSent(err) {
 		// Otherwise the request may still be on its way until the connection is closed.
 		c.sentAt = time.Time{}
 	}
 	t.inFlight--
-	if errors.Is(err, errPrimaryReplaced) {
+	c.proving = false
+	if errors.Is(err, errPrimaryReplaced) || notStarted(err) {
 		return
 	}
 	if err != nil || !reply.FromRelay {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -160,6 +160,9 @@
 	if err != nil {
 		gw.connectionLost(c, err)
 		gw.pool.release(c)
+		if errors.Is(err, errUnproven) {
+			return refuseUnproven(held != nil, err), nil
+		}
 		return Reply{}, errors.WithSecondaryError(ErrAnswerLost, err)
 	}
 	if reply.Dropped {
@@ -192,6 +195,15 @@
 	return Reply{Code: CodeBusy, Detail: "the request is late or the endpoint is leaving", FromRelay: true}
 }
 
+// refuseUnproven answers a request that was not sent, as its endpoint did not answer before. The
+// connection, and with it an open transaction, has ended.
+func refuseUnproven(inTransaction bool, err error) Reply {
+	if inTransaction {
+		return Reply{Code: CodeAborted, Detail: "the transaction's endpoint does not answer", State: TxFailed, FromRelay: true}
+	}
+	return Reply{Code: CodeMisrouted, Detail: err.Error(), FromRelay: true}
+}
+
 // relayConn returns a connection for the request, or the reply if the request cannot
 // run here. held is the connection of the request's transaction, or nil.
 func (gw *Gateway) relayConn(ctx context.Context, held *conn, r RelayRequest) (*conn, *Reply) {
--- a/internal/gateway/revoked_connection_test.go
+++ b/internal/gateway/revoked_connection_test.go
@@ -26,3 +26,16 @@
 	}
 	g.Expect(c.do(op(session.OpCommit)).Code).To(Equal(gateway.CodeAborted))
 }
+
+// Guards against a COMMIT that is sent to a primary which does not answer, so that its outcome is in
+// doubt although the transaction could be rolled back for certain (issue 42).
+func TestCommitToSilentPrimaryIsAborted(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := startFleet(t, manyConnections, "h1")
+	writeUntilConfirmed(t, f, "h1", time.Second)
+	c := f.caller("h1", "strict")
+	expectSuccess(g, c, op(session.OpBegin), write("a", "1"))
+	f.group.setCut("h1", "e1", true)
+	g.Expect(c.do(op(session.OpCommit)).Code).To(Equal(gateway.CodeAborted))
+}
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -199,7 +199,9 @@
 }
 
 // notSent reports whether the error means that the statement certainly did not reach its endpoint.
-func notSent(err error) bool { return errors.Is(err, ErrNotSent) || notStarted(err) }
+func notSent(err error) bool {
+	return errors.Is(err, ErrNotSent) || errors.Is(err, errUnproven) || notStarted(err)
+}
 
 // notStarted reports whether this host has not sent the statement, as it must not any more.
 func notStarted(err error) bool { return errors.Is(err, errNotStarted) || errors.Is(err, errLate) }
@@ -214,7 +216,11 @@
 		reply = reply.WithoutRows(r, inTransaction)
 	}
 	if err != nil && !notStarted(err) {
-		s.gateway.events.answerLost(r.ID, s.db.Name, c.target, waited, err)
+		if errors.Is(err, errUnproven) {
+			s.gateway.events.statementNotSent(r.ID, s.db.Name, c.target, err)
+		} else {
+			s.gateway.events.answerLost(r.ID, s.db.Name, c.target, waited, err)
+		}
 		s.gateway.connectionLost(c, err)
 	}
 	return reply, err
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -211,7 +213,7 @@
 	s.state.End()
 	end, _ := ctx.Deadline()
 	reply, err := s.send(c, !tx.ReadOnly, end, true, Request{Statement: st})
-	if notStarted(err) {
+	if notStarted(err) || errors.Is(err, errUnproven) {
 		return s.abortPinned()
 	}
 	s.pinned = nil
