Wait for removed hosts until a quorum has known of the removal

Cause: a host that was removed counted as one that uses no primary from 1.5 s after the holder of the claim had learned of the removal. A majority that has not learned of it, as it is cut off from the holder and the store, still lists the host. If that starts again without the store, the majority gives it a permission, until it acknowledges the claim. The holder then promoted at once. Again a missing row was taken for a proof about the host.

Change: an answer to a fence request states the version of the hosts' table that its host has known for 1.5 s. The holder waits for the permissions to end unless each host whose row it saw removed has answered or a quorum of the voters has known of the removal for 1.5 s. After a gap of more than 1.5 s in what it has read, it takes the whole listing for a removal. A host of a build before this one states no version, so that failovers wait during an update if a host was removed before.

--- a/internal/fleet/convert.go
+++ b/internal/fleet/convert.go
@@ -126,12 +126,12 @@
 	if r.PrimaryAnsweredAgo < 0 {
 		ago = min(ago, -1)
 	}
-	return &fleetv1.FenceResponse{Term: r.Term, AnsweredAgoUs: ago, Direct: r.Direct}
+	return &fleetv1.FenceResponse{Term: r.Term, AnsweredAgoUs: ago, Direct: r.Direct, SettledVersion: r.SettledVersion}
 }
 
 // decodeFenceReply converts the answer to a fence request from protobuf.
 func decodeFenceReply(m *fleetv1.FenceResponse) gateway.FenceReply {
-	return gateway.FenceReply{Term: m.GetTerm(), PrimaryAnsweredAgo: micros(m.GetAnsweredAgoUs()), Direct: m.GetDirect()}
+	return gateway.FenceReply{Term: m.GetTerm(), PrimaryAnsweredAgo: micros(m.GetAnsweredAgoUs()), Direct: m.GetDirect(), SettledVersion: m.GetSettledVersion()}
 }
 
 // encodePosition converts a log position to protobuf.
--- a/internal/fleet/convert_test.go
+++ b/internal/fleet/convert_test.go
@@ -24,6 +24,6 @@
 	for _, ago := range []time.Duration{-1, -time.Second} {
 		g.Expect(decodeFenceReply(encodeFenceReply(gateway.FenceReply{PrimaryAnsweredAgo: ago})).PrimaryAnsweredAgo).To(BeNumerically("<", 0))
 	}
-	reply := gateway.FenceReply{Term: 3, PrimaryAnsweredAgo: 5 * time.Millisecond, Direct: true}
+	reply := gateway.FenceReply{Term: 3, PrimaryAnsweredAgo: 5 * time.Millisecond, Direct: true, SettledVersion: 9}
 	g.Expect(decodeFenceReply(encodeFenceReply(reply))).To(Equal(reply))
 }
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -91,9 +91,14 @@
 	if !asOf.After(c.completeAsOf[name]) {
 		return
 	}
+	before := c.completeAsOf[name]
 	c.completeAsOf[name] = asOf
 	switch name {
 	case TableState:
+		if asOf.Sub(before) > permission.Duration {
+			// The row of a host may have been written and removed in between.
+			c.removals.missed = c.tables[TableState].Through()
+		}
 		c.updatePermission()
 	case TableCatalog:
 		c.gw.catalogAsOf.Store(asOf.UnixNano())
--- a/internal/gateway/controller.go
+++ b/internal/gateway/controller.go
@@ -86,9 +86,7 @@
 	fleetSize atomic.Int64
 	// lateMirrors holds the tables whose mirror was late when it was last checked.
 	lateMirrors map[TableName]bool
-	// departedHosts holds, by address, when the row of a host was removed. An address
-	// is kept for as long as the host may still use primaries.
-	departedHosts map[string]time.Time
+	removals    hostRemovals
 	// startedAt is when this host began to run. Its listeners are open by then, so that an earlier
 	// process at its address answers no calls any more.
 	startedAt   time.Time
@@ -110,7 +108,7 @@
 		gw: gw, tasks: make(chan func(), 256), incarnation: rand.Uint64() >> 1,
 		tables: make(map[TableName]*rows.Table), members: make(map[string]*member),
 		monitors: make(map[string]*groupMonitor), completeAsOf: make(map[TableName]time.Time),
-		lateMirrors: make(map[TableName]bool), departedHosts: make(map[string]time.Time), startedAt: boottime.Now(),
+		lateMirrors: make(map[TableName]bool), removals: hostRemovals{departures: make(map[string]departure)}, startedAt: boottime.Now(),
 		failed: make(chan struct{}),
 	}
 	// A timer without a time to run: updatePermission sets it.
@@ -214,6 +212,7 @@
 		c.handlePause(now)
 	}
 	c.lastTick = now
+	c.sampleMirror(now)
 	c.readClaims(now)
 	c.gossip(now)
 	c.updatePermission()
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -282,7 +282,7 @@
 		f.demote(ctx, poll.hostsReachingPrimary())
 	})
 	accounted := false
-	f.controller.submitAndWait(func() { accounted = f.controller.accountedFor(&poll, boottime.Now()) })
+	f.controller.submitAndWait(func() { accounted = f.controller.accountedFor(&poll, f.electorate, boottime.Now()) })
 	if took > longestFencePoll || !refreshed || !accounted {
 		quorumAt := poll.quorumAt(f.electorate, left, leftAt)
 		remaining := permission.Duration - boottime.Now().Sub(quorumAt)
@@ -311,8 +311,9 @@
 // called after the hosts were listed once more, as a host may have written its row between the write
 // of the claim and the poll. A host that has just started cannot tell, because it does not know which
 // hosts were listed before, and neither can any host just after the store was restored, which may
-// have lost the row of a host that had just joined.
-func (c *controller) accountedFor(p *hostPoll, now time.Time) bool {
+// have lost the row of a host that had just joined. A host whose row was removed counts as one that
+// may use primaries until a quorum of the voters has known of the removal for long enough.
+func (c *controller) accountedFor(p *hostPoll, voters electorate.Electorate, now time.Time) bool {
 	recent := now.Sub(c.startedAt) < permission.Duration || now.Sub(c.restoration.completedAt) < permission.Duration
-	return !recent && p.answeredBy(c.primaryUsers(now))
+	return !recent && p.answeredBy(c.primaryUsers(now)) && c.removalsAccountedFor(p, voters)
 }
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -24,6 +24,7 @@
 		return FenceReply{}, errUnknownGroup
 	}
 	reply := g.fenceReply()
+	reply.SettledVersion = gw.settledVersion.Load()
 	if r.QueryOnly {
 		return reply, nil
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,8 @@
 	// permittedUntil is when this host's permission to use primaries ends, in
 	// nanoseconds of the boot clock.
 	permittedUntil atomic.Int64
+	// settledVersion is FenceReply.SettledVersion.
+	settledVersion atomic.Uint64
 
 	// quota keeps the operations of teams within their limits; nil if there are none.
 	quota *teamQuota
--- a/internal/gateway/host_poll.go
+++ b/internal/gateway/host_poll.go
@@ -106,9 +106,9 @@
 	for name, m := range c.members {
 		addresses[name], listed[m.Address] = m.Address, true
 	}
-	for address, at := range c.departedHosts {
+	for address, d := range c.removals.departures {
 		// A host that is listed again must not count twice.
-		if now.Sub(at) < permission.Duration && !listed[address] {
+		if now.Sub(d.at) < permission.Duration && !listed[address] {
 			addresses["former "+address] = address
 		}
 	}
--- a/internal/gateway/host_poll_test.go
+++ b/internal/gateway/host_poll_test.go
@@ -17,7 +17,7 @@
 	now := time.Now()
 	c := newController(&Gateway{cfg: Config{Host: "h1"}})
 	c.members["h2"] = &member{hostRecord: hostRecord{Name: "h2", Address: "a2"}}
-	c.departedHosts["a2"], c.departedHosts["a3"] = now, now
+	c.removals.departures["a2"], c.removals.departures["a3"] = departure{at: now}, departure{at: now}
 	g.Expect(c.primaryUsers(now)).To(Equal(map[string]string{"h2": "a2", "former a3": "a3"}))
 }
 
@@ -49,11 +49,12 @@
 	c := newController(&Gateway{cfg: Config{Host: "h1"}})
 	c.startedAt = now.Add(-time.Minute)
 	poll := hostPoll{own: "a1", asked: map[string]bool{"a2": true, "a3": true}, replies: map[string]FenceReply{"a3": {}}}
-	g.Expect(c.accountedFor(&poll, now)).To(BeTrue())
+	voters := electorate.New([]string{"a1", "a2", "a3"}, nil)
+	g.Expect(c.accountedFor(&poll, voters, now)).To(BeTrue())
 	c.members["h2"] = &member{hostRecord: hostRecord{Name: "h2", Address: "a2"}}
-	g.Expect(c.accountedFor(&poll, now)).To(BeFalse())
+	g.Expect(c.accountedFor(&poll, voters, now)).To(BeFalse())
 	poll.replies["a2"] = FenceReply{}
-	g.Expect(c.accountedFor(&poll, now)).To(BeTrue())
+	g.Expect(c.accountedFor(&poll, voters, now)).To(BeTrue())
 	c.startedAt = now.Add(-permission.Duration / 2)
-	g.Expect(c.accountedFor(&poll, now)).To(BeFalse())
+	g.Expect(c.accountedFor(&poll, voters, now)).To(BeFalse())
 }
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -3,13 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"maps"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/beryltrestle/beryltrestle/coord/permission"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -166,13 +164,6 @@
 	return !known
 }
 
-// recordDeparture records that the host at the address is no longer listed.
-func (c *controller) recordDeparture(address string) {
-	now := boottime.Now()
-	maps.DeleteFunc(c.departedHosts, func(_ string, at time.Time) bool { return now.Sub(at) >= permission.Duration })
-	c.departedHosts[address] = now
-}
-
 // applyOwnRow updates whether this host is listed, and registers it again if another
 // host has removed its row or the store has lost it.
 func (c *controller) applyOwnRow(r rows.Row) {
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -88,6 +88,9 @@
 	PrimaryAnsweredAgo time.Duration
 	// Direct is true if the host connects to the primary directly.
 	Direct bool
+	// SettledVersion is the version of TableState up to which the host has known all rows for
+	// permission.Duration.
+	SettledVersion uint64
 }
 
 // reachesPrimary reports whether the primary has just answered the host on a direct connection.
