--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -49,7 +49,7 @@
 		}
 		report, err := soak.Run(e.ctx, soak.Config{
 			DaemonPath: c.Daemon, Dir: seedDir, Hosts: c.Hosts, Callers: c.Callers, Seed: seed, Log: log,
-			FaultDuration: time.Duration(c.Minutes * float64(time.Minute)),
+			FaultDuration: time.Duration(c.Minutes * float64(time.Minute)), StallGrace: soak.ProofGrace,
 		})
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
