Wait for the answer before a statement as long as for a status

Three faults of the answer that added, found in the review, all with runs on fakes:

- A host that stood still between the answer and the send gave the statement up and charged the endpoint.
A relay host then kept the connection of the transaction in its pool, and another caller's write ran in it.
- An answer that showed a newer term repeated the statement without a pause, 34,000 to 45,000 times in a second.

The check of the term is gone.

TestSlowPrimaryServesWrites, TestRelayHostEndsTransactionOfUnprovenCommit and TestExpiredProofIsRepeated fail on the code before.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -64,8 +64,8 @@
 // run runs the request for the session, after it has replayed missing session state on
 // the connection. inTransaction is true if the open transaction on the connection is
 // the session's. If confirm is not nil, the request is sent only once the endpoint has answered on
-// the connection and confirm, called with the time of the question and the answer, returns no error.
-func (c *conn) run(deadline time.Time, s *session.State, inTransaction bool, r Request, confirm func(asked time.Time, answer Reply) error) (Reply, error) {
+// the connection and confirm, called with the time of the question, returns no error.
+func (c *conn) run(deadline time.Time, s *session.State, inTransaction bool, r Request, confirm func(asked time.Time) error) (Reply, error) {
 	prepared, execute := s.Prepared(r.Name)
 	execute = execute && r.Op == session.OpExecute
 	if execute {
@@ -107,7 +107,7 @@
 
 // replayAndRun sends the replay statements and the request, and returns the answer to
 // the request. After an error that is not of notSent the request may have run.
-func (c *conn) replayAndRun(endpoint EndpointConn, deadline time.Time, replay []session.Statement, r Request, confirm func(asked time.Time, answer Reply) error) (Reply, error) {
+func (c *conn) replayAndRun(endpoint EndpointConn, deadline time.Time, replay []session.Statement, r Request, confirm func(asked time.Time) error) (Reply, error) {
 	requests := make([]Request, 0, len(replay)+1)
 	for _, st := range replay {
 		requests = append(requests, Request{Statement: st})
--- a/internal/gateway/endpoint_exclusion.go
+++ b/internal/gateway/endpoint_exclusion.go
@@ -16,7 +16,6 @@
 	excludedFenced       exclusion = "the primary is being replaced"
 	excludedUnclaimed    exclusion = "the primary was promoted while another one may still be used"
 	excludedNotPermitted exclusion = "this host has no permission to use primaries"
-	excludedNewerTerm    exclusion = "the endpoint is in a newer term"
 	excludedDrained      exclusion = "draining for too long"
 )
 
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -372,17 +372,18 @@
 // run runs the request on the connection for a session and updates the endpoint's state
 // from the answer. primary marks work that needs the primary; the mark stays on the
 // connection until release. The returned duration is the time waited for the answer. The error
-// is errNotStarted or errLate if the request must not be sent any more, and errPrimaryReplaced if
-// this host has given the request up for that reason.
+// is errNotStarted or errLate if the request must not be sent any more, errUnproven if it was not
+// sent as its endpoint does not answer, and errPrimaryReplaced if this host has given the request up
+// for that reason.
 func (p *pool) run(c *conn, primary bool, deadline time.Time, s *session.State, inTransaction bool, r Request) (Reply, time.Duration, error) {
 	c.requestID = r.ID
 	newWork := !inTransaction && !r.isCommand()
-	var confirm func(time.Time, Reply) error
+	var confirm func(time.Time) error
 	var began time.Time
 	var err error
 	if c.relayAddress == "" && r.needsProof(primary, inTransaction) {
-		confirm = func(asked time.Time, answer Reply) error {
-			began, err = p.confirmStart(c, r, newWork, asked, answer)
+		confirm = func(asked time.Time) error {
+			began, err = p.confirmStart(c, r, newWork, asked)
 			return err
 		}
 	}
