Hosts that refuse connections lose their row

Cause: the row of a host whose connections are refused was kept for as long as it refused them, since the holder of a claim counted it as ended. It counts as missing since, so that such hosts stayed voters forever and each failover waited for them. Hosts that drop packets lost their rows all the time.

Change: a refusing host is unresponsive like any other. It writes its row again when it runs again.

TestHostWhoseRowNamesAnotherAddressIsNotListed fails before.

--- a/internal/gateway/cleanup.go
+++ b/internal/gateway/cleanup.go
@@ -63,7 +63,7 @@
 func (c *controller) unresponsiveMemberRows(now time.Time) map[string]rows.Row {
 	out := make(map[string]rows.Row)
 	for name, m := range c.members {
-		unresponsive := now.Sub(m.knownSince) > unresponsiveMemberTimeout && now.Sub(m.lastContact) > unresponsiveMemberTimeout && now.Sub(m.answeredAt) > unresponsiveMemberTimeout && now.Sub(m.refusedAt) > unresponsiveMemberTimeout
+		unresponsive := now.Sub(m.knownSince) > unresponsiveMemberTimeout && now.Sub(m.lastContact) > unresponsiveMemberTimeout && now.Sub(m.answeredAt) > unresponsiveMemberTimeout
 		if r, ok := c.tables[TableState].Get(hostPrefix + name); ok && unresponsive && (!m.alive(now) || now.Sub(m.lastFailureAt()) <= reportLifetime) {
 			out[name] = r
 		}
--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -125,7 +125,7 @@
 	now := boottime.Now()
 	c := controllersOfFleet(3, now.Add(-time.Minute))[0]
 	c.gw.cfg.Peers = refusingPeers{}
-	c.recordFailedCall("h1", now, errors.New("connection refused"))
+	c.recordFailedCall("h1", errors.New("connection refused"))
 	g.Expect(c.members["h1"].alive(now)).To(BeFalse())
 	c.updatePermission()
 	g.Expect(c.gw.primaryPermitted(now)).To(BeFalse())
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -76,7 +76,7 @@
 
 // recordFailedCall records a failed call to a host. After a refused connection the host counts as
 // unresponsive at once, as its process has probably ended.
-func (c *controller) recordFailedCall(name string, began time.Time, err error) {
+func (c *controller) recordFailedCall(name string, err error) {
 	m := c.members[name]
 	if m == nil {
 		return
@@ -85,7 +85,6 @@
 	m.failures++
 	if c.gw.cfg.Peers.Refused(err) {
 		m.failures = max(m.failures, failuresUntilUnresponsive)
-		m.refusedAt = began
 	}
 }
 
@@ -101,7 +100,7 @@
 		}
 		if err != nil {
 			c.gw.metrics.Inc(metrics.GossipFailed)
-			c.recordFailedCall(name, began, err)
+			c.recordFailedCall(name, err)
 			return
 		}
 		c.applyGossip(theirs, began)
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -170,8 +170,17 @@
 	c.electorate.ownAddress = ""
 	if !r.Deleted {
 		record, err := decodeRecord[hostRecord](r)
-		if err == nil && record.Address == c.gw.cfg.Address {
+		switch {
+		case err == nil && record.Address == c.gw.cfg.Address:
 			c.recordListing(r.Version)
+		case r.Version > c.listedSinceVersion:
+			// Another process has this host's name, or the row is damaged. Nobody asks this host
+			// before a failover.
+			c.listedSinceVersion = 0
+			c.updatePermission()
+			if err != nil {
+				c.registerAgain()
+			}
 		}
 		switch {
 		case err == nil && record.Incarnation == c.incarnation:
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -27,8 +27,6 @@
 	// answeredAt is when the latest call began that the host answered with all claims and
 	// changes of the electorate that it knows.
 	answeredAt time.Time
-	// refusedAt is when the latest call began whose connection the host refused.
-	refusedAt time.Time
 	// knownSince is when this host learned of the member's incarnation.
 	knownSince time.Time
 	failedAt   time.Time
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -74,3 +74,19 @@
 	}
 	g.Expect(permitted(0, claims)).To(BeTrue())
 }
+
+// Guards against a host that uses primaries although its row names another process at another address:
+// the holder of a claim asks that one only.
+func TestHostWhoseRowNamesAnotherAddressIsNotListed(t *testing.T) {
+	g := NewWithT(t)
+	now := boottime.Now()
+	c := controllersOfFleet(3, now)[0]
+	c.tables[TableState].Apply(nil, 0, 7)
+	c.listedSinceVersion, c.ownRowVersion = 3, 3
+	c.updatePermission()
+	g.Expect(c.gw.primaryPermitted(now)).To(BeTrue())
+	other := hostRecord{Name: c.gw.cfg.Host, Address: "elsewhere", Incarnation: c.incarnation + 1}
+	c.applyListing(TableState, Listing{Version: 9, Rows: []rows.Row{{Key: hostPrefix + c.gw.cfg.Host, Version: 9, Value: encodeRecord(other)}}})
+	c.updatePermission()
+	g.Expect(c.gw.primaryPermitted(now)).To(BeFalse())
+}
