An endpoint that has started again does not lead by its ID

Cause: a new process under the ID of the primary was taken for the primary, until a status showed a term that is not lower. A server that starts again may hold nothing of before, and then its term is lower for good.

Change: once the row shows another process, the group has no primary until a status request to that process says that it leads. Answers of a process that is no longer listed tell nothing about the ID.

TestEndpointThatRestartedWithoutItsLogIsNotThePrimary fails before. Not excluded: reads between the restart and the row that tells of it.

--- a/internal/gateway/group_update.go
+++ b/internal/gateway/group_update.go
@@ -144,6 +144,10 @@
 				t.removed = true
 				retired = append(retired, t)
 			}
+			if id == g.primary {
+				// The new process may lack the log of the one before. It leads once it says so.
+				g.primary = ""
+			}
 			t = newTarget(g, e)
 			g.targets[id] = t
 			toQuery = append(toQuery, t)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -88,6 +88,8 @@
 	defer g.mu.Unlock()
 	g.highestSeenTerm = max(g.highestSeenTerm, s.Term)
 	switch {
+	case t.removed:
+		// Another process may have the endpoint's ID by now.
 	case s.Primary:
 		g.setPrimary(s.Term, t.ID, s.Received)
 		if g.primary == t.ID {
