Tests for the start of a host, long polls and earlier stalls

The judge of the soak excused a statement that arrived within one stall and was read after a second one.

--- a/deploy/soak/endpoint_conn.go
+++ b/deploy/soak/endpoint_conn.go
@@ -153,7 +153,7 @@
 	if !c.inTx {
 		c.beganAt = receivedAt
 	}
-	x := execution{id: id, endpoint: c.endpoint.id, receivedAt: receivedAt, beganAt: c.beganAt, waited: c.waited, stalledAt: c.endpoint.stalledAt, logEnd: c.endpoint.logEnd(), user: c.user, first: !c.inTx || !c.txStarted}
+	x := execution{id: id, endpoint: c.endpoint.id, receivedAt: receivedAt, beganAt: c.beganAt, waited: c.waited, stalledAt: c.endpoint.stalledAt, ranSince: c.endpoint.ranSince, logEnd: c.endpoint.logEnd(), user: c.user, first: !c.inTx || !c.txStarted}
 	row, code := c.runStatement(id, text)
 	if code == "" && id != "-" {
 		c.group.executions = append(c.group.executions, x)
--- a/deploy/soak/group.go
+++ b/deploy/soak/group.go
@@ -49,13 +49,14 @@
 	// isolated keeps the endpoint from reaching the other endpoints.
 	isolated bool
 	// resumed is closed when the endpoint runs again; nil unless it stands still. stalledAt is
-	// when it last began to stand still, and resumedAt when it last began to run again.
-	resumed              chan struct{}
-	stalledAt, resumedAt time.Time
-	term                 uint64
-	log                  []commit
-	startedAt            int64
-	openConns            int
+	// when it last began to stand still, ranSince when it had begun to run before that, and
+	// resumedAt when it last began to run again.
+	resumed                        chan struct{}
+	stalledAt, ranSince, resumedAt time.Time
+	term                           uint64
+	log                            []commit
+	startedAt                      int64
+	openConns                      int
 }
 
 // logEnd returns the position of the last entry in the endpoint's log.
@@ -106,9 +107,10 @@
 	// beganAt is when the endpoint received the statement, or the BEGIN of its transaction.
 	beganAt time.Time
 	// waited is how long the statement waited in the connection until the endpoint read it.
-	// stalledAt is when the endpoint last began to stand still; zero if it never did.
-	waited    time.Duration
-	stalledAt time.Time
+	// stalledAt is when the endpoint last began to stand still; zero if it never did. ranSince is
+	// when it had begun to run before that.
+	waited              time.Duration
+	stalledAt, ranSince time.Time
 	// user is the name under which the connection was opened.
 	user string
 	// first is true for a single statement and for the first statement of a transaction.
--- a/deploy/soak/stall.go
+++ b/deploy/soak/stall.go
@@ -24,7 +24,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if e.resumed == nil {
-		e.resumed, e.stalledAt = make(chan struct{}), time.Now()
+		e.resumed, e.stalledAt, e.ranSince = make(chan struct{}), time.Now(), e.resumedAt
 	}
 }
 
@@ -119,11 +119,12 @@
 	return fmt.Sprintf("; the endpoint had stood still for %s when it arrived, and read it %s later", stoodStillFor, x.waited)
 }
 
-// arrivedAtStall reports whether the statement arrived at the latest the given time after the endpoint
-// had begun to stand still, and was read when that went on.
+// arrivedAtStall reports whether the statement arrived while the endpoint ran, or at the latest the given
+// time after that had begun to stand still, and was read when it went on.
 func (x execution) arrivedAtStall(grace time.Duration) bool {
 	if x.stalledAt.IsZero() || grace == 0 || x.receivedAt.Before(x.stalledAt) {
 		return false
 	}
-	return x.receivedAt.Add(-x.waited).Before(x.stalledAt.Add(grace))
+	arrived := x.receivedAt.Add(-x.waited)
+	return !arrived.Before(x.ranSince) && arrived.Before(x.stalledAt.Add(grace))
 }
--- a/deploy/soak/stall_test.go
+++ b/deploy/soak/stall_test.go
@@ -63,13 +63,14 @@
 	g := NewWithT(t)
 	stalled := time.Now()
 	allowed := func(arrived, read, grace time.Duration) bool {
-		x := execution{stalledAt: stalled, receivedAt: stalled.Add(read), waited: read - arrived}
+		x := execution{stalledAt: stalled, ranSince: stalled.Add(-time.Minute), receivedAt: stalled.Add(read), waited: read - arrived}
 		return x.arrivedAtStall(grace)
 	}
 	const grace = 300 * time.Millisecond
 	g.Expect(allowed(grace-1, time.Second, grace)).To(BeTrue())
 	g.Expect(allowed(-time.Second, time.Second, grace)).To(BeTrue())
 	g.Expect(allowed(grace, time.Second, grace)).To(BeFalse())
+	g.Expect(allowed(-2*time.Minute, time.Second, grace)).To(BeFalse(), "in an earlier stall")
 	g.Expect(allowed(grace-1, time.Second, 0)).To(BeFalse())
 	g.Expect(allowed(-2*time.Second, -time.Second, grace)).To(BeFalse())
 	g.Expect(execution{receivedAt: stalled}.arrivedAtStall(grace)).To(BeFalse())
--- a/internal/gateway/host_poll_test.go
+++ b/internal/gateway/host_poll_test.go
@@ -50,11 +50,12 @@
 	c.startedAt = now.Add(-time.Minute)
 	poll := hostPoll{own: "a1", asked: map[string]bool{"a2": true, "a3": true}, replies: map[string]FenceReply{"a3": {}}}
 	voters := electorate.New([]string{"a1", "a2", "a3"}, nil)
-	g.Expect(c.accountedFor(&poll, voters, now)).To(BeTrue())
+	g.Expect(c.accountedFor(&poll, voters, longestFencePoll, now)).To(BeTrue())
 	c.members["h2"] = &member{hostRecord: hostRecord{Name: "h2", Address: "a2"}}
-	g.Expect(c.accountedFor(&poll, voters, now)).To(BeFalse())
+	g.Expect(c.accountedFor(&poll, voters, longestFencePoll, now)).To(BeFalse())
 	poll.replies["a2"] = FenceReply{}
-	g.Expect(c.accountedFor(&poll, voters, now)).To(BeTrue())
+	g.Expect(c.accountedFor(&poll, voters, longestFencePoll, now)).To(BeTrue())
+	g.Expect(c.accountedFor(&poll, voters, longestFencePoll+1, now)).To(BeFalse())
 	c.startedAt = now.Add(-permission.Duration / 2)
-	g.Expect(c.accountedFor(&poll, voters, now)).To(BeFalse())
+	g.Expect(c.accountedFor(&poll, voters, longestFencePoll, now)).To(BeFalse())
 }
--- a/internal/gateway/host_removals_test.go
+++ b/internal/gateway/host_removals_test.go
@@ -46,7 +46,7 @@
 	g.Expect(poll.quorum(voters, holder.leftVoters())).To(BeTrue())
 	g.Expect(restarted.gw.primaryPermitted(m.now)).To(BeTrue())
 	g.Expect(restarted.gw.group("g").fence.Version).To(BeNumerically("<", claim.Version))
-	g.Expect(holder.accountedFor(&poll, voters, m.now)).To(BeFalse())
+	g.Expect(holder.accountedFor(&poll, voters, 0, m.now)).To(BeFalse())
 
 	// Two of the three have known the removal for long enough.
 	unsettled := poll
@@ -56,12 +56,12 @@
 		poll.replies[name] = FenceReply{SettledVersion: version}
 	}
 	holder.gw.settledVersion.Store(version)
-	g.Expect(holder.accountedFor(&poll, voters, m.now)).To(BeTrue())
+	g.Expect(holder.accountedFor(&poll, voters, 0, m.now)).To(BeTrue())
 
 	// The removed host answers.
 	unsettled.replies["h02"] = FenceReply{}
 	holder.removals.missed = 0
-	g.Expect(holder.accountedFor(&unsettled, voters, m.now)).To(BeTrue())
+	g.Expect(holder.accountedFor(&unsettled, voters, 0, m.now)).To(BeTrue())
 }
 
 // Guards against a host that states a version which it has known for too short a time.
--- a/internal/gateway/refusal_model_test.go
+++ b/internal/gateway/refusal_model_test.go
@@ -356,7 +356,7 @@
 		return true
 	}
 	promotedAt := s.now
-	if !listed || !c.accountedFor(&counted, c.electorate.Electorate, m.at(s.now)) {
+	if !listed || !c.accountedFor(&counted, c.electorate.Electorate, 0, m.at(s.now)) {
 		promotedAt = max(s.now, m.step(poll.quorumAt(c.electorate.Electorate, left, m.at(s.listedAt)))+refusalLease)
 	}
 	// What led to the decision makes no difference any more.
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -90,3 +91,23 @@
 	c.updatePermission()
 	g.Expect(c.gw.primaryPermitted(now)).To(BeFalse())
 }
+
+// Guards against a process that takes the time at which it was built for its start: an earlier process
+// at its address may acknowledge claims until the listeners of the new one are open.
+func TestHostStartsWhenItBeginsToRun(t *testing.T) {
+	g := NewWithT(t)
+	gw := New(Config{Host: "h1", Address: "h1", Store: absentStore{}, Metrics: metrics.NewRegistry()})
+	time.Sleep(2 * time.Millisecond)
+	began := boottime.Now()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = gw.Run(ctx)
+	}()
+	var startedAt time.Time
+	g.Eventually(func() bool { return gw.controller.submitAndWait(func() { startedAt = gw.controller.startedAt }) }).Should(BeTrue())
+	g.Expect(startedAt).To(BeTemporally(">=", began))
+	cancel()
+	g.Eventually(ended, time.Second).Should(BeClosed())
+}
