--- a/deploy/soak/placed_test.go
+++ b/deploy/soak/placed_test.go
@@ -174,16 +174,16 @@
 // of the primary is restored as soon as its successor has committed a write, several times in a
 // row. Bytes of connections that were closed without a reset arrive then (issue 39, STALE).
 func TestHeldUpStatementDoesNotReachReplacedPrimary(t *testing.T) {
-	runPlacedOn(t, true, cutOffPrimaries(t, 5))
+	runPlacedOn(t, true, replacePrimaries(t, 5, (*runner).cutOffPrimary))
 }
 
-// cutOffPrimaries returns a script in which the primary is cut off until its successor has committed a
+// replacePrimaries returns a script that disturbs the primary until its successor has committed a
 // write, the given number of times in a row.
-func cutOffPrimaries(t *testing.T, changes int) func(ctx context.Context, r *runner, random *rand.Rand) {
+func replacePrimaries(t *testing.T, changes int, disturb func(r *runner, ctx context.Context, untilReplaced bool, duration time.Duration) bool) func(ctx context.Context, r *runner, random *rand.Rand) {
 	return func(ctx context.Context, r *runner, random *rand.Rand) {
 		for range changes {
 			wait.Sleep(ctx, time.Second+upTo(random, time.Second))
-			if !r.cutOffPrimary(ctx, true, changeTimeout) {
+			if !disturb(r, ctx, true, changeTimeout) {
 				t.Errorf("no successor committed a write within %s", changeTimeout)
 			}
 		}
@@ -195,33 +195,19 @@
 // replaced primary when the path is restored, although the sender has reset the connection (issue 42,
 // STALE). What is on its way as the path is cut is lost in this test.
 func TestStatementKeptByIntermediaryDoesNotReachReplacedPrimary(t *testing.T) {
-	runPlacedWith(t, Config{allDatabases: true, pathsKeepBytes: true, script: cutOffPrimaries(t, 3)})
+	runPlacedWith(t, Config{allDatabases: true, pathsKeepBytes: true, script: replacePrimaries(t, 3, (*runner).cutOffPrimary)})
 }
 
 // Guards against statements that wait in the connections of a primary that stands still as a
 // stopped process does, and run when it does so again after its successor has committed a write,
 // also on connections that were reset meanwhile (issue 42, STALE).
 func TestStatementWaitingAtStalledEndpointDoesNotRunLate(t *testing.T) {
-	runPlacedOn(t, true, stallPrimaries(t, 5))
+	runPlacedOn(t, true, replacePrimaries(t, 5, (*runner).stallPrimary))
 }
 
 // Guards against statements that are sent to an endpoint which stands still, and run there when it
 // goes on after its successor has committed a write. Unlike the test above, it allows what was on its
 // way when the endpoint began to stand still.
 func TestStatementIsNotSentToStalledEndpoint(t *testing.T) {
-	runPlacedWith(t, Config{allDatabases: true, StallGrace: ProofGrace, script: stallPrimaries(t, 3)})
-}
-
-// stallPrimaries returns a script in which the primary stands still until its successor has committed
-// a write, the given number of times in a row.
-func stallPrimaries(t *testing.T, changes int) func(ctx context.Context, r *runner, random *rand.Rand) {
-	return func(ctx context.Context, r *runner, random *rand.Rand) {
-		for range changes {
-			wait.Sleep(ctx, time.Second+upTo(random, time.Second))
-			if !r.stallPrimary(ctx, true, changeTimeout) {
-				t.Errorf("no successor committed a write within %s", changeTimeout)
-			}
-		}
-		wait.Sleep(ctx, time.Second)
-	}
+	runPlacedWith(t, Config{allDatabases: true, StallGrace: ProofGrace, script: replacePrimaries(t, 3, (*runner).stallPrimary)})
 }
