--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -310,11 +310,12 @@
 }
 
 // accountedFor reports whether every other host that may use primaries has answered the poll, which
-// took the given time, so that the holder need not wait for permissions to end. It is called after the hosts were listed once more, as a host may have written its row between the write
-// of the claim and the poll. A host that has just started cannot tell, because it does not know which
-// hosts were listed before, and neither can any host just after the store was restored, which may
-// have lost the row of a host that had just joined. A host whose row was removed counts as one that
-// may use primaries until a quorum of the voters has known of the removal for long enough.
+// took the given time, so that the holder need not wait for permissions to end. It is called after
+// the hosts were listed once more, as a host may have written its row between the write of the claim
+// and the poll. A host that has just started cannot tell, because it does not know which hosts were
+// listed before, and neither can any host just after the store was restored, which may have lost the
+// row of a host that had just joined. A host whose row was removed counts as one that may use
+// primaries until a quorum of the voters has known of the removal for long enough.
 func (c *controller) accountedFor(p *hostPoll, voters electorate.Electorate, took time.Duration, now time.Time) bool {
 	recent := now.Sub(c.startedAt) < permission.Duration || now.Sub(c.restoration.completedAt) < permission.Duration
 	return took <= longestFencePoll && !recent && p.answeredBy(c.primaryUsers(now)) && c.removalsAccountedFor(p, voters)
