--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Builds the stand-ins of the cases 6 and later. Run it after the build of the deploy file.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-go build -o target/review-stage-2 ./review/stage2
+cd "$(dirname "$0")/stage2"
+GOWORK=off go build -buildvcs=false -o ../../target/review-stage-2 .
--- a/review/stage2/database.go
+++ b/review/stage2/database.go
@@ -110,6 +110,8 @@
 	onRun func(id string, s *server, values map[string]string)
 	// onCommit is called with mu held when a server commits.
 	onCommit func(s *server, e entry)
+	// onPromote is called with mu held when the platform carries out an order.
+	onPromote func(holder, fence string)
 	// onPromotion is called with mu held when a promotion takes effect.
 	onPromotion func(s *server)
 }
@@ -232,6 +234,9 @@
 	if s == d.leader() {
 		return true
 	}
+	if d.onPromote != nil {
+		d.onPromote(holder, fence)
+	}
 	d.term++
 	for _, old := range d.servers {
 		if old != s && old.primary {
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -36,6 +36,8 @@
 	closeStore func()
 	// onOrder is called with each order of a promotion.
 	onOrder func(id, holder, fence string)
+	// hold, if set, returns for how long an order waits at the platform before it is carried out.
+	hold func() time.Duration
 }
 
 // scenario is one case.
@@ -53,6 +55,7 @@
 	"explore-relay": {hosts: 8, servers: 3, maxConns: 18, run: explore},
 	"explore-sync":  {hosts: 5, servers: 3, syncReplicas: 1, run: explore},
 	"moved-store":   {hosts: 5, servers: 3, run: movedStore},
+	"late-order":    {hosts: 5, servers: 3, run: lateOrder},
 	"majority":      {hosts: 3, servers: 3, run: majority},
 }
 
@@ -164,6 +167,12 @@
 	if s.onOrder != nil {
 		s.onOrder(order.ID, holder, fence)
 	}
+	if s.hold != nil {
+		if wait := s.hold(); wait > 0 {
+			s.record.line("the platform carries the order of %s with fence %s out in %s", holder, fence, wait)
+			time.Sleep(wait)
+		}
+	}
 	if !s.db.promote(order.ID, holder, fence) {
 		w.WriteHeader(http.StatusConflict)
 	}
--- a/review/stage2/scenarios.go
+++ b/review/stage2/scenarios.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -313,3 +314,80 @@
 	}
 	return id
 }
+
+// lateOrder checks ONE: the primary crashes, and the platform is slow to carry out the first order
+// that follows. This is done up to orderRounds times, as the next host may choose the same server.
+func lateOrder(s *stage) error {
+	var mu sync.Mutex
+	late := make(map[string]string)
+	s.db.onCommit = func(x *server, e entry) {
+		// The database's mutex is held.
+		if x.term >= s.db.term {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		for _, id := range e.ids {
+			late[id] = x.id
+		}
+	}
+	var newest uint64
+	s.db.onPromote = func(holder, fence string) {
+		n, _ := strconv.ParseUint(fence, 10, 64)
+		if n < newest {
+			s.record.line("the platform carries out fence %d of %s after fence %d", n, holder, newest)
+		}
+		newest = max(newest, n)
+	}
+	var c counts
+	for n := range 10 {
+		go s.writer(n, &c, func(id string) {
+			mu.Lock()
+			defer mu.Unlock()
+			if x := late[id]; x != "" {
+				s.record.violation("ONE: write %s was committed at %s after the promotion of another server had taken effect, and acknowledged", id, x)
+			}
+		})
+	}
+	time.Sleep(4 * time.Second)
+	for range orderRounds {
+		held := false
+		var once sync.Mutex
+		if s.disrupts {
+			s.hold = func() time.Duration {
+				once.Lock()
+				defer once.Unlock()
+				if held {
+					return 0
+				}
+				held = true
+				return slowOrder
+			}
+		}
+		s.db.mu.Lock()
+		p := s.db.leader()
+		s.db.mu.Unlock()
+		if p == nil {
+			return fmt.Errorf("there is no primary")
+		}
+		s.db.crash(p)
+		time.Sleep(primaryDown)
+		if err := s.db.restart(p, false); err != nil {
+			return err
+		}
+		time.Sleep(5 * time.Second)
+		if s.record.violations() > 0 {
+			break
+		}
+	}
+	close(s.stop)
+	return nil
+}
+
+const (
+	orderRounds = 7
+	// slowOrder is how long the platform takes for the first order of a round.
+	slowOrder = 5 * time.Second
+	// primaryDown is how long the crashed primary is down.
+	primaryDown = 7 * time.Second
+)
