--- a/review/stage2/fleet.go
+++ b/review/stage2/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -55,6 +56,8 @@
 	mu    sync.Mutex
 	hosts []*host
 	seeds []string
+	// closed is true once no process may be started any more.
+	closed bool
 }
 
 // loopback returns the loopback address of this run's hosts, so that runs do not share ports.
@@ -147,10 +150,27 @@
 	return nil
 }
 
-// start starts the host's process.
+// errClosed means that the stage has ended.
+var errClosed = errors.New("the stage has ended")
+
+// start starts the host's process unless it runs.
 func (f *fleet) start(h *host) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	f.mu.Lock()
+	closed := f.closed
+	f.mu.Unlock()
+	if closed {
+		return errClosed
+	}
+	if h.done != nil {
+		select {
+		case <-h.done:
+		default:
+			// The process runs.
+			return nil
+		}
+	}
 	log, err := os.OpenFile(filepath.Join(f.dir, h.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
@@ -250,6 +270,9 @@
 
 // close ends all processes.
 func (f *fleet) close() {
+	f.mu.Lock()
+	f.closed = true
+	f.mu.Unlock()
 	for _, h := range f.list() {
 		h.kill()
 	}
