Drop voters that are lost for good after a horizon

Callers saw: after two of three hosts were lost for good and replaced, everything was served until the primary was lost, and nothing from then on.

Cause: a failover, a change of the electorate and the removal of a host's row need a quorum of the voters, and lost voters never answer. Nothing showed that they could not act any more, since voters that are cut off together could renew each other's permission without end.

Change: answers of voters give a permission only for a limited time after the last read of the store, 10 s for a majority and 5 min for nearly all voters. A change of the electorate that no quorum completes is completed after that time, as nobody who does not know it can be permitted any more; a host that finds no quorum begins such a change. The restoration of the store counts the same time.

Price: service in an outage of the store ends after 10 s if more than an eighth of the voters are silent.

--- a/coord/electorate/electorate.go
+++ b/coord/electorate/electorate.go
@@ -6,7 +6,9 @@
 //
 //  1. A change names the new voters and keeps the former ones. Until step 2, decisions
 //     need a majority of both sets.
-//  2. Once a majority of the former voters knows the change, the former voters are dropped.
+//  2. Once a majority of the former voters knows the change, the former voters are dropped. If
+//     too few of them answer, they are dropped once hosts that do not know the change cannot be
+//     permitted to use primaries any more (permission.Horizon).
 //
 // A host that still uses an older record needs a majority of its voters. After step 2 such a
 // majority includes a host that knows the change and passes it on. Before step 2 it has a
@@ -17,8 +19,10 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/beryltrestle/beryltrestle/coord/lease"
+	"github.com/beryltrestle/beryltrestle/coord/permission"
 )
 
 // MaxVoters limits the number of voters, so that the record of a change fits into one row
@@ -159,3 +163,36 @@
 func (e Electorate) MayComplete(vote func(host string) Vote) bool {
 	return e.Changing() && quorum(e.Former, vote)
 }
+
+// MayCompleteAt reports whether a change of the given age may be completed: enough former voters
+// know it, or hosts that do not know it cannot be permitted any more.
+func (e Electorate) MayCompleteAt(age time.Duration, vote func(host string) Vote) bool {
+	return e.Changing() && concluded(e.Former, age, vote)
+}
+
+// ConcludedAt reports whether nobody can decide or be permitted without the voters that agree: a
+// quorum of each set does, or the permissions of hosts that do not know of the event on which these
+// agree have ended, the given time after it.
+func (e Electorate) ConcludedAt(age time.Duration, vote func(host string) Vote) bool {
+	for _, set := range e.Sets() {
+		if !concluded(set, age, vote) {
+			return false
+		}
+	}
+	return true
+}
+
+// concluded is ConcludedAt for one set.
+func concluded(set []string, age time.Duration, vote func(host string) Vote) bool {
+	agreed := 0
+	for _, host := range set {
+		if vote(host) == VoteAgrees {
+			agreed++
+		}
+	}
+	return quorum(set, vote) || age >= permission.Horizon(len(set), agreed)
+}
+
+// Completed returns the last completed record. A quorum of it may replace the new voters of an
+// uncompleted change.
+func (e Electorate) Completed() Electorate { return Electorate{Voters: e.InForce()} }
--- a/coord/permission/permission.go
+++ b/coord/permission/permission.go
@@ -25,6 +25,11 @@
 // answer. A refused connection counts on neither side: a network partition may refuse
 // connections to a host that still uses the primary.
 //
+// Answers prove a permission only for a limited time after the last read of the store, MajorityHorizon
+// or FullHorizon. Voters that are cut off from the store together would otherwise renew each other's
+// permission for ever, and the other hosts could not tell them from voters that are lost. A host
+// that does not know a row of the store has therefore no permission after Horizon.
+//
 // A host that has restarted may have acknowledged a claim before, while others had not yet. Calls
 // that it makes until they have done so give it no permission; the caller leaves these out.
 //
@@ -53,26 +58,51 @@
 }
 
 // Until returns when the permission ends; zero if there is none. claims is the time as of
-// which this host knows every claim, from the store or from relayed evidence. Without a set
-// of voters only the claims count.
-func Until(claims time.Time, sets ...Voters) time.Time {
-	at := claims
-	if m := majorityAnsweredAt(sets); m.After(at) {
-		at = m
+// which this host knows every claim, from the store or from relayed evidence, and stored the
+// time as of which it knows every row of the store, by its own read or that of another host.
+// Without a set of voters only the claims count.
+func Until(claims, stored time.Time, sets ...Voters) time.Time {
+	byClaims := lastsFrom(claims)
+	if stored.IsZero() {
+		return byClaims
 	}
+	byMajority := earlier(lastsFrom(answeredAt(sets, lease.Majority)), stored.Add(MajorityHorizon))
+	byNearlyAll := earlier(lastsFrom(answeredAt(sets, nearlyAll)), stored.Add(FullHorizon))
+	return later(byClaims, later(byMajority, byNearlyAll))
+}
+
+// lastsFrom returns when a permission ends that rests on knowledge as of the given time; zero if
+// that is zero.
+func lastsFrom(at time.Time) time.Time {
 	if at.IsZero() {
 		return at
 	}
 	return at.Add(Duration)
 }
 
-// majorityAnsweredAt returns the latest time since which a majority of each set has
+// earlier returns the earlier one of the times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// later returns the later one of the times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// answeredAt returns the latest time since which the needed number of voters of each set has
 // answered. It returns zero if no other host needs to answer, so that a single host needs
 // the store.
-func majorityAnsweredAt(sets []Voters) time.Time {
+func answeredAt(sets []Voters, needed func(size int) int) time.Time {
 	var oldest time.Time
 	for _, set := range sets {
-		at := set.majorityAnsweredAt()
+		at := set.answeredAt(needed)
 		if at.IsZero() {
 			return at
 		}
@@ -83,16 +113,15 @@
 	return oldest
 }
 
-// majorityAnsweredAt returns the latest time since which a majority of the set has
-// answered.
-func (v Voters) majorityAnsweredAt() time.Time {
-	size, needed := len(v.Answered), 0
+// answeredAt returns the latest time since which the needed number of voters has answered.
+func (v Voters) answeredAt(needed func(size int) int) time.Time {
+	size, others := len(v.Answered), 0
 	if v.Self {
-		size, needed = size+1, -1
+		size, others = size+1, -1
 	}
-	needed += lease.Majority(size)
-	if needed == 0 {
+	others += needed(size)
+	if others == 0 {
 		return time.Time{}
 	}
-	return lease.NthNewest(v.Answered, needed)
+	return lease.NthNewest(v.Answered, others)
 }
--- a/coord/quota/sim_fleet_test.go
+++ b/coord/quota/sim_fleet_test.go
@@ -58,7 +58,9 @@
 	lender      *Lender
 	borrower    *Borrower
 	// version is the newest version of the electorate that the host knows.
-	version        int
+	version int
+	// storedAsOf is when the store was read last, by the host or by one that has answered it.
+	storedAsOf     time.Time
 	permittedUntil time.Time
 	// answered holds when the other voters answered.
 	answered map[string]time.Time
@@ -96,7 +98,7 @@
 	if h.up {
 		return
 	}
-	h.up, h.frozenUntil, h.version, h.permittedUntil = true, 0, 0, time.Time{}
+	h.up, h.frozenUntil, h.version, h.storedAsOf, h.permittedUntil = true, 0, 0, time.Time{}, time.Time{}
 	h.answered, h.waiting = make(map[string]time.Time), make(map[string]int)
 	h.sleeping, h.local = make(map[string][]sleeper), make(map[string]*bucket)
 	h.lender = NewLender(rules)
@@ -124,6 +126,7 @@
 		version := len(s.records)
 		s.on(h, s.between(2*time.Millisecond, 20*time.Millisecond), func() {
 			s.learn(h, version)
+			h.storedAsOf = began
 			s.permit(h, began.Add(permission.Duration))
 		})
 		return
@@ -143,6 +146,9 @@
 					}
 					s.learn(h, o.version)
 					h.answered[address] = began
+					if o.storedAsOf.After(h.storedAsOf) {
+						h.storedAsOf = o.storedAsOf
+					}
 				}
 			}
 		}
@@ -158,7 +164,7 @@
 			}
 			sets = append(sets, voters)
 		}
-		s.permit(h, permission.Until(time.Time{}, sets...))
+		s.permit(h, permission.Until(time.Time{}, h.storedAsOf, sets...))
 	})
 }
 
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -136,7 +136,7 @@
 
 // updatePermission recomputes until when this host may use primaries.
 func (c *controller) updatePermission() {
-	until := permission.Until(c.claimsAsOfSinceStart(), c.voterAnswers()...)
+	until := permission.Until(c.claimsAsOfSinceStart(), c.storeKnownAsOf(), c.voterAnswers()...)
 	// Without an electorate the hosts could not go on if the store failed now. Nobody waits
 	// for a host that removes its row.
 	if !c.isListed() || c.electorate.Sets() == nil || c.unregistering {
--- a/internal/gateway/electorate.go
+++ b/internal/gateway/electorate.go
@@ -44,8 +44,9 @@
 	// version is the version of the row; 0 if there is none. A row that cannot be decoded
 	// has a version and no voters.
 	version uint64
-	// base is that of the row; see electorateRecord.
-	base uint64
+	// base and unconfirmed are those of the row; see electorateRecord.
+	base        uint64
+	unconfirmed bool
 	// writtenVersion is the newest version that this host has written.
 	writtenVersion uint64
 	// ownAddress is the address in this host's row; empty unless this incarnation wrote
@@ -53,8 +54,9 @@
 	ownAddress string
 	// sets holds the voters of each set as members.
 	sets []voterSet
-	// changedAt is when this host learned of the present electorate.
-	changedAt time.Time
+	// changedAt is when this host learned of the present electorate, and inForceSince when that is
+	// known to have been in the store, by the store's clock if other hosts have known it for longer.
+	changedAt, inForceSince time.Time
 	// unlistedSince holds, by address, when this host found that a voter has no row.
 	unlistedSince map[string]time.Time
 	lastCheck     time.Time
@@ -65,6 +67,7 @@
 	// writing is true while this host writes a change, and writingAge while it writes the age of
 	// the electorate.
 	writing, writingAge bool
+	silence             voterSilence
 }
 
 // voterSet is one set of voters, of which a majority must answer.
@@ -78,7 +81,11 @@
 // applyElectorate applies the row of the electorate.
 func (c *controller) applyElectorate(r rows.Row) {
 	e := &c.electorate
-	e.Electorate, e.version, e.base, e.changedAt = electorate.Electorate{}, r.Version, 0, boottime.Now()
+	now := boottime.Now()
+	before, unconfirmed := e.Electorate, e.unconfirmed
+	e.Electorate, e.version, e.base, e.unconfirmed = electorate.Electorate{}, r.Version, 0, false
+	e.changedAt, e.inForceSince = now, now
+	e.silence.end()
 	if r.Deleted {
 		e.version = 0
 		return
@@ -88,8 +95,11 @@
 		c.gw.events.log.Warn().Err(err).Msg("electorate row cannot be decoded")
 		return
 	}
-	e.Electorate, e.base = record.Electorate, record.Base
-	c.gw.events.log.Info().Int("voters", len(e.Voters)).Int("former", len(e.Former)).Uint64("version", r.Version).Msg("electorate changed")
+	e.Electorate, e.base, e.unconfirmed = record.Electorate, record.Base, record.Unconfirmed
+	if unconfirmed && !record.Equal(before.Complete()) {
+		e.silence.overruledAt = now
+	}
+	c.gw.events.log.Info().Int("voters", len(e.Voters)).Int("former", len(e.Former)).Bool("unconfirmed", e.unconfirmed).Uint64("version", r.Version).Msg("electorate changed")
 }
 
 // resolveVoters looks up the members that are voters. It must be called after each change of
@@ -194,9 +204,11 @@
 		return
 	}
 	next := c.nextElectorate(now, listed)
+	stuck := !e.Changing() && e.version > 0 && !c.quorumAlive(now, listed, e.Electorate)
 	switch {
-	case next.Equal(e.Electorate) && !e.Changing():
+	case next.Equal(e.Electorate) && !e.Changing() && !stuck:
 		e.dueSince = time.Time{}
+		e.silence.end()
 		return
 	case e.dueSince.IsZero():
 		e.dueSince = now
@@ -206,10 +218,10 @@
 		return
 	}
 	switch {
-	case next.Equal(e.Electorate):
+	case next.Equal(e.Electorate) && e.Changing():
 		c.informFormerVoters(now, listed)
 	case e.version == 0 || e.Changing() && !next.Changing():
-		c.writeElectorate(next)
+		c.writeElectorate(next, false)
 	case !now.Before(e.retryAt):
 		c.proposeElectorate(next)
 	}
@@ -245,12 +257,20 @@
 // one if no change is due.
 func (c *controller) nextElectorate(now time.Time, listed map[string]*member) electorate.Electorate {
 	e := &c.electorate
+	vote := c.voteOnChange(listed)
 	switch {
 	case e.version == 0 && !c.settled(now):
 		return e.Electorate
-	case e.Changing() && e.MayComplete(c.voteOnChange(listed)):
+	case e.unconfirmed && e.MayComplete(vote):
+		// The former voters are alive. They decide, unless they would choose the same voters.
+		if next := e.Change(c.desiredVoters(now, listed)); !next.Equal(e.Electorate) {
+			return next
+		}
 		return e.Complete()
-	case e.Changing() && now.Sub(e.changedAt) < electorateChangeTimeout:
+	case e.Changing() && c.quorumAlive(now, listed, electorate.Electorate{Voters: e.Voters}) && (e.MayComplete(vote) || c.mayCompleteWithoutQuorum(now, listed)):
+		// Voters that do not answer must not come into force: they might never be replaced.
+		return e.Complete()
+	case e.Changing() && (e.unconfirmed || now.Sub(e.changedAt) < electorateChangeTimeout):
 		return e.Electorate
 	}
 	return e.Change(c.desiredVoters(now, listed))
@@ -333,13 +353,20 @@
 		poll := c.pollHosts(c.gw.ctx, own, addresses, request, primaryReportTimeout)
 		c.submit(func() {
 			c.electorate.writing = false
+			if !c.electorate.Equal(present) {
+				return
+			}
+			if !poll.quorum(present.Completed(), left) {
+				c.noQuorumAnswered(&poll, present)
+				return
+			}
+			c.electorate.silence.end()
 			next := present.Change(append(slices.Clone(next.Voters), answeringVoters(poll.replies, present)...))
-			switch {
-			case !poll.quorum(present, left), next.Equal(present):
+			if next.Equal(present) {
 				c.electorate.retryAt = boottime.Now().Add(proposalRetryDelay)
-			case c.electorate.Equal(present):
-				c.writeElectorate(next)
+				return
 			}
+			c.writeElectorate(next, false)
 		})
 	})
 }
@@ -366,15 +393,16 @@
 	return FenceRequest{}, false
 }
 
-// writeElectorate writes the electorate on the condition that it has not changed.
-func (c *controller) writeElectorate(next electorate.Electorate) {
+// writeElectorate writes the electorate on the condition that it has not changed. unconfirmed is true
+// if no quorum of the present voters has answered.
+func (c *controller) writeElectorate(next electorate.Electorate, unconfirmed bool) {
 	version, base := c.electorate.version, c.electorate.version
 	if c.electorate.Changing() {
 		base = c.electorate.base
 	}
 	c.electorate.writing = true
 	c.spawn("write electorate", func() {
-		written, err := c.writeStateRow(c.gw.ctx, electorateKey, version, encodeRecord(electorateRecord{Electorate: next, Base: base}))
+		written, err := c.writeStateRow(c.gw.ctx, electorateKey, version, encodeRecord(electorateRecord{Electorate: next, Base: base, Unconfirmed: unconfirmed}))
 		c.submit(func() {
 			c.electorate.writing = false
 			if err != nil {
@@ -382,7 +410,7 @@
 			}
 			c.electorate.writtenVersion, c.electorate.dueSince = written, time.Time{}
 			c.gw.metrics.Inc(metrics.ElectorateChanges)
-			c.gw.events.log.Info().Int("voters", len(next.Voters)).Int("former", len(next.Former)).Uint64("version", written).Msg("electorate written")
+			c.gw.events.log.Info().Int("voters", len(next.Voters)).Int("former", len(next.Former)).Bool("unconfirmed", unconfirmed).Uint64("version", written).Msg("electorate written")
 		})
 	})
 }
--- a/internal/gateway/electorate_age.go
+++ b/internal/gateway/electorate_age.go
@@ -15,6 +15,10 @@
 // would be no lender for quota.RoleDelay.
 const electorateAgeKey = "electorate-age"
 
+// slowChangeAge is the age from which a change of the electorate counts as one that no quorum
+// completes. Others take a few hundred milliseconds.
+const slowChangeAge = time.Second
+
 // electorateAgeRecord is the value of that row.
 type electorateAgeRecord struct {
 	// Version is that of the row of the electorate.
@@ -32,33 +36,46 @@
 	return nil
 }
 
-// checkElectorateAge lets the lender begin at once if the listing shows that the electorate has been
-// in force for quota.RoleDelay. If the age of the electorate is not in the store, the host that
-// ranks first writes it.
+// checkElectorateAge learns from the listing for how long the electorate has been in force, by the
+// store's clock. A change may be completed without a quorum by its age, and the lender begins at once
+// if the electorate has been in force for quota.RoleDelay. If the age of the electorate is not in the
+// store, the host that ranks first writes it.
 func (c *controller) checkElectorateAge(listing Listing) {
-	e := &c.electorate
-	listed := findRow(listing.Rows, electorateKey)
-	if c.gw.quota == nil || listed.Version == 0 || listed.Version != e.version || e.Sets() == nil || e.Changing() {
+	e, now := &c.electorate, boottime.Now()
+	if !c.needsElectorateAge(now) || findRow(listing.Rows, electorateKey).Version != e.version {
 		return
 	}
 	row := findRow(listing.Rows, electorateAgeKey)
-	age, err := decodeRecord[electorateAgeRecord](row)
-	if err == nil && age.Version == e.version {
-		if listing.StoreTime-time.Duration(age.InForceMs)*time.Millisecond >= quota.RoleDelay {
-			c.gw.quota.settle(boottime.Now(), e.version)
+	record, err := decodeRecord[electorateAgeRecord](row)
+	if err == nil && record.Version == e.version {
+		age := listing.StoreTime - time.Duration(record.InForceMs)*time.Millisecond
+		if since := now.Add(-age); since.Before(e.inForceSince) {
+			e.inForceSince = since
+		}
+		if age >= quota.RoleDelay && !e.Changing() && c.gw.quota != nil {
+			c.gw.quota.settle(now, e.version)
 		}
 		return
 	}
-	now := boottime.Now()
 	if listing.StoreTime == 0 || e.writingAge || !c.mayChangeElectorate(now) || c.rankInGroup(now, storeReadersGroup) != 0 {
 		return
 	}
 	e.writingAge = true
 	// Rounding up keeps the electorate from looking older than it is.
-	record := electorateAgeRecord{Version: e.version, InForceMs: listing.StoreTime.Milliseconds() + 1}
+	record = electorateAgeRecord{Version: e.version, InForceMs: listing.StoreTime.Milliseconds() + 1}
 	c.spawn("write the age of the electorate", func() {
 		// A failure is logged, and the next listing repeats the write.
 		_, _ = c.writeStateRow(c.gw.ctx, electorateAgeKey, row.Version, encodeRecord(record))
 		c.submit(func() { c.electorate.writingAge = false })
 	})
 }
+
+// needsElectorateAge reports whether it matters for how long the electorate has been in force: for
+// lenders, and for a change that does not find a quorum.
+func (c *controller) needsElectorateAge(now time.Time) bool {
+	e := &c.electorate
+	if e.Changing() {
+		return now.Sub(e.changedAt) >= slowChangeAge
+	}
+	return c.gw.quota != nil && e.Sets() != nil
+}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -28,7 +28,7 @@
 func (c *controller) register(ctx context.Context) {
 	record := encodeRecord(hostRecord{
 		Name: c.gw.cfg.Host, Address: c.gw.cfg.Address,
-		Incarnation: c.incarnation, AvailabilityZone: c.gw.cfg.AvailabilityZone, Weight: c.gw.cfg.Weight,
+		Incarnation: c.incarnation, AvailabilityZone: c.gw.cfg.AvailabilityZone, Weight: c.gw.cfg.Weight, HorizonKnown: true,
 	})
 	key := hostPrefix + c.gw.cfg.Host
 	for ; ctx.Err() == nil; wait.Sleep(ctx, storeRetryMax/4) {
--- a/internal/gateway/membership_model_test.go
+++ b/internal/gateway/membership_model_test.go
@@ -40,6 +40,13 @@
 	promotedAt time.Time
 	answers    []modelAnswerTo
 	joined     int
+	// losing is true if hosts are lost for good, and the electorate changes without a quorum; aged
+	// counts the changes that were completed by their age. lost holds the hosts that have ended, and
+	// electorates the version of the electorate that each controller knew last.
+	losing      bool
+	aged        int
+	lost        map[string]bool
+	electorates map[*controller]uint64
 }
 
 // modelAnswerTo is an answer on its way to a controller, which is replaced at a restart.
@@ -54,6 +61,7 @@
 	m := &membershipModel{
 		random: rand.New(rand.NewPCG(seed, 4)), start: boottime.Now(), store: rows.NewTable(),
 		hosts: make(map[string]*controller), separated: make(map[string]bool), withoutStore: make(map[string]bool), agreedAt: make(map[string]time.Time),
+		lost: make(map[string]bool), electorates: make(map[*controller]uint64),
 	}
 	m.now = m.start
 	for range size {
@@ -73,8 +81,23 @@
 	return m
 }
 
-// names returns the names of all hosts in a fixed order.
-func (m *membershipModel) names() []string { return slices.Sorted(maps.Keys(m.hosts)) }
+// newLossModel returns a model in which hosts are lost for good. The hosts that are separated from the
+// others answer each other, mostly without the store, for longer than a horizon.
+func newLossModel(seed uint64, size int) *membershipModel {
+	m := newMembershipModel(seed, size)
+	m.losing = true
+	m.claimedAt = m.partitionedAt.Add(time.Duration(m.random.Int64N(int64(2 * permission.MajorityHorizon))))
+	for _, name := range m.names() {
+		m.separated[name] = m.random.IntN(3) > 0
+		m.withoutStore[name] = m.separated[name] && m.random.IntN(20) > 0
+	}
+	return m
+}
+
+// names returns the names of the hosts that are not lost in a fixed order.
+func (m *membershipModel) names() []string {
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(m.hosts)), func(name string) bool { return m.lost[name] })
+}
 
 // anyHost returns a random host.
 func (m *membershipModel) anyHost() string {
@@ -104,11 +127,19 @@
 func (m *membershipModel) list(name string) {
 	c := m.hosts[name]
 	c.applyListing(TableState, Listing{Rows: m.store.Live(), Version: m.store.Through()})
+	m.dateElectorate(c)
 	if m.claim.Version > 0 {
 		c.gw.group("g").setFence(m.claim, m.now)
 	}
 }
 
+// dateElectorate makes the age of an electorate that is new to the controller count by simulated time.
+func (m *membershipModel) dateElectorate(c *controller) {
+	if version := c.electorate.version; m.electorates[c] != version {
+		m.electorates[c], c.electorate.inForceSince = version, m.now
+	}
+}
+
 // run starts a host without a row.
 func (m *membershipModel) run(name string) {
 	c := newController(New(Config{Host: name, Address: name, AvailabilityZone: "z", Metrics: metrics.NewRegistry()}))
@@ -124,7 +155,7 @@
 	}
 	m.list(name)
 	c := m.hosts[name]
-	c.recordListing(m.write(hostPrefix+name, encodeRecord(hostRecord{Name: name, Address: name, Incarnation: c.incarnation})))
+	c.recordListing(m.write(hostPrefix+name, encodeRecord(hostRecord{Name: name, Address: name, Incarnation: c.incarnation, HorizonKnown: true})))
 }
 
 // join adds a host, which reaches the store and the holder of the claim.
@@ -164,6 +195,13 @@
 	switch victim := addresses[m.random.IntN(len(addresses))]; {
 	case e.MayComplete(c.voteOnChange(listed)):
 		m.write(electorateKey, encodeRecord(electorateRecord{Electorate: e.Complete()}))
+	case m.losing && c.mayCompleteWithoutQuorum(m.now, listed):
+		m.aged++
+		m.write(electorateKey, encodeRecord(electorateRecord{Electorate: e.Complete()}))
+	case m.losing && e.Changing():
+	case m.losing && !m.separated[name]:
+		desired := slices.DeleteFunc(addresses, func(address string) bool { return m.separated[address] || m.lost[address] || m.random.IntN(4) == 0 })
+		m.write(electorateKey, encodeRecord(electorateRecord{Electorate: e.Change(append(desired, name)), Unconfirmed: true}))
 	case !e.Includes(victim):
 		m.write(hostPrefix+victim, nil)
 	case !e.Changing() || m.random.IntN(4) == 0:
@@ -212,6 +250,7 @@
 		versions = nil
 	}
 	m.hosts[to].applyGossip(caller.gossipMessage(m.now, nil), time.Time{})
+	m.dateElectorate(m.hosts[to])
 	m.answers = append(m.answers, modelAnswerTo{
 		to: caller, began: m.now.Add(-time.Duration(m.random.Int64N(int64(100 * time.Millisecond)))),
 		message: m.hosts[to].gossipMessage(m.now, versions),
@@ -229,6 +268,7 @@
 			continue
 		}
 		a.to.applyGossip(a.message, a.began)
+		m.dateElectorate(a.to)
 	}
 	m.answers = waiting
 }
@@ -238,7 +278,14 @@
 	m.now = m.now.Add(time.Duration(m.random.Int64N(int64(30 * time.Millisecond))))
 	m.deliver()
 	name := m.anyHost()
-	switch r := m.random.IntN(100); {
+	r := m.random.IntN(100)
+	if m.losing && r < 5 && m.random.IntN(10) > 0 {
+		// Hosts on both sides need some quiet for a horizon to matter.
+		r = 99
+	}
+	switch {
+	case m.losing && r == 0 && len(m.names()) > 2:
+		m.lost[name] = true
 	case r < 2 && len(m.hosts) < 12:
 		m.join()
 	case r < 4:
@@ -272,23 +319,53 @@
 			seed = stoppedHostSeed
 		}
 		m := newMembershipModel(seed, 3+int(seed%5))
-		for range steps {
-			m.step()
-			after := !m.promotedAt.IsZero() && !m.now.Before(m.promotedAt)
-			if after {
-				promoted++
+		played, after := m.play(g, seed, steps)
+		permitted += played
+		promoted += after
+	}
+	g.Expect(permitted).To(BeNumerically(">", seeds*steps))
+	g.Expect(promoted).To(BeNumerically(">", seeds*5))
+}
+
+// play plays steps and expects that no host may use the primary after its promotion without knowing
+// the claim. It returns how often a host was permitted, and the number of steps after the promotion.
+func (m *membershipModel) play(g *WithT, seed uint64, steps int) (permitted, promoted int) {
+	for range steps {
+		m.step()
+		after := !m.promotedAt.IsZero() && !m.now.Before(m.promotedAt)
+		if after {
+			promoted++
+		}
+		for _, name := range m.names() {
+			c := m.hosts[name]
+			if !c.gw.primaryPermitted(m.now) {
+				continue
 			}
-			for _, name := range m.names() {
-				c := m.hosts[name]
-				if !c.gw.primaryPermitted(m.now) {
-					continue
-				}
-				permitted++
-				knows := c.gw.group("g").fence.Version == m.claim.Version
-				g.Expect(after && !knows).To(BeFalse(), "seed %d: host %s at %v, claimed at %v, promoted at %v", seed, name, m.now.Sub(m.start), m.claimedAt.Sub(m.start), m.promotedAt.Sub(m.start))
+			permitted++
+			knows := c.gw.group("g").fence.Version == m.claim.Version
+			if after && !knows {
+				g.Expect(knows).To(BeTrue(), "seed %d: host %s at %v, claimed at %v, promoted at %v", seed, name, m.now.Sub(m.start), m.claimedAt.Sub(m.start), m.promotedAt.Sub(m.start))
 			}
 		}
 	}
+	return permitted, promoted
+}
+
+// Guards against a host that uses a primary after its replacement because the voters on its side, which
+// are cut off, were taken for lost and dropped too early, or because evidence that is passed on outlasts
+// the horizon of the host that gave it.
+func TestLossOfHostsGivesNoPermissionAfterPromotion(t *testing.T) {
+	g := NewWithT(t)
+	const seeds, steps = 120, 2400
+	permitted, promoted, aged := 0, 0, 0
+	for seed := range uint64(seeds) {
+		m := newLossModel(seed, 3+int(seed%5))
+		played, after := m.play(g, seed, steps)
+		permitted += played
+		promoted += after
+		aged += m.aged
+	}
 	g.Expect(permitted).To(BeNumerically(">", seeds*steps))
-	g.Expect(promoted).To(BeNumerically(">", seeds*5))
+	g.Expect(promoted).To(BeNumerically(">", seeds*steps/8))
+	g.Expect(aged).To(BeNumerically(">", seeds/4))
 }
--- a/internal/gateway/membership_test.go
+++ b/internal/gateway/membership_test.go
@@ -58,15 +58,18 @@
 // awaitVoters waits until a completed electorate has the given number of voters.
 func (f *fakeFleet) awaitVoters(t *testing.T, n int) {
 	t.Helper()
-	NewWithT(t).Eventually(func() int {
-		f.store.mu.Lock()
-		defer f.store.mu.Unlock()
-		var record struct{ Voters, Former []string }
-		if err := json.Unmarshal(f.store.tables[gateway.TableState]["electorate"].Value, &record); err != nil || len(record.Former) > 0 {
-			return 0
-		}
-		return len(record.Voters)
-	}, 8*time.Second, 20*time.Millisecond).Should(Equal(n))
+	NewWithT(t).Eventually(func() int { return len(f.voters()) }, 8*time.Second, 20*time.Millisecond).Should(Equal(n))
+}
+
+// voters returns the voters of a completed electorate; nil while it changes.
+func (f *fakeFleet) voters() []string {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	var record struct{ Voters, Former []string }
+	if err := json.Unmarshal(f.store.tables[gateway.TableState]["electorate"].Value, &record); err != nil || len(record.Former) > 0 {
+		return nil
+	}
+	return record.Voters
 }
 
 // Guards against a fleet that cannot replace a primary any more because all hosts that count
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -33,6 +33,9 @@
 	AvailabilityZone string `json:"availability_zone"`
 	// Weight is the host's relative capacity; 0 counts as 1.
 	Weight int `json:"weight,omitempty"`
+	// HorizonKnown is true if the permission of the host ends a limited time after the last read of
+	// the store (permission.Until). Hosts of earlier builds do not write it.
+	HorizonKnown bool `json:"horizon_known,omitempty"`
 }
 
 // claimRecord is the value of a claim's row. The claim allows one host to replace a
@@ -96,6 +99,8 @@
 	// Base is the version of the completed record that this one changes, or whose change it
 	// completes; 0 if there is none, and in records of builds that did not write it.
 	Base uint64 `json:"base,omitempty"`
+	// Unconfirmed is true if no quorum of the former voters answered the host that began the change.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
 }
 
 // check implements record.
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/beryltrestle/beryltrestle/coord/electorate"
+	"github.com/beryltrestle/beryltrestle/coord/permission"
 	"github.com/beryltrestle/beryltrestle/coord/rows"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
@@ -56,7 +57,8 @@
 		for _, m := range c.members {
 			m.answeredAt = time.Time{}
 		}
-		c.completeAsOf[TableState], c.relayedEvidence = time.Time{}, time.Time{}
+		// Another host's mirror of the store, from before the start.
+		c.completeAsOf[TableState], c.relayedEvidence = now.Add(-permission.Duration), time.Time{}
 		c.startedAt = now.Add(-sinceStart)
 		learn(c)
 		c.updatePermission()
--- a/internal/gateway/restoration.go
+++ b/internal/gateway/restoration.go
@@ -43,6 +43,9 @@
 	// it.
 	era    uint64
 	seenAt time.Time
+	// knownBefore is the time as of which this host knew every row of the store before the
+	// restorations that are not completed.
+	knownBefore time.Time
 	// completedEra is the newest era whose lost rows have been written again, and completedAt
 	// when this host learned of it.
 	completedEra uint64
@@ -66,6 +69,9 @@
 	if era <= r.era {
 		return
 	}
+	if c.storeComplete() {
+		r.knownBefore = c.completeAsOf[TableState]
+	}
 	r.era, r.seenAt = era, boottime.Now()
 	if c.electorate.Sets() != nil {
 		r.formerElectorates = append(r.formerElectorates, c.electorate.Electorate)
@@ -104,8 +110,17 @@
 	return c.completeAsOf[TableState]
 }
 
+// storeKnownAsOf returns the time as of which this host knows every row of TableState. While the
+// store may lack rows, that is a time before it was restored.
+func (c *controller) storeKnownAsOf() time.Time {
+	if !c.storeComplete() {
+		return c.restoration.knownBefore
+	}
+	return c.completeAsOf[TableState]
+}
+
 // maintainRestoration writes the rows that the store has lost, once a quorum has told what it
-// knows. The live host that ranks first does so, and the next ones if it does not.
+// knows, or hosts that do not know of the restoration cannot be permitted to use primaries any more. The live host that ranks first does so, and the next ones if it does not.
 func (c *controller) maintainRestoration(now time.Time) {
 	r := &c.restoration
 	if c.storeComplete() || r.writing || now.Before(r.retryAt) || c.leaving || c.electorate.ownAddress == "" || !c.isListed() {
@@ -118,8 +133,12 @@
 	listed := c.listedAddresses()
 	vote := c.voteOnRestoration(now, listed)
 	deciding := append([]electorate.Electorate{c.decidingVoters()}, r.formerElectorates...)
+	age := time.Duration(0)
+	if horizonsKnown(listed, vote) {
+		age = now.Sub(r.seenAt)
+	}
 	for _, e := range deciding {
-		if !e.Quorum(vote) {
+		if !e.ConcludedAt(age, vote) {
 			c.callVoters(now, listed, e, vote)
 			return
 		}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -126,11 +126,14 @@
 	ReplicaSetChanges Name = "replica_set.changes"
 	// ElectorateChanges counts the changes of the electorate that this host has written.
 	ElectorateChanges Name = "electorate.changes"
-	RetryBusy         Name = "retry.busy"
-	RetryLagging      Name = "retry.lagging"
-	RetryReadOnly     Name = "retry.read_only"
-	RetryAnswerLost   Name = "retry.answer_lost"
-	RetryNoConnection Name = "retry.no_connection"
+	// ElectorateNoQuorum counts polls that no quorum of the voters has answered. Until one does, or the
+	// electorate has changed, no primary can be replaced.
+	ElectorateNoQuorum Name = "electorate.no_quorum"
+	RetryBusy          Name = "retry.busy"
+	RetryLagging       Name = "retry.lagging"
+	RetryReadOnly      Name = "retry.read_only"
+	RetryAnswerLost    Name = "retry.answer_lost"
+	RetryNoConnection  Name = "retry.no_connection"
 	// RetryWrongRelay counts statements that were sent to a host which does not hold connections
 	// to the endpoint, and then to another relay host.
 	RetryWrongRelay Name = "retry.wrong_relay"
