Send a statement only once its session state is accepted

Cause: the statements that replay session state and the request left in one write, unless the request needed a proof. The refusal of a replay statement was seen after the request had run on the connection, with the values or prepared statements of the session before.

Change: the request waits for the answers to the replay, on the host's own connections and at a relay host, and the checks before a send are repeated then. BEGIN alone does not wait: it has no effect before the next statement, which does. A refused or unanswered replay closes the connection, and the statement has certainly not run: it is tried again within the usual number of attempts, or answered BUSY (refused.replay), in a transaction ABORTED. A refusal does not count as a lost connection. New: latency.replay, session_state.held and .replayed, retry.replay_refused.

--- a/coord/session/conn_state.go
+++ b/coord/session/conn_state.go
@@ -23,6 +23,19 @@
 // nothing has to be replayed.
 func (c *ConnState) Matches(s *State) bool { return maps.Equal(c.values, s.values) }
 
+// Lacks reports whether SwitchTo would return statements.
+func (c *ConnState) Lacks(s *State, inTransaction bool) bool {
+	for name, value := range s.values {
+		if held, ok := c.values[name]; !ok || held != value {
+			return true
+		}
+	}
+	return !inTransaction && c.hasForeignValues(s)
+}
+
+// IsPrepared reports whether p is prepared on the connection.
+func (c *ConnState) IsPrepared(p Prepared) bool { return c.aliases[p.Alias()] }
+
 // SwitchTo returns the statements that must run on the connection before a statement of
 // the session, and records their effect. A single value cannot be removed. If the
 // connection has values that the session lacks, a reset therefore removes all values; it
@@ -54,10 +67,10 @@
 // PrepareIfMissing returns the statement that prepares p on the connection, unless p is
 // prepared there, and records p as prepared.
 func (c *ConnState) PrepareIfMissing(p Prepared) []Statement {
-	alias := p.Alias()
-	if c.aliases[alias] {
+	if c.IsPrepared(p) {
 		return nil
 	}
+	alias := p.Alias()
 	c.aliases[alias] = true
 	c.bytes += len(alias)
 	return []Statement{{Op: OpPrepare, Name: alias, Args: p.Definition, Writes: p.Writes}}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -10,7 +10,8 @@
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 )
 
-// errReplayRefused means that the session state could not be replayed on a connection.
+// errReplayRefused means that the session state could not be replayed on a connection, so that the
+// statement was not sent.
 var errReplayRefused = errors.New("the endpoint refused a statement that replays session state")
 
 // maxConnStateBytes limits the session state on a connection that returns to the pool. The
@@ -33,9 +34,9 @@
 	// sentAt is when the statement in flight was sent; zero if there is none. The
 	// group's mutex guards it.
 	sentAt time.Time
-	// proving is true while the statement in flight waits for the proof that the endpoint answers, and
-	// has not been sent itself. The group's mutex guards it.
-	proving bool
+	// waiting is true while the statement in flight waits for the answer to a proof or to the replay of
+	// session state, and has not been sent itself. The group's mutex guards it.
+	waiting bool
 	// requestID is the ID of the statement in flight, for the log. Other goroutines read it only
 	// while sentAt is set.
 	requestID string
@@ -61,11 +62,19 @@
 	revoked bool
 }
 
+// sendCheck is what must hold before a request is sent.
+type sendCheck struct {
+	// proof is true if the endpoint must have answered on the connection shortly before.
+	proof bool
+	// confirm is called, with the time of the question, after each wait for an answer that precedes
+	// the request. If it returns an error the request is not sent.
+	confirm func(asked time.Time) error
+}
+
 // run runs the request for the session, after it has replayed missing session state on
 // the connection. inTransaction is true if the open transaction on the connection is
-// the session's. If confirm is not nil, the request is sent only once the endpoint has answered on
-// the connection and confirm, called with the time of the question, returns no error.
-func (c *conn) run(deadline time.Time, s *session.State, inTransaction bool, r Request, confirm func(asked time.Time) error) (Reply, error) {
+// the session's.
+func (c *conn) run(deadline time.Time, s *session.State, inTransaction bool, r Request, check sendCheck) (Reply, error) {
 	prepared, execute := s.Prepared(r.Name)
 	execute = execute && r.Op == session.OpExecute
 	if execute {
@@ -78,7 +87,7 @@
 	if execute {
 		replay = append(replay, c.state.PrepareIfMissing(prepared)...)
 	}
-	reply, err := c.replayAndRun(c.Conn.(EndpointConn), deadline, replay, r, confirm)
+	reply, err := c.replayAndRun(c.Conn.(EndpointConn), deadline, replay, r, check)
 	if c.state.Bytes() > maxConnStateBytes {
 		// The connection is not used for another session.
 		c.broken = true
@@ -89,6 +98,15 @@
 	return reply, err
 }
 
+// replays reports whether run replays session state before the request.
+func (c *conn) replays(s *session.State, inTransaction bool, r Request) bool {
+	if c.relayAddress != "" {
+		return false
+	}
+	prepared, ok := s.Prepared(r.Name)
+	return ok && r.Op == session.OpExecute && !c.state.IsPrepared(prepared) || c.state.Lacks(s, inTransaction)
+}
+
 // runRelayed sends the request with the session state to the relay host, which runs it.
 func (c *conn) runRelayed(relay RelayConn, deadline time.Time, s *session.State, p session.Prepared, execute bool, r Request) (Reply, error) {
 	request := RelayRequest{Team: c.team, Database: c.database, SessionValues: s.Values(), Request: r, PrimaryOnly: c.usesPrimary, Priority: c.queuedRequest.Priority, TimeToObjective: c.queuedRequest.TimeToObjective(boottime.Now())}
@@ -107,13 +125,17 @@
 
 // replayAndRun sends the replay statements and the request, and returns the answer to
 // the request. After an error that is not of notSent the request may have run.
-func (c *conn) replayAndRun(endpoint EndpointConn, deadline time.Time, replay []session.Statement, r Request, confirm func(asked time.Time) error) (Reply, error) {
+//
+// The request follows only once the endpoint has accepted the session state: an endpoint that
+// refuses a replay statement would run it with the state of another session. BEGIN has no effect
+// before the next statement and does not wait, which saves a round trip.
+func (c *conn) replayAndRun(endpoint EndpointConn, deadline time.Time, replay []session.Statement, r Request, check sendCheck) (Reply, error) {
 	requests := make([]Request, 0, len(replay)+1)
 	for _, st := range replay {
 		requests = append(requests, Request{Statement: st})
 	}
-	if confirm != nil {
-		if err := c.prove(endpoint, deadline, requests, confirm); err != nil {
+	if check.proof || len(replay) > 0 && !r.opensTransaction() {
+		if err := c.prepareToSend(endpoint, deadline, requests, check); err != nil {
 			return Reply{}, err
 		}
 		requests = requests[:0]
@@ -138,7 +160,7 @@
 			return Reply{}, err
 		}
 		if !reply.OK() {
-			refused = errors.Wrapf(errReplayRefused, "%s", reply.Detail)
+			refused = replayRefused(reply)
 		}
 	}
 	reply, err := endpoint.Receive(deadline)
@@ -147,3 +169,6 @@
 	}
 	return reply, err
 }
+
+// replayRefused returns the error for an endpoint's refusal of a replay statement.
+func replayRefused(reply Reply) error { return errors.Wrapf(errReplayRefused, "%s", reply.Detail) }
--- a/internal/gateway/endpoint_conn.go
+++ b/internal/gateway/endpoint_conn.go
@@ -28,6 +28,11 @@
 // isCommand reports whether the proxy itself asks for the endpoint's state, or changes it.
 func (r Request) isCommand() bool { return r.Op == session.OpStatus || r.Op == session.OpDemote }
 
+// opensTransaction reports whether the request begins a transaction on its connection.
+func (r Request) opensTransaction() bool {
+	return r.Op == session.OpBegin || r.Op == session.OpBeginRead
+}
+
 // Conn is a connection to an endpoint, either direct or through a relay host. Only
 // Close may be called concurrently with another method.
 type Conn interface {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/beryltrestle/beryltrestle/coord/logpos"
@@ -67,10 +68,14 @@
 		Dur("waited_ms", after).Err(err).Msg("answer lost")
 }
 
-// statementNotSent logs a statement that was not sent, as its endpoint did not answer before.
+// statementNotSent logs a statement that was not sent, as its endpoint did not answer before, or refused
+// the state of its session.
 func (e *eventLog) statementNotSent(id, database string, t *target, err error) {
-	e.replaced.Info().Str("request", id).Str("database", database).Str("group", t.group.name).Str("endpoint", t.ID).
-		Err(err).Msg("statement not sent, as its endpoint does not answer")
+	why := "statement not sent, as its endpoint does not answer"
+	if errors.Is(err, errReplayRefused) {
+		why = "statement not sent, as its endpoint refuses the session state"
+	}
+	e.replaced.Info().Str("request", id).Str("database", database).Str("group", t.group.name).Str("endpoint", t.ID).Err(err).Msg(why)
 }
 
 // answerNotCounted logs a write that an endpoint answered with success after this host had
--- a/internal/gateway/fake_endpoint_test.go
+++ b/internal/gateway/fake_endpoint_test.go
@@ -34,6 +34,8 @@
 	notReplicating bool
 	// busyForStatus endpoints reject status requests.
 	busyForStatus bool
+	// refuses returns whether the endpoint fails a request without an effect, unless it is nil.
+	refuses func(r gateway.Request) bool
 	// loseAnswer closes the connection after the next write has run, without an answer.
 	loseAnswer bool
 	conns      map[*fakeConn]bool
@@ -70,6 +72,9 @@
 	latency  time.Duration
 	onRun    func(host string, e *fakeEndpoint, r gateway.Request)
 	onCommit func(e *fakeEndpoint)
+	// onStatement is called before an endpoint runs a caller's statement, with the session state of the
+	// connection and the mutex held, unless it is nil.
+	onStatement func(c *fakeConn, r gateway.Request)
 	// replacedPrimaryWrites counts writes that a primary committed after a newer one was
 	// promoted.
 	replacedPrimaryWrites int
@@ -344,6 +349,12 @@
 
 // answer runs a request and returns its reply.
 func (c *fakeConn) answer(r gateway.Request) gateway.Reply {
+	if c.endpoint.refuses != nil && c.endpoint.refuses(r) {
+		return gateway.Reply{Code: gateway.CodeFailed, Detail: "failed on purpose"}
+	}
+	if c.group.onStatement != nil && r.ID != "" {
+		c.group.onStatement(c, r)
+	}
 	if !c.endpoint.position().Covers(r.After) {
 		return gateway.Reply{Code: gateway.CodeLagging}
 	}
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -88,7 +88,7 @@
 func (g *group) closePrimaryWork(conns []*conn) {
 	now := boottime.Now()
 	for _, c := range conns {
-		if !c.sentAt.IsZero() && !c.proving {
+		if !c.sentAt.IsZero() && !c.waiting {
 			g.pool.logUnanswered(c, now)
 		}
 		c.revoked = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -250,7 +250,8 @@
 
 // connectionLost records that a connection failed while it was in use.
 func (gw *Gateway) connectionLost(c *conn, err error) {
-	if errors.Is(err, errPrimaryReplaced) {
+	if errors.Is(err, errPrimaryReplaced) || errors.Is(err, errReplayRefused) {
+		// The endpoint has answered, or was not asked.
 		return
 	}
 	t := c.target
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -316,7 +316,7 @@
 	g := t.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c.sentAt, c.usesPrimary, c.proving = time.Time{}, false, false
+	c.sentAt, c.usesPrimary, c.waiting = time.Time{}, false, false
 	c.busy = false
 	if c.broken || c.revoked || t.removed || len(t.conns) > t.limit || !t.mayReuse(c) {
 		t.drop(c)
@@ -369,30 +369,48 @@
 	}
 }
 
+// work describes a statement for the checks before it is sent.
+type work struct {
+	// primary work needs the primary.
+	primary bool
+	// newWork is false for the statements of an open transaction and for the proxy's own, which an
+	// endpoint that is leaving still gets.
+	newWork bool
+	// needsProof is true if the endpoint must have answered on the connection shortly before.
+	needsProof bool
+	// startBy is the time by which the statement must be sent; zero if there is no limit.
+	startBy time.Time
+}
+
 // run runs the request on the connection for a session and updates the endpoint's state
 // from the answer. primary marks work that needs the primary; the mark stays on the
 // connection until release. The returned duration is the time waited for the answer. The error
-// is errNotStarted or errLate if the request must not be sent any more, errUnproven if it was not
-// sent as its endpoint does not answer, and errPrimaryReplaced if this host has given the request up
-// for that reason.
+// is errNotStarted or errLate if the request must not be sent any more, errUnproven or
+// errReplayRefused if it was not sent as its endpoint does not answer or refuses the session state, and
+// errPrimaryReplaced if this host has given the request up for that reason.
 func (p *pool) run(c *conn, primary bool, deadline time.Time, s *session.State, inTransaction bool, r Request) (Reply, time.Duration, error) {
 	c.requestID = r.ID
-	newWork := !inTransaction && !r.isCommand()
-	var confirm func(time.Time) error
-	var began time.Time
-	var err error
-	if c.relayAddress == "" && r.needsProof(primary, inTransaction) {
-		confirm = func(asked time.Time) error {
-			began, err = p.confirmStart(c, r, newWork, asked)
-			return err
-		}
+	w := work{primary: primary, newWork: !inTransaction && !r.isCommand(), startBy: r.StartBy}
+	w.needsProof = c.relayAddress == "" && r.needsProof(primary, inTransaction)
+	replays := c.replays(s, inTransaction, r)
+	if w.newWork && c.relayAddress == "" {
+		p.countReplay(replays)
 	}
-	if began, err = p.startStatement(c, primary, newWork, r.StartBy, confirm != nil); err != nil {
+	began, err := p.startStatement(c, w, w.needsProof || replays && !r.opensTransaction())
+	if err != nil {
 		return Reply{}, 0, err
 	}
-	reply, err := c.run(deadline, s, inTransaction, r, confirm)
+	confirm := func(asked time.Time) error {
+		began, err = p.confirmStart(c, w, asked)
+		if replays {
+			p.metrics.Observe(metrics.LatencyReplay, boottime.Now().Sub(asked))
+			replays = false
+		}
+		return err
+	}
+	reply, err := c.run(deadline, s, inTransaction, r, sendCheck{proof: w.needsProof, confirm: confirm})
 	switch {
-	case errors.Is(err, errUnproven) && c.isRevoked():
+	case (errors.Is(err, errUnproven) || errors.Is(err, errReplayRefused)) && c.isRevoked():
 		err = errors.WithSecondaryError(errNotStarted, err)
 	case err != nil && c.isRevoked() && !notStarted(err):
 		// The endpoint has not failed.
@@ -403,6 +421,15 @@
 	return reply, boottime.Now().Sub(began), err
 }
 
+// countReplay counts a statement by whether its connection held the state of its session.
+func (p *pool) countReplay(replays bool) {
+	if replays {
+		p.metrics.Inc(metrics.StateReplayed)
+	} else {
+		p.metrics.Inc(metrics.StateHeld)
+	}
+}
+
 // isRevoked reports whether this host has closed the connection because its primary may be
 // replaced.
 func (c *conn) isRevoked() bool {
@@ -413,31 +440,31 @@
 
 // startStatement records that a statement is sent on the connection, and returns the time. It
 // returns errNotStarted if the endpoint may not get the statement any more, although it was chosen,
-// and errLate after startBy. If proves is true, only the request for a proof is sent, and
-// confirmStart follows.
+// and errLate after startBy. If waits is true, only what must be answered before the statement is sent,
+// and confirmStart follows.
 //
 // The check and the record are one step under the group's mutex. A fence, or the end of the
 // permission, comes either before, so that nothing is sent, or after it, and then closes the
 // connection; see closePrimaryWork.
-func (p *pool) startStatement(c *conn, primary, newWork bool, startBy time.Time, proves bool) (time.Time, error) {
+func (p *pool) startStatement(c *conn, w work, waits bool) (time.Time, error) {
 	g := c.target.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	if err := p.checkStart(c, now, primary, newWork, startBy); err != nil {
+	if err := p.checkStart(c, now, w); err != nil {
 		return now, err
 	}
-	c.recordStart(now, primary, proves)
+	c.recordStart(now, w.primary, waits)
 	return now, nil
 }
 
 // checkStart returns an error if the statement must not be sent on the connection. The group's mutex
 // must be held.
-func (p *pool) checkStart(c *conn, now time.Time, primary, newWork bool, startBy time.Time) error {
-	if !startBy.IsZero() && now.After(startBy) {
+func (p *pool) checkStart(c *conn, now time.Time, w work) error {
+	if !w.startBy.IsZero() && now.After(w.startBy) {
 		return errLate
 	}
-	why := c.target.startExclusion(now, primary, newWork)
+	why := c.target.startExclusion(now, w.primary, w.newWork)
 	if c.revoked {
 		why = excludedRevoked
 	}
@@ -457,13 +484,13 @@
 		Str("reason", string(why)).Msg("statement not sent, as its endpoint may not be used any more")
 }
 
-// recordStart records that a statement, or the request for its proof, is sent on the connection. The
+// recordStart records that a statement, or what must be answered before, is sent on the connection. The
 // group's mutex must be held.
-func (c *conn) recordStart(now time.Time, primary, proves bool) {
-	c.sentAt, c.proving = now, proves
+func (c *conn) recordStart(now time.Time, primary, waits bool) {
+	c.sentAt, c.waiting = now, waits
 	g := c.target.group
 	c.usesPrimary, c.primaryTerm = primary, g.term
-	if primary && !proves {
+	if primary && !waits {
 		g.lastPrimarySend = primarySend{at: now, endpoint: c.target.ID, term: g.term}
 	}
 	c.busy = true
@@ -506,7 +533,7 @@
 		c.sentAt = time.Time{}
 	}
 	t.inFlight--
-	c.proving = false
+	c.waiting = false
 	if errors.Is(err, errPrimaryReplaced) || notStarted(err) {
 		return
 	}
--- a/internal/gateway/proof.go
+++ b/internal/gateway/proof.go
@@ -15,8 +15,8 @@
 // counts as out of reach.
 const proofTimeout = statusTimeout
 
-// errUnproven means that the endpoint has not answered on the connection, so that the statement was
-// not sent.
+// errUnproven means that the endpoint has not answered on the connection, neither a proof nor the replay
+// of session state, so that the statement was not sent.
 var errUnproven = errors.New("the endpoint has not answered on the connection")
 
 // errProofExpired means that the answer to the request for a proof is too old, as this host has stood
@@ -43,32 +43,35 @@
 	}
 }
 
-// prove asks the endpoint for an answer and then calls confirm with the time of the question, again if
-// that returns errProofExpired. The replay statements serve as the question if there are any. After an
-// error the request that the proof is for must not be sent, and after errUnproven the connection must
-// not be used any more.
-func (c *conn) prove(endpoint EndpointConn, deadline time.Time, replay []Request, confirm func(asked time.Time) error) error {
+// prepareToSend asks the endpoint for an answer and then calls check.confirm with the time of the
+// question, again if that returns errProofExpired. The replay statements serve as the question if there
+// are any. After an error the request that the answer is for must not be sent, and after errUnproven and
+// errReplayRefused the connection must not be used any more.
+func (c *conn) prepareToSend(endpoint EndpointConn, deadline time.Time, replay []Request, check sendCheck) error {
 	err := errProofExpired
 	for errors.Is(err, errProofExpired) {
 		asked := boottime.Now()
-		if err = c.ask(endpoint, deadline, replay); err != nil {
+		if err = c.ask(endpoint, deadline, replay, check.proof); err != nil {
 			c.broken = true
-			return errors.Mark(err, errUnproven)
+			if !errors.Is(err, errReplayRefused) {
+				err = errors.Mark(err, errUnproven)
+			}
+			return err
 		}
-		err = confirm(asked)
+		err = check.confirm(asked)
 		replay = nil
 	}
 	return err
 }
 
 // ask sends the replay statements, or proofRequest if there are none, and waits for the answers until
-// the deadline, but for at most proofTimeout.
-func (c *conn) ask(endpoint EndpointConn, deadline time.Time, replay []Request) error {
+// the deadline, for a proof for at most proofTimeout.
+func (c *conn) ask(endpoint EndpointConn, deadline time.Time, replay []Request, proof bool) error {
 	now := time.Now()
 	if !now.Before(deadline) {
 		return os.ErrDeadlineExceeded
 	}
-	if limit := now.Add(proofTimeout); limit.Before(deadline) {
+	if limit := now.Add(proofTimeout); proof && limit.Before(deadline) {
 		deadline = limit
 	}
 	if len(replay) == 0 {
@@ -77,25 +80,27 @@
 	}
 	answer, err := c.exchange(endpoint, deadline, replay)
 	if err == nil && !answer.OK() {
-		err = errors.Wrapf(errReplayRefused, "%s", answer.Detail)
+		err = replayRefused(answer)
 	}
 	return err
 }
 
-// confirmStart repeats the check of startStatement after the proof, and records the send of the
-// statement at the returned time.
-func (p *pool) confirmStart(c *conn, r Request, newWork bool, asked time.Time) (time.Time, error) {
+// confirmStart repeats the check of startStatement after the wait for an answer to the question that
+// was asked at the given time, and records the send of the statement at the returned time.
+func (p *pool) confirmStart(c *conn, w work, asked time.Time) (time.Time, error) {
 	g := c.target.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := boottime.Now()
-	if now.Sub(asked) > proofTimeout {
+	if w.needsProof && now.Sub(asked) > proofTimeout {
 		return now, errProofExpired
 	}
-	if err := p.checkStart(c, now, true, newWork, r.StartBy); err != nil {
+	if err := p.checkStart(c, now, w); err != nil {
 		return now, err
 	}
-	c.sentAt, c.proving = now, false
-	g.lastPrimarySend = primarySend{at: now, endpoint: c.target.ID, term: g.term}
+	c.sentAt, c.waiting = now, false
+	if w.primary {
+		g.lastPrimarySend = primarySend{at: now, endpoint: c.target.ID, term: g.term}
+	}
 	return now, nil
 }
--- a/internal/gateway/proof_test.go
+++ b/internal/gateway/proof_test.go
@@ -63,12 +63,33 @@
 	}
 }
 
+// Guards against a statement of a transaction that is sent after the replay of session state although the
+// primary has been fenced meanwhile.
+func TestReplayDoesNotReplaceTheCheck(t *testing.T) {
+	g := NewWithT(t)
+	w := newUnprovenWork()
+	state := session.New()
+	state.Prepare("p", "READ q", false)
+	failed := make(chan error, 1)
+	go func() {
+		request := Request{Statement: session.Statement{ID: "q", Op: session.OpExecute, Name: "p"}}
+		_, _, err := w.gw.pool.run(w.conn, true, time.Now().Add(time.Minute), state, true, request)
+		failed <- err
+	}()
+	<-w.raw.proofSent
+	w.learn(FenceState{Term: 1, Version: 1})
+	w.raw.proof <- Reply{}
+	g.Eventually(failed, time.Second).Should(Receive(MatchError(errNotStarted)))
+	g.Expect(w.raw.sent).NotTo(BeClosed())
+	g.Expect(w.group.lastPrimarySend.at).To(BeZero())
+}
+
 // Guards against an answer to the proof that counts although the host has stood still since.
 func TestProofCountsForALimitedTime(t *testing.T) {
 	g := NewWithT(t)
 	w := newPrimaryWork(time.Minute)
 	confirm := func(age time.Duration) error {
-		_, err := w.gw.pool.confirmStart(w.conn, Request{}, true, boottime.Now().Add(-age))
+		_, err := w.gw.pool.confirmStart(w.conn, work{primary: true, newWork: true, needsProof: true}, boottime.Now().Add(-age))
 		return err
 	}
 	g.Expect(confirm(proofTimeout + time.Millisecond)).To(MatchError(errProofExpired))
@@ -130,16 +151,16 @@
 	c := &conn{}
 	endpoint := &countingConn{}
 	expired := 2
-	err := c.prove(endpoint, time.Now().Add(time.Minute), nil, func(time.Time) error {
+	err := c.prepareToSend(endpoint, time.Now().Add(time.Minute), nil, sendCheck{proof: true, confirm: func(time.Time) error {
 		if expired--; expired >= 0 {
 			return errProofExpired
 		}
 		return nil
-	})
+	}})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(endpoint.sent).To(Equal(3))
 	g.Expect(c.broken).To(BeFalse())
-	err = c.prove(endpoint, time.Now().Add(10*time.Millisecond), nil, func(time.Time) error { return errProofExpired })
+	err = c.prepareToSend(endpoint, time.Now().Add(10*time.Millisecond), nil, sendCheck{proof: true, confirm: func(time.Time) error { return errProofExpired }})
 	g.Expect(errors.Is(err, errUnproven)).To(BeTrue())
 	g.Expect(c.broken).To(BeTrue())
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -160,8 +160,11 @@
 	if err != nil {
 		gw.connectionLost(c, err)
 		gw.pool.release(c)
-		if errors.Is(err, errUnproven) {
+		switch {
+		case errors.Is(err, errUnproven):
 			return refuseUnproven(held != nil, err), nil
+		case errors.Is(err, errReplayRefused):
+			return refuseReplay(held != nil, err), nil
 		}
 		return Reply{}, errors.WithSecondaryError(ErrAnswerLost, err)
 	}
@@ -204,6 +207,15 @@
 	return Reply{Code: CodeMisrouted, Detail: err.Error(), FromRelay: true}
 }
 
+// refuseReplay answers a request that was not sent, as its endpoint has refused the state of the
+// session. The connection, and with it an open transaction, has ended.
+func refuseReplay(inTransaction bool, err error) Reply {
+	if inTransaction {
+		return Reply{Code: CodeAborted, Detail: err.Error(), State: TxFailed, FromRelay: true}
+	}
+	return Reply{Code: CodeBusy, Detail: err.Error(), FromRelay: true}
+}
+
 // relayConn returns a connection for the request, or the reply if the request cannot
 // run here. held is the connection of the request's transaction, or nil.
 func (gw *Gateway) relayConn(ctx context.Context, held *conn, r RelayRequest) (*conn, *Reply) {
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -68,8 +68,11 @@
 
 // refusalReason returns the reason for refusing a statement that did not run.
 func (a attempt) refusalReason() metrics.Name {
-	if errors.Is(a.err, errNoConnection) {
+	switch {
+	case errors.Is(a.err, errNoConnection):
 		return metrics.RefusedExpectedWait
+	case errors.Is(a.err, errReplayRefused):
+		return metrics.RefusedReplay
 	}
 	return metrics.RefusedNoPrimary
 }
@@ -200,7 +203,7 @@
 
 // notSent reports whether the error means that the statement certainly did not reach its endpoint.
 func notSent(err error) bool {
-	return errors.Is(err, ErrNotSent) || errors.Is(err, errUnproven) || notStarted(err)
+	return errors.Is(err, ErrNotSent) || errors.Is(err, errUnproven) || errors.Is(err, errReplayRefused) || notStarted(err)
 }
 
 // notStarted reports whether this host has not sent the statement, as it must not any more.
@@ -215,14 +218,15 @@
 	if reply.Dropped && reply.OK() {
 		reply = reply.WithoutRows(r, inTransaction)
 	}
-	if err != nil && !notStarted(err) {
-		if errors.Is(err, errUnproven) {
-			s.gateway.events.statementNotSent(r.ID, s.db.Name, c.target, err)
-		} else {
-			s.gateway.events.answerLost(r.ID, s.db.Name, c.target, waited, err)
-		}
-		s.gateway.connectionLost(c, err)
+	switch {
+	case err == nil, notStarted(err):
+		return reply, err
+	case errors.Is(err, errUnproven), errors.Is(err, errReplayRefused):
+		s.gateway.events.statementNotSent(r.ID, s.db.Name, c.target, err)
+	default:
+		s.gateway.events.answerLost(r.ID, s.db.Name, c.target, waited, err)
 	}
+	s.gateway.connectionLost(c, err)
 	return reply, err
 }
 
@@ -291,6 +295,8 @@
 // retryReason returns the retry counter for the attempt's failure.
 func retryReason(a attempt) metrics.Name {
 	switch {
+	case errors.Is(a.err, errReplayRefused):
+		return metrics.RetryReplayRefused
 	case !a.sent && a.err != nil:
 		return metrics.RetryNoConnection
 	case a.err != nil:
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -213,7 +213,7 @@
 	s.state.End()
 	end, _ := ctx.Deadline()
 	reply, err := s.send(c, !tx.ReadOnly, end, true, Request{Statement: st})
-	if notStarted(err) || errors.Is(err, errUnproven) {
+	if notStarted(err) || errors.Is(err, errUnproven) || errors.Is(err, errReplayRefused) {
 		return s.abortPinned()
 	}
 	s.pinned = nil
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -33,6 +33,8 @@
 	RefusedTooManyCallers  Name = "refused.too_many_callers"
 	RefusedCanceled        Name = "refused.canceled"
 	RefusedNoPrimary       Name = "refused.no_primary"
+	// RefusedReplay counts statements whose session state each endpoint that was tried has refused.
+	RefusedReplay          Name = "refused.replay"
 	RefusedIdleTransaction Name = "refused.idle_transaction"
 	RefusedReadLost        Name = "refused.read_lost"
 	UnknownTimeout         Name = "unknown.timeout"
@@ -103,6 +105,9 @@
 	LatencyConnection Name = "latency.connection"
 	// LatencyEndpoint is the time from sending a request to the endpoint's answer.
 	LatencyEndpoint Name = "latency.endpoint"
+	// LatencyReplay is the time in which an endpoint accepts session state on a connection, before the
+	// statement that needs it is sent.
+	LatencyReplay Name = "latency.replay"
 )
 
 // Metrics of the gateway package.
@@ -114,6 +119,10 @@
 	// StatementsNotStarted counts statements that were not sent to the endpoint that was chosen
 	// for them, as it might not be used any more.
 	StatementsNotStarted Name = "statements.not_started"
+	// StateHeld counts the statements that found the state of their session on their connection, and
+	// StateReplayed those that did not. Later statements of a transaction are left out.
+	StateHeld     Name = "session_state.held"
+	StateReplayed Name = "session_state.replayed"
 	// PrimaryUnanswered counts statements that were not answered when this host stopped using
 	// their endpoint as the primary.
 	PrimaryUnanswered Name = "primary.unanswered"
@@ -134,6 +143,9 @@
 	RetryReadOnly      Name = "retry.read_only"
 	RetryAnswerLost    Name = "retry.answer_lost"
 	RetryNoConnection  Name = "retry.no_connection"
+	// RetryReplayRefused counts statements that were not sent, as the endpoint refused the state of
+	// their session.
+	RetryReplayRefused Name = "retry.replay_refused"
 	// RetryWrongRelay counts statements that were sent to a host which does not hold connections
 	// to the endpoint, and then to another relay host.
 	RetryWrongRelay Name = "retry.wrong_relay"
