Prefer a connection with the session's values for waiting statements

A statement that had waited for a connection, or that ran for another host, got any idle connection, although one that held the values of its session was idle. That costs a round trip since replays are answered before the statement is sent. The request for a connection now carries the session's state to the wait queue and at relay hosts.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -82,13 +82,16 @@
 	database string
 	// primaryOnly requests have no other endpoint to go to.
 	primaryOnly bool
+	// state is the state of the session; a connection that holds its values saves a round trip. It must
+	// not change before checkout returns.
+	state *session.State
 }
 
 // checkout returns a connection to the target that the session may use until release.
 // The error is errNoConnection, errRequeue or errEndpointDown; in each case nothing has
 // run.
-func (p *pool) checkout(ctx context.Context, t *target, s *session.State, r connRequest) (*conn, error) {
-	c, err := p.acquire(ctx, t, s, r)
+func (p *pool) checkout(ctx context.Context, t *target, r connRequest) (*conn, error) {
+	c, err := p.acquire(ctx, t, r)
 	if err == nil {
 		c.queuedRequest, c.database = r.QueuedRequest, r.database
 	}
@@ -96,9 +99,9 @@
 }
 
 // acquire takes an idle connection, opens one, or waits for one.
-func (p *pool) acquire(ctx context.Context, t *target, s *session.State, r connRequest) (*conn, error) {
+func (p *pool) acquire(ctx context.Context, t *target, r connRequest) (*conn, error) {
 	now := boottime.Now()
-	got, w := t.grantOrQueue(now, s, r)
+	got, w := t.grantOrQueue(now, r)
 	if w == nil {
 		return p.useGrant(ctx, t, r, got)
 	}
@@ -108,14 +111,14 @@
 
 // grantOrQueue grants the request a connection or the right to open one, refuses it, or adds
 // it to the queue. It returns a waiter only in the last case.
-func (t *target) grantOrQueue(now time.Time, s *session.State, r connRequest) (grant, *waiter) {
+func (t *target) grantOrQueue(now time.Time, r connRequest) (grant, *waiter) {
 	t.group.mu.Lock()
 	defer t.group.mu.Unlock()
 	if t.refuseEarly(now, r) {
 		return grant{err: errNoConnection}, nil
 	}
 	if t.mayStart(now) {
-		if got, ok := t.grantNow(s, r.team); ok {
+		if got, ok := t.grantNow(r); ok {
 			return got, nil
 		}
 	}
@@ -138,8 +141,8 @@
 // grantNow grants an idle connection of the team, or the right to open one. It closes the
 // connection that has been idle for longest if the limit leaves no room for another one. It
 // returns false if every connection is in use. The group's mutex must be held.
-func (t *target) grantNow(s *session.State, team string) (grant, bool) {
-	if c := t.takeIdle(s, team); c != nil {
+func (t *target) grantNow(r connRequest) (grant, bool) {
+	if c := t.takeIdle(r.state, r.team); c != nil {
 		c.busy = true
 		return grant{conn: c}, true
 	}
@@ -360,7 +363,7 @@
 	now := boottime.Now()
 	for t.waiting.len() > 0 && t.mayStart(now) {
 		w := t.waiting.first(now)
-		got, ok := t.grantNow(nil, w.team)
+		got, ok := t.grantNow(w.connRequest)
 		if !ok {
 			return
 		}
--- a/internal/gateway/pool_test.go
+++ b/internal/gateway/pool_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/beryltrestle/beryltrestle/coord/session"
 	"github.com/beryltrestle/beryltrestle/internal/boottime"
 	"github.com/beryltrestle/beryltrestle/internal/metrics"
 )
@@ -33,12 +35,48 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 	defer cancel()
 	began := time.Now()
-	_, err := p.checkout(ctx, tg, nil, queuedAt(1, boottime.Now()))
+	_, err := p.checkout(ctx, tg, queuedAt(1, boottime.Now()))
 	g.Expect(err).To(MatchError(errNoConnection))
 	g.Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
 	g.Expect(tg.waiting.len()).To(Equal(20))
 }
 
+// Guards against a statement that has waited for a connection and gets one that holds other values than
+// its session, which costs a round trip, although one that holds them is idle.
+func TestWaitingStatementGetsConnectionWithItsState(t *testing.T) {
+	g := NewWithT(t)
+	p, tg := poolWithIdleConns(3, 1)
+	stateOf := func(n int) *session.State {
+		s := session.New()
+		s.Set("tz", strconv.Itoa(n))
+		return s
+	}
+	for n, c := range tg.idle {
+		c.state.SwitchTo(stateOf(n), false)
+	}
+	request := func(n int) connRequest {
+		r := queuedAt(1, boottime.Now())
+		r.state = stateOf(n)
+		return r
+	}
+	held, err := p.checkout(t.Context(), tg, request(2))
+	g.Expect(err).NotTo(HaveOccurred())
+	got := make(chan *conn, 1)
+	go func() {
+		c, _ := p.checkout(t.Context(), tg, request(1))
+		got <- c
+	}()
+	g.Eventually(func() int {
+		tg.group.mu.Lock()
+		defer tg.group.mu.Unlock()
+		return tg.waiting.len()
+	}).Should(Equal(1))
+	p.release(held)
+	var c *conn
+	g.Eventually(got).Should(Receive(&c))
+	g.Expect(c.state.Matches(stateOf(1))).To(BeTrue())
+}
+
 // Guards against a statement that loses its place in the queue when it chooses an
 // endpoint again, and against a higher priority that does not go first.
 func TestWaitQueueOrder(t *testing.T) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -78,6 +78,18 @@
 	return arrived.Add(r.StartWithin)
 }
 
+// sessionState returns the state of the session that sent the request, as far as the request needs it.
+func (r RelayRequest) sessionState() *session.State {
+	state := session.New()
+	for name, value := range r.SessionValues {
+		state.Set(name, value)
+	}
+	if r.Prepared != nil {
+		state.Prepare(r.Request.Name, r.Prepared.Definition, r.Prepared.Writes)
+	}
+	return state
+}
+
 // ErrNotSent means that the request certainly did not reach the endpoint.
 var ErrNotSent = errors.New("the request was not sent")
 
@@ -137,18 +149,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
-	c, refusal := gw.relayConn(ctx, held, r)
+	state := r.sessionState()
+	c, refusal := gw.relayConn(ctx, held, r, state)
 	if refusal != nil {
 		refusal.FromRelay = true
 		return *refusal, nil
 	}
-	state := session.New()
-	for name, value := range r.SessionValues {
-		state.Set(name, value)
-	}
-	if r.Prepared != nil {
-		state.Prepare(r.Request.Name, r.Prepared.Definition, r.Prepared.Writes)
-	}
 	deadline, _ := ctx.Deadline()
 	r.Request.Account, r.Request.StartBy = budget.FromContext(ctx), r.startBy(arrived)
 	reply, _, err := gw.pool.run(c, r.PrimaryOnly, deadline, state, held != nil, r.Request)
@@ -216,9 +222,9 @@
 	return Reply{Code: CodeBusy, Detail: err.Error(), FromRelay: true}
 }
 
-// relayConn returns a connection for the request, or the reply if the request cannot
+// relayConn returns a connection for the request of a session, or the reply if the request cannot
 // run here. held is the connection of the request's transaction, or nil.
-func (gw *Gateway) relayConn(ctx context.Context, held *conn, r RelayRequest) (*conn, *Reply) {
+func (gw *Gateway) relayConn(ctx context.Context, held *conn, r RelayRequest, state *session.State) (*conn, *Reply) {
 	if held != nil {
 		return held, nil
 	}
@@ -242,10 +248,10 @@
 		refusal := refuseRelayed(false, true)
 		return nil, &refusal
 	}
-	request := connRequest{QueuedRequest: r.queuedRequest(boottime.Now()), team: r.Team, database: r.Database}
-	c, err := gw.pool.checkout(ctx, t, nil, request)
+	request := connRequest{QueuedRequest: r.queuedRequest(boottime.Now()), team: r.Team, database: r.Database, state: state}
+	c, err := gw.pool.checkout(ctx, t, request)
 	for errors.Is(err, errRequeue) {
-		c, err = gw.pool.checkout(ctx, t, nil, request)
+		c, err = gw.pool.checkout(ctx, t, request)
 	}
 	switch {
 	case errors.Is(err, errEndpointDown):
--- a/internal/gateway/single_statement.go
+++ b/internal/gateway/single_statement.go
@@ -187,8 +187,8 @@
 // sendOnce sends the statement to the endpoint once.
 func (s *sessionServer) sendOnce(ctx context.Context, st session.Statement, chosen choice, primary bool, arrived time.Time) attempt {
 	request := s.connRequest(arrived)
-	request.primaryOnly = primary
-	c, err := s.gateway.pool.checkout(ctx, chosen.target, s.state, request)
+	request.primaryOnly, request.state = primary, s.state
+	c, err := s.gateway.pool.checkout(ctx, chosen.target, request)
 	if err != nil {
 		return attempt{err: err, chosen: chosen}
 	}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -84,8 +84,8 @@
 // arrived is when the first statement arrived.
 func (s *sessionServer) openTransaction(ctx context.Context, chosen choice, primary bool, arrived time.Time) attempt {
 	request := s.connRequest(arrived)
-	request.primaryOnly = primary
-	c, err := s.gateway.pool.checkout(ctx, chosen.target, s.state, request)
+	request.primaryOnly, request.state = primary, s.state
+	c, err := s.gateway.pool.checkout(ctx, chosen.target, request)
 	if err != nil {
 		return attempt{err: err, chosen: chosen}
 	}
--- a/internal/gateway/window_test.go
+++ b/internal/gateway/window_test.go
@@ -41,7 +41,7 @@
 func TestStatementsBeyondWindowWaitByPriority(t *testing.T) {
 	g := NewWithT(t)
 	p, tg := poolWithIdleConns(2, 1)
-	held, err := p.checkout(t.Context(), tg, nil, queuedAt(1, boottime.Now()))
+	held, err := p.checkout(t.Context(), tg, queuedAt(1, boottime.Now()))
 	g.Expect(err).NotTo(HaveOccurred())
 	order := make(chan int, 2)
 	wait := func(priority int) {
@@ -49,7 +49,7 @@
 			var c *conn
 			err := errRequeue
 			for queued := queuedAt(priority, boottime.Now()); errors.Is(err, errRequeue); {
-				c, err = p.checkout(t.Context(), tg, nil, queued)
+				c, err = p.checkout(t.Context(), tg, queued)
 			}
 			order <- priority
 			p.release(c)
@@ -81,12 +81,12 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			p, tg := poolWithIdleConns(2, 1)
-			first, err := p.checkout(t.Context(), tg, nil, queuedAt(1, boottime.Now()))
+			first, err := p.checkout(t.Context(), tg, queuedAt(1, boottime.Now()))
 			g.Expect(err).NotTo(HaveOccurred())
-			_, err = p.checkout(t.Context(), tg, nil, connRequest{QueuedRequest: admission.QueuedRequest{Arrived: boottime.Now(), Deadline: boottime.Now().Add(time.Second)}})
+			_, err = p.checkout(t.Context(), tg, connRequest{QueuedRequest: admission.QueuedRequest{Arrived: boottime.Now(), Deadline: boottime.Now().Add(time.Second)}})
 			g.Expect(err).To(MatchError(errRequeue))
 			free(p, first)
-			_, err = p.checkout(t.Context(), tg, nil, queuedAt(1, boottime.Now()))
+			_, err = p.checkout(t.Context(), tg, queuedAt(1, boottime.Now()))
 			g.Expect(err).NotTo(HaveOccurred())
 		})
 	}
