Make only hosts that answer voters

After a restart of all hosts nobody knew which listed hosts were lost. The first of them made all listed hosts voters again, within a second of the change that had dropped the lost ones, and no quorum was left for another horizon.

A host that is no voter becomes one only if it answers the poll before the change.

--- a/internal/gateway/electorate.go
+++ b/internal/gateway/electorate.go
@@ -361,7 +361,7 @@
 				return
 			}
 			c.electorate.silence.end()
-			next := present.Change(append(slices.Clone(next.Voters), answeringVoters(poll.replies, present)...))
+			next := present.Change(append(newVoters(next.Voters, &poll, present), answeringVoters(poll.replies, present)...))
 			if next.Equal(present) {
 				c.electorate.retryAt = boottime.Now().Add(proposalRetryDelay)
 				return
@@ -384,6 +384,14 @@
 	return out
 }
 
+// newVoters returns the desired voters without hosts that are no voters and have not answered the poll.
+// A host that has just started does not know which listed hosts are lost, and would make them voters.
+func newVoters(desired []string, poll *hostPoll, present electorate.Electorate) []string {
+	return slices.DeleteFunc(slices.Clone(desired), func(address string) bool {
+		return !present.Includes(address) && !poll.agrees(address)
+	})
+}
+
 // pollRequest returns a request that asks hosts for an answer without any effect. It returns
 // false if no group is known yet, as no host could answer.
 func (c *controller) pollRequest() (FenceRequest, bool) {
--- a/internal/gateway/lost_hosts_simulation_test.go
+++ b/internal/gateway/lost_hosts_simulation_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,7 +31,7 @@
 	return fmt.Sprintf("%d of %d hosts lost, %d new ones", c.lost, c.hosts, c.joining)
 }
 
-var lossCases = []lossCase{{3, 2, 2}, {3, 2, 0}, {4, 2, 2}, {5, 3, 3}, {5, 4, 4}, {13, 9, 9}, {13, 11, 3}}
+var lossCases = []lossCase{{3, 2, 2}, {3, 2, 0}, {4, 2, 2}, {5, 3, 3}, {5, 4, 4}, {13, 9, 9}, {13, 11, 3}, {40, 25, 0}, {40, 33, 20}}
 
 // hostNames returns names of hosts with the prefix.
 func hostNames(prefix string, n int) []string {
@@ -107,6 +108,10 @@
 func TestLossOfMostHostsBesideOtherFaultsInSimulation(t *testing.T) {
 	faults := map[string]func(f *fakeFleet, left []string){
 		"primary lost": func(f *fakeFleet, _ []string) { f.group.stop("e1") },
+		"hosts restarted before the change is completed": func(f *fakeFleet, _ []string) {
+			time.Sleep(9 * time.Second)
+			f.group.stop("e1")
+		},
 		"another host cut off for a while": func(f *fakeFleet, left []string) {
 			f.mu.Lock()
 			f.partition[left[0]] = 1
@@ -146,7 +151,7 @@
 		},
 	}
 	for name, fault := range faults {
-		for _, c := range []lossCase{{3, 2, 2}, {5, 3, 3}} {
+		for _, c := range []lossCase{{3, 2, 2}, {5, 3, 3}, {40, 33, 20}} {
 			t.Run(name+", "+c.String(), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					f, lost, left := startLossCase(t, c)
@@ -157,7 +162,7 @@
 					}
 					began := time.Now()
 					fault(f, left)
-					if name == "store restored and hosts restarted" {
+					if strings.Contains(name, "hosts restarted") {
 						f.restartAll(t, left)
 					}
 					writeUntilConfirmed(t, f, left[0], 2*lossTolerance)
