Choose new voters again if they are lost before their change completes

A change that was begun without a quorum waited for new voters that had been lost as well, and never completed. Whoever wrote such a change a second time also took itself for overruled and paused for a minute. TestLossOfTheNewVotersInSimulation failed before; now a write is confirmed 25.5 s after the second loss (simulated time).

--- a/internal/gateway/electorate.go
+++ b/internal/gateway/electorate.go
@@ -96,7 +96,7 @@
 		return
 	}
 	e.Electorate, e.base, e.unconfirmed = record.Electorate, record.Base, record.Unconfirmed
-	if unconfirmed && !record.Equal(before.Complete()) {
+	if unconfirmed && !record.Unconfirmed && !record.Equal(before.Complete()) {
 		e.silence.overruledAt = now
 	}
 	c.gw.events.log.Info().Int("voters", len(e.Voters)).Int("former", len(e.Former)).Bool("unconfirmed", e.unconfirmed).Uint64("version", r.Version).Msg("electorate changed")
@@ -258,6 +258,8 @@
 func (c *controller) nextElectorate(now time.Time, listed map[string]*member) electorate.Electorate {
 	e := &c.electorate
 	vote := c.voteOnChange(listed)
+	// Voters that do not answer must not come into force: they might never be replaced.
+	lasts := c.quorumAlive(now, listed, electorate.Electorate{Voters: e.Voters})
 	switch {
 	case e.version == 0 && !c.settled(now):
 		return e.Electorate
@@ -267,10 +269,9 @@
 			return next
 		}
 		return e.Complete()
-	case e.Changing() && c.quorumAlive(now, listed, electorate.Electorate{Voters: e.Voters}) && (e.MayComplete(vote) || c.mayCompleteWithoutQuorum(now, listed)):
-		// Voters that do not answer must not come into force: they might never be replaced.
+	case e.Changing() && lasts && (e.MayComplete(vote) || c.mayCompleteWithoutQuorum(now, listed)):
 		return e.Complete()
-	case e.Changing() && (e.unconfirmed || now.Sub(e.changedAt) < electorateChangeTimeout):
+	case e.Changing() && (e.unconfirmed && lasts || now.Sub(e.changedAt) < electorateChangeTimeout):
 		return e.Electorate
 	}
 	return e.Change(c.desiredVoters(now, listed))
--- a/internal/gateway/lost_hosts_simulation_test.go
+++ b/internal/gateway/lost_hosts_simulation_test.go
@@ -196,6 +196,26 @@
 	})
 }
 
+// Guards against a change without a quorum that is never completed, since its new voters are lost as
+// well before it is: by then the hosts that are left must have chosen others.
+func TestLossOfTheNewVotersInSimulation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, lost, left := startLossCase(t, lossCase{hosts: 5, lost: 3})
+		f.lose(lost...)
+		joining := hostNames("n", 3)
+		for _, host := range joining {
+			f.start(t, host)
+		}
+		time.Sleep(8 * time.Second)
+		f.lose(joining...)
+		f.group.stop("e1")
+		began := time.Now()
+		writeUntilConfirmed(t, f, left[0], 2*lossTolerance)
+		t.Logf("confirmed %v after the second loss", time.Since(began))
+		f.end()
+	})
+}
+
 // Guards against two primaries if the hosts that do not answer are cut off from the store and the
 // others and not lost: they answer each other, and use a primary that only they reach (ONE, STALE,
 // review case 1). Also guards against hosts that do not find back after that.
--- a/internal/gateway/restoration.go
+++ b/internal/gateway/restoration.go
@@ -120,7 +120,8 @@
 }
 
 // maintainRestoration writes the rows that the store has lost, once a quorum has told what it
-// knows, or hosts that do not know of the restoration cannot be permitted to use primaries any more. The live host that ranks first does so, and the next ones if it does not.
+// knows, or hosts that do not know of the restoration cannot be permitted to use primaries any more.
+// The live host that ranks first does so, and the next ones if it does not.
 func (c *controller) maintainRestoration(now time.Time) {
 	r := &c.restoration
 	if c.storeComplete() || r.writing || now.Before(r.retryAt) || c.leaving || c.electorate.ownAddress == "" || !c.isListed() {
