Soak: endpoints that fail requests, and hosts lost for good

A random fault makes an endpoint fail part of its requests without an effect, replayed session state among them, and each statement is judged by the values on its connection, whether or not its answer reached a caller. Two placed tests with real processes lose most hosts for good, with all processes killed afterwards in half of the runs, and cut most hosts off together with the primary and from the store.

--- a/deploy/soak/caller.go
+++ b/deploy/soak/caller.go
@@ -98,7 +98,8 @@
 	databases := []string{strictDatabase, boundedDatabase, readYourWritesDatabase}
 	h := c.runner.randomHost(c.random)
 	if c.runner.cfg.script != nil {
-		h = c.runner.hosts[c.index%len(c.runner.hosts)]
+		hosts := c.runner.hostList()
+		h = hosts[c.index%len(hosts)]
 		if !c.runner.cfg.allDatabases {
 			databases = databases[:1]
 		}
--- a/deploy/soak/check.go
+++ b/deploy/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 )
@@ -68,7 +69,8 @@
 	//	MIXED    an answer belongs to another statement
 	//	ONE      a replaced primary got a write acknowledged, or a promotion had a lower
 	//	         fencing token than the one before, or the same from another host
-	//	PINNED   a statement ran with the session values of another caller
+	//	PINNED   a statement ran with the session values of another caller, whether or not its answer
+	//	         reached a caller
 	//	QUOTA    too many operations of a team ran within the window of its limit
 	//	RECOVER  a host did not serve after the last fault, or there was not one primary
 	//	REFUSED  a write that was refused, or whose transaction was not committed, is stored
@@ -159,6 +161,18 @@
 	return violations
 }
 
+// checkSessionValues returns a violation for each statement that ran with the value of another caller's
+// session. Callers set their name, with which the IDs of their statements begin. The group's mutex must
+// be held.
+func checkSessionValues(g *group) (violations []string) {
+	for _, x := range g.executions {
+		if at := strings.LastIndex(x.id, "-"); at > 0 && x.id[:at] != x.who {
+			violations = append(violations, fmt.Sprintf("PINNED: %s was executed at %s with the value %q", x.id, x.endpoint, x.who))
+		}
+	}
+	return violations
+}
+
 // countAnswer counts an answer.
 func (r *recorder) countAnswer(ok, refused bool) {
 	r.mu.Lock()
@@ -237,6 +251,7 @@
 	if g.currentPrimary() != nil {
 		violations = append(violations, r.checkExecutions(g)...)
 	}
+	violations = append(violations, checkSessionValues(g)...)
 	for i, p := range g.promotions {
 		if i > 0 && (p.fence < g.promotions[i-1].fence || p.fence == g.promotions[i-1].fence && p.holder != g.promotions[i-1].holder) {
 			violations = append(violations, fmt.Sprintf("ONE: fence %d of %s follows %d of %s", p.fence, p.holder, g.promotions[i-1].fence, g.promotions[i-1].holder))
--- a/deploy/soak/endpoint_conn.go
+++ b/deploy/soak/endpoint_conn.go
@@ -153,7 +153,7 @@
 	if !c.inTx {
 		c.beganAt = receivedAt
 	}
-	x := execution{id: id, endpoint: c.endpoint.id, receivedAt: receivedAt, beganAt: c.beganAt, waited: c.waited, stalledAt: c.endpoint.stalledAt, ranSince: c.endpoint.ranSince, logEnd: c.endpoint.logEnd(), user: c.user, first: !c.inTx || !c.txStarted}
+	x := execution{id: id, endpoint: c.endpoint.id, receivedAt: receivedAt, beganAt: c.beganAt, waited: c.waited, stalledAt: c.endpoint.stalledAt, ranSince: c.endpoint.ranSince, logEnd: c.endpoint.logEnd(), user: c.user, who: c.sessionValues["who"], first: !c.inTx || !c.txStarted}
 	row, code := c.runStatement(id, text)
 	if code == "" && id != "-" {
 		c.group.executions = append(c.group.executions, x)
@@ -187,6 +187,9 @@
 		}
 		verb, rest, _ = strings.Cut(statement, " ")
 	}
+	if c.fails(verb) {
+		return "", "FAILED"
+	}
 	name, args, _ := strings.Cut(rest, " ")
 	switch verb {
 	case "BEGIN":
@@ -220,6 +223,15 @@
 	return "", ""
 }
 
+// fails reports whether the endpoint fails the request without an effect.
+func (c *endpointConn) fails(verb string) bool {
+	switch verb {
+	case "SET", "RESET", "PREPARE", "READ", "BEGIN":
+		return rand.Float64() < c.endpoint.failShare
+	}
+	return false
+}
+
 // begin opens a transaction.
 func (c *endpointConn) begin(readOnly bool) (code string) {
 	if !readOnly && !c.endpoint.primary {
--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -122,6 +122,17 @@
 		wait.Sleep(ctx, duration)
 		setStopped(false)
 	}},
+	{name: "fail part of the requests of an endpoint", inject: func(ctx context.Context, r *runner, random *rand.Rand, duration time.Duration) {
+		e := r.randomEndpoint(random)
+		fail := func(share float64) {
+			r.group.mu.Lock()
+			defer r.group.mu.Unlock()
+			e.failShare = share
+		}
+		fail(0.2 + 0.3*random.Float64())
+		wait.Sleep(ctx, duration)
+		fail(0)
+	}},
 	{name: "change the configuration", inject: func(_ context.Context, r *runner, random *rand.Rand, _ time.Duration) {
 		r.writeConfig(700 + random.IntN(600))
 	}},
--- a/deploy/soak/group.go
+++ b/deploy/soak/group.go
@@ -44,6 +44,9 @@
 	leaving, draining bool
 	// removedRow is true if the endpoint has left and removed its row itself.
 	removedRow bool
+	// failShare is the share of its requests that the endpoint fails without an effect, although it
+	// reports itself as healthy.
+	failShare float64
 	// replicationStopped keeps a replica from receiving log entries.
 	replicationStopped bool
 	// isolated keeps the endpoint from reaching the other endpoints.
@@ -111,8 +114,9 @@
 	// when it had begun to run before that.
 	waited              time.Duration
 	stalledAt, ranSince time.Time
-	// user is the name under which the connection was opened.
-	user string
+	// user is the name under which the connection was opened, and who the value of the session that was
+	// set on it.
+	user, who string
 	// first is true for a single statement and for the first statement of a transaction.
 	first bool
 }
@@ -310,7 +314,7 @@
 	if slices.Contains(g.former, e) {
 		return
 	}
-	e.down, e.replicationStopped, e.isolated, e.startedAt = false, false, false, time.Now().UnixMilli()
+	e.down, e.replicationStopped, e.isolated, e.failShare, e.startedAt = false, false, false, 0, time.Now().UnixMilli()
 	g.resumeLocked(e)
 	if current := g.currentPrimary(); current != e {
 		e.primary = false
--- /dev/null
+++ b/deploy/soak/lost_hosts_test.go
@@ -0,0 +1,88 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/beryltrestle/beryltrestle/internal/wait"
+)
+
+// longestSettling bounds the time from the loss of most hosts to that of the primary: from less than the
+// hosts that are left need to change the electorate to more.
+const longestSettling = 8 * time.Second
+
+// loseMost kills most hosts for good and starts as many at other addresses.
+func (r *runner) loseMost(t *testing.T, random *rand.Rand) {
+	r.hostsMu.Lock()
+	defer r.hostsMu.Unlock()
+	random.Shuffle(len(r.hosts), func(i, j int) { r.hosts[i], r.hosts[j] = r.hosts[j], r.hosts[i] })
+	var kills sync.WaitGroup
+	for n := range len(r.hosts)/2 + 1 + random.IntN(len(r.hosts)/2) {
+		old := r.hosts[n]
+		old.replace()
+		kills.Go(old.kill)
+		next, err := r.newHost(fmt.Sprintf("new-%d", n), old.zone)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		NewWithT(t).Expect(next.start()).To(Succeed())
+		r.hosts[n] = next
+	}
+	kills.Wait()
+}
+
+// Guards against a primary that is never replaced after most hosts were lost for good and replaced by
+// others, with all processes killed afterwards in half of the runs (RECOVER, review case 10).
+func TestPrimaryIsReplacedAfterLossOfMostHosts(t *testing.T) {
+	runPlacedWith(t, Config{allDatabases: true, directHosts: true, script: func(ctx context.Context, r *runner, random *rand.Rand) {
+		wait.Sleep(ctx, time.Second+upTo(random, time.Second))
+		r.loseMost(t, random)
+		wait.Sleep(ctx, upTo(random, longestSettling))
+		if random.IntN(2) == 0 {
+			for _, h := range r.hostList() {
+				h.kill()
+				r.restart(h)
+			}
+		}
+		e := r.crashPrimary()
+		for ctx.Err() == nil && !r.group.hasSuccessor(e) {
+			wait.Sleep(ctx, 10*time.Millisecond)
+		}
+		if !r.group.hasSuccessor(e) {
+			t.Error("the primary has no successor")
+		}
+		wait.Sleep(ctx, time.Second)
+	}})
+}
+
+// Guards against two primaries if most hosts are cut off from the store and the others, with a primary
+// that only they reach, and are taken for lost (ONE, STALE, review case 1).
+func TestCutOffMajorityDoesNotUseReplacedPrimary(t *testing.T) {
+	runPlacedWith(t, Config{allDatabases: true, script: func(ctx context.Context, r *runner, random *rand.Rand) {
+		wait.Sleep(ctx, time.Second+upTo(random, time.Second))
+		e := r.group.primary()
+		if e == nil {
+			t.Error("there is no primary")
+			return
+		}
+		inside := map[string]bool{e.id: true}
+		for _, n := range random.Perm(len(r.hosts))[:3+random.IntN(2)] {
+			h := r.hosts[n]
+			inside[h.name] = true
+			r.store.setFault(h.name, storeHangs)
+			defer r.store.setFault(h.name, storeHealthy)
+		}
+		r.isolate(inside)
+		for ctx.Err() == nil && !r.group.hasSuccessor(e) {
+			wait.Sleep(ctx, 10*time.Millisecond)
+		}
+		if !r.group.hasSuccessor(e) {
+			t.Error("the primary has no successor")
+		}
+		wait.Sleep(ctx, 2*time.Second)
+	}})
+}
--- a/deploy/soak/run.go
+++ b/deploy/soak/run.go
@@ -357,6 +357,7 @@
 func (r *runner) endFaults() {
 	for _, e := range r.group.list() {
 		r.group.mu.Lock()
+		e.failShare = 0
 		broken := e.down || e.replicationStopped || e.isolated || e.stalled()
 		r.group.mu.Unlock()
 		if broken {
