--- a/deploy/soak/lost_hosts_test.go
+++ b/deploy/soak/lost_hosts_test.go
@@ -59,6 +59,39 @@
 	}})
 }
 
+// Guards against two primaries if most hosts are frozen together with the only paths to a primary, are
+// taken for lost, and go on with what their callers have sent meanwhile after its replacement.
+func TestFrozenMajorityDoesNotUseReplacedPrimary(t *testing.T) {
+	runPlacedWith(t, Config{allDatabases: true, script: func(ctx context.Context, r *runner, random *rand.Rand) {
+		wait.Sleep(ctx, time.Second+upTo(random, time.Second))
+		e := r.group.primary()
+		if e == nil {
+			t.Error("there is no primary")
+			return
+		}
+		frozenUntil, wake := context.WithCancel(ctx)
+		defer wake()
+		inside := map[string]bool{e.id: true}
+		var frozen sync.WaitGroup
+		for _, n := range random.Perm(len(r.hosts))[:3+random.IntN(2)] {
+			h := r.hosts[n]
+			inside[h.name] = true
+			frozen.Go(func() { h.pause(frozenUntil, time.Minute) })
+		}
+		r.isolate(inside)
+		for ctx.Err() == nil && !r.group.hasSuccessor(e) {
+			wait.Sleep(ctx, 10*time.Millisecond)
+		}
+		if !r.group.hasSuccessor(e) {
+			t.Error("the primary has no successor")
+		}
+		wait.Sleep(ctx, upTo(random, time.Second))
+		wake()
+		frozen.Wait()
+		wait.Sleep(ctx, 2*time.Second)
+	}})
+}
+
 // Guards against two primaries if most hosts are cut off from the store and the others, with a primary
 // that only they reach, and are taken for lost (ONE, STALE, review case 1).
 func TestCutOffMajorityDoesNotUseReplacedPrimary(t *testing.T) {
--- a/internal/gateway/proof_test.go
+++ b/internal/gateway/proof_test.go
@@ -84,6 +84,23 @@
 	g.Expect(w.group.lastPrimarySend.at).To(BeZero())
 }
 
+// Guards against a statement that is sent although the replay of its session state is not answered, and
+// against a connection that is used again then: what is set on it is not known.
+func TestUnansweredReplayEndsTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	w := newUnprovenWork()
+	state := session.New()
+	state.Prepare("p", "READ q", false)
+	request := Request{Statement: session.Statement{ID: "q", Op: session.OpExecute, Name: "p"}}
+	_, _, err := w.gw.pool.run(w.conn, false, time.Now().Add(50*time.Millisecond), state, true, request)
+	g.Expect(errors.Is(err, errUnproven)).To(BeTrue(), "%v", err)
+	g.Expect(notSent(err)).To(BeTrue())
+	g.Expect(w.raw.sent).NotTo(BeClosed())
+	w.gw.pool.release(w.conn)
+	g.Expect(w.raw.closed).To(BeClosed())
+	g.Expect(w.conn.target.idle).To(BeEmpty())
+}
+
 // Guards against an answer to the proof that counts although the host has stood still since.
 func TestProofCountsForALimitedTime(t *testing.T) {
 	g := NewWithT(t)
