Soak: reserve each port once

The log of host-2 says "bind: address already in use". A port is reserved some time before its host listens, and the next host could be given the same one. Ports are now remembered. TestReservedPortsAreNotGivenTwice failed before.

--- a/deploy/soak/host.go
+++ b/deploy/soak/host.go
@@ -58,7 +58,12 @@
 	return net.IPv4(127, byte(1+pid>>16&0x7f), byte(pid>>8), byte(pid)).String()
 }
 
-// reservePorts returns n addresses of hostIP whose ports were free when it checked.
+// reservedPorts holds the addresses that reservePorts has returned. A host listens some time after that,
+// so that the next host could get one of its ports (seed 48004).
+var reservedPorts sync.Map
+
+// reservePorts returns n addresses of hostIP whose ports were free when it checked, and which it has not
+// returned before.
 func reservePorts(n int) ([]string, error) {
 	var out []string
 	for tries := 0; len(out) < n; tries++ {
@@ -71,7 +76,10 @@
 			continue
 		}
 		defer l.Close()
-		out = append(out, l.Addr().String())
+		address := l.Addr().String()
+		if _, reserved := reservedPorts.LoadOrStore(address, true); !reserved {
+			out = append(out, address)
+		}
 	}
 	return out, nil
 }
--- a/deploy/soak/ports_test.go
+++ b/deploy/soak/ports_test.go
@@ -33,6 +33,21 @@
 	}
 }
 
+// Guards against a host that cannot start because the next one was given a port that was reserved for it
+// ("bind: address already in use", seed 48004).
+func TestReservedPortsAreNotGivenTwice(t *testing.T) {
+	g := NewWithT(t)
+	seen := make(map[string]bool)
+	for range 400 {
+		addresses, err := reservePorts(3)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, address := range addresses {
+			g.Expect(seen[address]).To(BeFalse(), address)
+			seen[address] = true
+		}
+	}
+}
+
 // Guards against hosts of two runs at once that take each other's ports: statements of the callers
 // of one run were committed by the endpoints of the other (seed 5002 beside another run).
 func TestRunsShareNoAddress(t *testing.T) {
