--- a/deploy/soak/lost_hosts_test.go
+++ b/deploy/soak/lost_hosts_test.go
@@ -40,6 +40,17 @@
 	kills.Wait()
 }
 
+// awaitSuccessor waits until a successor of the endpoint has committed a write. The test fails if there is
+// none when ctx ends.
+func (r *runner) awaitSuccessor(ctx context.Context, t *testing.T, e *endpoint) {
+	for ctx.Err() == nil && !r.group.hasSuccessor(e) {
+		wait.Sleep(ctx, 10*time.Millisecond)
+	}
+	if !r.group.hasSuccessor(e) {
+		t.Error("the primary has no successor")
+	}
+}
+
 // Guards against a primary that is never replaced after most hosts were lost for good and replaced by
 // others, with all processes killed afterwards in half of the runs (RECOVER, review case 10).
 func TestPrimaryIsReplacedAfterLossOfMostHosts(t *testing.T) {
@@ -54,12 +65,7 @@
 			}
 		}
 		e := r.crashPrimary()
-		for ctx.Err() == nil && !r.group.hasSuccessor(e) {
-			wait.Sleep(ctx, 10*time.Millisecond)
-		}
-		if !r.group.hasSuccessor(e) {
-			t.Error("the primary has no successor")
-		}
+		r.awaitSuccessor(ctx, t, e)
 		wait.Sleep(ctx, time.Second)
 	}})
 }
@@ -84,12 +90,7 @@
 			frozen.Go(func() { h.pause(frozenUntil, time.Minute) })
 		}
 		r.isolate(inside)
-		for ctx.Err() == nil && !r.group.hasSuccessor(e) {
-			wait.Sleep(ctx, 10*time.Millisecond)
-		}
-		if !r.group.hasSuccessor(e) {
-			t.Error("the primary has no successor")
-		}
+		r.awaitSuccessor(ctx, t, e)
 		wait.Sleep(ctx, upTo(random, time.Second))
 		wake()
 		frozen.Wait()
@@ -115,12 +116,7 @@
 			defer r.store.setFault(h.name, storeHealthy)
 		}
 		r.isolate(inside)
-		for ctx.Err() == nil && !r.group.hasSuccessor(e) {
-			wait.Sleep(ctx, 10*time.Millisecond)
-		}
-		if !r.group.hasSuccessor(e) {
-			t.Error("the primary has no successor")
-		}
+		r.awaitSuccessor(ctx, t, e)
 		wait.Sleep(ctx, 2*time.Second)
 	}})
 }
